Set down the kernel, core types, messages and codec

Cause: an empty repository. Change: design page, project tooling, ids, states, configuration records, self-describing flow ids, messages as data classes, the event kernel with a plug-in registry, and the msgspec codec.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets set up their own virtual environment.
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+export PYTHONPATH := src:.
+
+.PHONY: all demo test check format bench soak experiments clean
+
+all: check test
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || python3 -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 src tests standins demo bench experiments scenarios
+	$(BIN)/mypy src standins demo bench experiments scenarios
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+soak: $(STAMP)
+	$(BIN)/python -m scenarios soak
+
+experiments: $(STAMP)
+	$(BIN)/python -m experiments
+
+clean:
+	rm -rf $(VENV) .mypy_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of speed and memory, printed as JSON lines."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration that runs the whole path with real processes."""
--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Comparisons of design choices."""
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario files and their runner on virtual time."""
--- /dev/null
+++ b/src/lycheedeal/kernel/_internal.py
@@ -0,0 +1,127 @@
+"""Events by which plug-ins inform each other."""
+
+from dataclasses import dataclass
+
+from lycheedeal.errors import ErrorKind
+from lycheedeal.messages import Open
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    FlowId,
+    Incarnation,
+    KindId,
+    Member,
+    Service,
+    ServiceNumber,
+    UpstreamId,
+    UpstreamState,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """Configuration in force on this host changed."""
+
+    view: ConfigurationView
+
+
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The hosts of this zone that may own services changed.
+
+    ``members`` includes this host unless it is leaving.
+    """
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChanged:
+    """State of an upstream as this host sees it.
+
+    ``weight`` is from 0 to 1 and rises while a cold start is ramped.
+    """
+
+    service: ServiceNumber
+    upstream_id: UpstreamId
+    endpoint: Endpoint
+    state: UpstreamState
+    incarnation: Incarnation
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAdmitted:
+    """A new flow may be opened.
+
+    ``relayed_by`` is the host that relayed the message; None if it came
+    straight from the fabric.
+    """
+
+    caller: Endpoint
+    service: Service
+    message: Open
+    relayed_by: Endpoint | None
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerReady:
+    """Health wants to observe the upstreams of a service that this host owns."""
+
+    services: tuple[ServiceNumber, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FlowOpened:
+    """A flow was opened by this host."""
+
+    service: ServiceNumber
+    kind_id: KindId
+    flow_id: FlowId
+
+
+@dataclass(frozen=True, slots=True)
+class FlowClosed:
+    """A flow seen by this host ended; ``error`` is set if it was broken."""
+
+    service: ServiceNumber
+    flow_id: FlowId
+    error: ErrorKind | None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFinished:
+    """A request owned by this host ended; ``error`` None means answered.
+
+    ``seconds`` is the time from arrival to the end.
+    """
+
+    service: ServiceNumber
+    kind_id: KindId
+    upstream: Endpoint | None
+    error: ErrorKind | None
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Something was refused; counted by kind of error."""
+
+    error: ErrorKind
+    service: ServiceNumber | None
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopStarted:
+    """A planned stop began: take no new work, finish what is in hand."""
+
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkRemaining:
+    """A plug-in reports how much work it still has before a stop."""
+
+    plugin: str
+    count: int
--- /dev/null
+++ b/src/lycheedeal/kernel/_registry.py
@@ -0,0 +1,68 @@
+"""Registry of plug-ins; each plug-in package registers itself at import."""
+
+import importlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from lycheedeal.exceptions import PluginError
+from lycheedeal.kernel._context import Context
+
+if TYPE_CHECKING:
+    from lycheedeal.kernel._kernel import Plugin
+
+DEFAULT_PLUGINS: Final = (
+    'configuration',
+    'membership',
+    'health',
+    'admission',
+    'steering',
+    'requests',
+    'operators',
+    'telemetry',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PluginSpec:
+    """What the kernel needs to know about a plug-in."""
+
+    name: str
+    factory: 'Callable[[Context], Plugin]'
+    events: frozenset[type]
+
+
+_specs_by_name: Final[dict[str, PluginSpec]] = {}
+
+
+def register(spec: PluginSpec) -> None:
+    """Add a plug-in; a second one of the same name is an error."""
+    if spec.name in _specs_by_name:
+        raise PluginError(f'plug-in {spec.name} is registered twice')
+    _specs_by_name[spec.name] = spec
+
+
+def registered() -> tuple[str, ...]:
+    """Return the names of all registered plug-ins."""
+    return tuple(_specs_by_name)
+
+
+def load_plugins(names: Iterable[str] = DEFAULT_PLUGINS) -> tuple[PluginSpec, ...]:
+    """Import plug-ins by name and return their specs in the given order.
+
+    A name without a dot is a subpackage of ``lycheedeal``; others are
+    imported as they are, and register under their last component.
+    """
+    return tuple(_load_one(name) for name in names)
+
+
+def _load_one(name: str) -> PluginSpec:
+    module = name if '.' in name else f'lycheedeal.{name}'
+    try:
+        importlib.import_module(module)
+    except ModuleNotFoundError as error:
+        raise PluginError(f'plug-in {name} cannot be imported') from error
+    spec = _specs_by_name.get(name.rpartition('.')[2])
+    if spec is None:
+        raise PluginError(f'module {module} registers no plug-in')
+    return spec
--- /dev/null
+++ b/src/lycheedeal/messages/__init__.py
@@ -0,0 +1,68 @@
+"""Messages exchanged between processes, without their encoding."""
+
+from lycheedeal.messages._caller import (
+    Answer,
+    CancelRequest,
+    CloseFlow,
+    FlowBroken,
+    Open,
+    Opened,
+    OpenRefused,
+    Outcome,
+    Request,
+)
+from lycheedeal.messages._gossip import Digest, ShardCopy
+from lycheedeal.messages._peer import (
+    IndirectProbe,
+    Probe,
+    ProbeAck,
+    Pushback,
+    RelayedCancel,
+    RelayedOpen,
+    RelayedRequest,
+)
+from lycheedeal.messages._upstream import (
+    CancelRun,
+    FlowAccepted,
+    FlowOpen,
+    FlowRejected,
+    Hello,
+    Run,
+    RunAnswer,
+    RunCancelled,
+    RunRefused,
+    UpstreamClose,
+    Welcome,
+)
+
+__all__ = (
+    'Answer',
+    'CancelRequest',
+    'CancelRun',
+    'CloseFlow',
+    'Digest',
+    'FlowAccepted',
+    'FlowBroken',
+    'FlowOpen',
+    'FlowRejected',
+    'Hello',
+    'IndirectProbe',
+    'Open',
+    'OpenRefused',
+    'Opened',
+    'Outcome',
+    'Probe',
+    'ProbeAck',
+    'Pushback',
+    'RelayedCancel',
+    'RelayedOpen',
+    'RelayedRequest',
+    'Request',
+    'Run',
+    'RunAnswer',
+    'RunCancelled',
+    'RunRefused',
+    'ShardCopy',
+    'UpstreamClose',
+    'Welcome',
+)
--- /dev/null
+++ b/src/lycheedeal/messages/_peer.py
@@ -0,0 +1,67 @@
+"""Messages between hosts over UDP: relays and membership probes."""
+
+from dataclasses import dataclass
+
+from lycheedeal.messages._caller import CancelRequest, Open, Request
+from lycheedeal.model import Endpoint, Member, ServiceNumber
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedOpen:
+    """An ``Open`` passed on to the owner of the service; never passed on again."""
+
+    caller: Endpoint
+    service: ServiceNumber
+    message: Open
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """A ``Request`` passed on to the owner that its flow id names."""
+
+    caller: Endpoint
+    message: Request
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedCancel:
+    """A ``CancelRequest`` passed on to the owner that its flow id names."""
+
+    caller: Endpoint
+    message: CancelRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Pushback:
+    """Asks a host to refuse new flows whose priority number is above a bound."""
+
+    service: ServiceNumber
+    max_priority: int
+    ttl_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Direct membership probe with a bounded list of member updates."""
+
+    sequence: int
+    sender: Member
+    updates: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAck:
+    """Answer to a probe, sent to whoever asked for it."""
+
+    sequence: int
+    sender: Member
+    updates: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class IndirectProbe:
+    """Asks a peer to probe ``target`` and pass the answer back."""
+
+    sequence: int
+    sender: Member
+    target: Endpoint
--- /dev/null
+++ b/src/lycheedeal/model/__init__.py
@@ -0,0 +1,70 @@
+"""Identifiers, states and records shared by all parts."""
+
+from lycheedeal.model._configuration import (
+    SHARD_COUNT,
+    ChangeRecord,
+    ConfigurationView,
+    Service,
+    Shard,
+    Upstream,
+    WorkKind,
+    shard_of,
+)
+from lycheedeal.model._flow_id import FLOW_ID_SIZE, FlowFields, FlowIdCodec
+from lycheedeal.model._ids import (
+    AttemptId,
+    ChangeId,
+    Endpoint,
+    FlowId,
+    Generation,
+    HostId,
+    Incarnation,
+    KindId,
+    QueryId,
+    Region,
+    RequestNumber,
+    ServiceName,
+    ServiceNumber,
+    ShardIndex,
+    UpstreamId,
+    Zone,
+)
+from lycheedeal.model._member import Member, MemberState
+from lycheedeal.model._settings import HostSettings
+from lycheedeal.model._states import FlowClass, SpillRule, UpstreamState
+
+__all__ = (
+    'FLOW_ID_SIZE',
+    'SHARD_COUNT',
+    'AttemptId',
+    'ChangeId',
+    'ChangeRecord',
+    'ConfigurationView',
+    'Endpoint',
+    'FlowClass',
+    'FlowFields',
+    'FlowId',
+    'FlowIdCodec',
+    'Generation',
+    'HostId',
+    'HostSettings',
+    'Incarnation',
+    'KindId',
+    'Member',
+    'MemberState',
+    'QueryId',
+    'Region',
+    'RequestNumber',
+    'Service',
+    'ServiceName',
+    'ServiceNumber',
+    'Shard',
+    'ShardIndex',
+    'SpillRule',
+    'Upstream',
+    'UpstreamId',
+    'UpstreamState',
+    'WorkKind',
+    'Zone',
+    'shard_of',
+)
--- /dev/null
+++ b/src/lycheedeal/model/_configuration.py
@@ -0,0 +1,113 @@
+"""Configuration records; shards are what the object API stores."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Final
+
+import xxhash
+
+from lycheedeal.model._ids import (
+    ChangeId,
+    Endpoint,
+    Generation,
+    KindId,
+    ServiceName,
+    ServiceNumber,
+    ShardIndex,
+    UpstreamId,
+    Zone,
+)
+from lycheedeal.model._states import SpillRule
+
+SHARD_COUNT: Final = 16
+
+
+@dataclass(frozen=True, slots=True)
+class WorkKind:
+    """Kind of work of a service.
+
+    Priority 0 is the most urgent. ``floor`` is the share of slots, from 0
+    to 1, that the kind keeps while other kinds flood.
+    """
+
+    kind_id: KindId
+    name: str
+    priority: int
+    floor: float = 0
+    idempotent: bool = False
+    long: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One back end of a service; limits are counts for the whole fleet."""
+
+    upstream_id: UpstreamId
+    endpoint: Endpoint
+    zone: Zone
+    slots: int = 2
+    connections: int = 4000
+    drained: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service address with its kinds of work and upstreams."""
+
+    number: ServiceNumber
+    name: ServiceName
+    address: Endpoint
+    spill: SpillRule = SpillRule.NEVER
+    kinds: tuple[WorkKind, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+
+    def kind(self, kind_id: KindId) -> WorkKind | None:
+        """Return the kind of work with this id, if the service has it."""
+        return next((one for one in self.kinds if one.kind_id == kind_id), None)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """An accepted change; kept so that a lost answer can be resolved."""
+
+    change_id: ChangeId
+    generation: Generation
+    summary: str
+    accepted_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """Unit of configuration that is changed and spread as a whole.
+
+    ``generation`` rises by one with each accepted change and never falls,
+    whatever the version of the stored object. ``next_counter`` numbers new
+    services; numbers are never reused.
+    """
+
+    index: ShardIndex
+    generation: Generation
+    next_counter: int = 1
+    services: tuple[Service, ...] = ()
+    changes: tuple[ChangeRecord, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationView:
+    """Configuration in force on one host."""
+
+    services_by_number: Mapping[ServiceNumber, Service] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
+    services_by_address: Mapping[Endpoint, Service] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
+    generations_by_shard: Mapping[ShardIndex, Generation] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
+
+
+def shard_of(name: ServiceName) -> ShardIndex:
+    """Return the shard that holds the service of this name."""
+    return ShardIndex(xxhash.xxh32_intdigest(name.encode()) % SHARD_COUNT)
--- /dev/null
+++ b/src/lycheedeal/model/_flow_id.py
@@ -0,0 +1,112 @@
+"""Self-describing flow identifiers.
+
+Every host that shares the key can forward an established flow from the
+identifier alone, without configuration, membership or flow state.
+"""
+
+import hashlib
+import hmac
+import socket
+import struct
+from dataclasses import dataclass
+from typing import Final
+
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.model._ids import Endpoint, FlowId, Incarnation, KindId, ServiceNumber
+from lycheedeal.model._states import FlowClass
+
+_LAYOUT_VERSION: Final = 1
+_TAG_SIZE: Final = 8
+# version, flow class, kind, padding, service, owner ip, owner port,
+# owner incarnation, upstream ip, upstream port, upstream incarnation, nonce
+_BODY: Final = struct.Struct('!BBBxI4sHQ4sHQQ')
+FLOW_ID_SIZE: Final = _BODY.size + _TAG_SIZE
+NO_UPSTREAM: Final = Endpoint('0.0.0.0', 0)  # noqa: S104
+
+
+@dataclass(frozen=True, slots=True)
+class FlowFields:
+    """Content of a flow id; request flows name no upstream."""
+
+    flow_class: FlowClass
+    kind_id: KindId
+    service: ServiceNumber
+    owner: Endpoint
+    owner_incarnation: Incarnation
+    nonce: int
+    upstream: Endpoint = NO_UPSTREAM
+    upstream_incarnation: Incarnation = Incarnation(0)
+
+
+class FlowIdCodec:
+    """Builds and checks flow ids with a key shared by all hosts."""
+
+    def __init__(self, key: bytes) -> None:
+        """Take the shared key, at most 64 bytes."""
+        self._key = key
+
+    def mint(self, fields: FlowFields) -> FlowId:
+        """Return the authenticated identifier for these fields."""
+        body = _BODY.pack(
+            _LAYOUT_VERSION,
+            fields.flow_class,
+            fields.kind_id,
+            fields.service,
+            socket.inet_aton(fields.owner.ip),
+            fields.owner.port,
+            fields.owner_incarnation,
+            socket.inet_aton(fields.upstream.ip),
+            fields.upstream.port,
+            fields.upstream_incarnation,
+            fields.nonce,
+        )
+        return FlowId(body + self._tag(body))
+
+    def parse(self, flow_id: bytes) -> FlowFields:
+        """Return the fields of an authentic flow id.
+
+        Raises DecodeError with kind MALFORMED, UNSUPPORTED_VERSION or
+        BAD_TAG.
+        """
+        if len(flow_id) != FLOW_ID_SIZE:
+            raise DecodeError('flow id has the wrong size')
+        if flow_id[0] != _LAYOUT_VERSION:
+            raise DecodeError('flow id version', ErrorKind.UNSUPPORTED_VERSION)
+        body = flow_id[:-_TAG_SIZE]
+        if not hmac.compare_digest(self._tag(body), flow_id[-_TAG_SIZE:]):
+            raise DecodeError('flow id tag', ErrorKind.BAD_TAG)
+        return _fields(body)
+
+    def _tag(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, digest_size=_TAG_SIZE, key=self._key).digest()
+
+
+def _fields(body: bytes) -> FlowFields:
+    (
+        _,
+        flow_class,
+        kind_id,
+        service,
+        owner_ip,
+        owner_port,
+        owner_incarnation,
+        upstream_ip,
+        upstream_port,
+        upstream_incarnation,
+        nonce,
+    ) = _BODY.unpack(body)
+    try:
+        known_class = FlowClass(flow_class)
+    except ValueError as error:
+        raise DecodeError('flow class') from error
+    return FlowFields(
+        flow_class=known_class,
+        kind_id=KindId(kind_id),
+        service=ServiceNumber(service),
+        owner=Endpoint(socket.inet_ntoa(owner_ip), owner_port),
+        owner_incarnation=Incarnation(owner_incarnation),
+        upstream=Endpoint(socket.inet_ntoa(upstream_ip), upstream_port),
+        upstream_incarnation=Incarnation(upstream_incarnation),
+        nonce=nonce,
+    )
--- /dev/null
+++ b/src/lycheedeal/model/_member.py
@@ -0,0 +1,29 @@
+"""Records of entry hosts."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from lycheedeal.model._ids import Endpoint, HostId, Incarnation, Zone
+
+
+@unique
+class MemberState(Enum):
+    """State of an entry host as its peers see it."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+    DEAD = 'dead'
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process incarnation of the daemon on an entry host."""
+
+    host_id: HostId
+    zone: Zone
+    peer: Endpoint
+    gossip: Endpoint
+    admin: Endpoint
+    incarnation: Incarnation
+    state: MemberState = MemberState.ALIVE
--- /dev/null
+++ b/src/lycheedeal/wire/_codec.py
@@ -0,0 +1,104 @@
+"""Codec for the messages of ``lycheedeal.messages``.
+
+A message is one byte of type and version, one byte of message number, and a
+msgpack map of its fields.
+"""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+import msgspec
+
+from lycheedeal import messages
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import DecodeError
+
+MAX_DATAGRAM: Final = 60_000
+_CONTROL: Final = 0x12
+_VERSION_MASK: Final = 0xF0
+_HEADER_SIZE: Final = 2
+
+_Decoder = msgspec.msgpack.Decoder[Any]
+
+# Numbers go over the wire: append only.
+_TYPES_BY_NUMBER: Final[Mapping[int, type]] = MappingProxyType(
+    {
+        1: messages.Open,
+        2: messages.Opened,
+        3: messages.OpenRefused,
+        4: messages.Request,
+        5: messages.Answer,
+        6: messages.Outcome,
+        7: messages.CancelRequest,
+        8: messages.CloseFlow,
+        9: messages.FlowBroken,
+        20: messages.Hello,
+        21: messages.Welcome,
+        22: messages.FlowOpen,
+        23: messages.FlowAccepted,
+        24: messages.FlowRejected,
+        25: messages.UpstreamClose,
+        26: messages.Run,
+        27: messages.RunAnswer,
+        28: messages.RunRefused,
+        29: messages.CancelRun,
+        30: messages.RunCancelled,
+        40: messages.RelayedOpen,
+        41: messages.RelayedRequest,
+        42: messages.RelayedCancel,
+        43: messages.Pushback,
+        44: messages.Probe,
+        45: messages.ProbeAck,
+        46: messages.IndirectProbe,
+        60: messages.Digest,
+        61: messages.ShardCopy,
+    },
+)
+_HEADERS_BY_TYPE: Final = MappingProxyType(
+    {kind: bytes((_CONTROL, number)) for number, kind in _TYPES_BY_NUMBER.items()},
+)
+_DECODERS_BY_NUMBER: Final[Mapping[int, _Decoder]] = MappingProxyType(
+    {
+        number: msgspec.msgpack.Decoder(kind)
+        for number, kind in _TYPES_BY_NUMBER.items()
+    },
+)
+_encoder: Final = msgspec.msgpack.Encoder()
+
+
+def encode(message: Any) -> bytes:
+    """Return the datagram for a message of ``lycheedeal.messages``."""
+    return _HEADERS_BY_TYPE[type(message)] + _encoder.encode(message)
+
+
+def decode(datagram: bytes) -> Any:
+    """Return the message in a datagram.
+
+    Raises DecodeError with kind MALFORMED, OVERSIZED or
+    UNSUPPORTED_VERSION; never any other exception.
+    """
+    decoder = _find_decoder(datagram)
+    try:
+        return decoder.decode(memoryview(datagram)[_HEADER_SIZE:])
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise DecodeError(f'invalid message: {error}') from error
+
+
+def _find_decoder(datagram: bytes) -> _Decoder:
+    if len(datagram) > MAX_DATAGRAM:
+        raise DecodeError('datagram too large', ErrorKind.OVERSIZED)
+    if len(datagram) < _HEADER_SIZE:
+        raise DecodeError('datagram too short')
+    if datagram[0] != _CONTROL:
+        raise _unknown_type(datagram[0])
+    decoder = _DECODERS_BY_NUMBER.get(datagram[1])
+    if decoder is None:
+        raise DecodeError(f'unknown message number {datagram[1]}')
+    return decoder
+
+
+def _unknown_type(first: int) -> DecodeError:
+    if first & _VERSION_MASK == _CONTROL & _VERSION_MASK:
+        return DecodeError(f'unknown datagram type {first:#x}')
+    return DecodeError('unknown version', ErrorKind.UNSUPPORTED_VERSION)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the product."""
--- /dev/null
+++ b/tests/unit/test_wire.py
@@ -0,0 +1,62 @@
+"""Decoders must turn any input into a message or a DecodeError."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheedeal import messages, wire
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.model import (
+    Endpoint,
+    FlowClass,
+    FlowFields,
+    FlowIdCodec,
+    Incarnation,
+    KindId,
+    ServiceNumber,
+)
+
+CODEC = FlowIdCodec(b'key')
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=200), st.sampled_from((b'', b'\x12', b'\x12\x04', b'\x11')))
+def test_random_datagrams_raise_only_decode_errors(tail: bytes, head: bytes) -> None:
+    """Guards against an exception that would end the loop."""
+    try:
+        wire.decode(head + tail)
+    except DecodeError:
+        return
+
+
+@settings(derandomize=True)
+@given(st.integers(0, 200))
+def test_truncated_message_is_refused(size: int) -> None:
+    """Guards against acting on half a message."""
+    whole = wire.encode(messages.Open(nonce=7, kind_id=KindId(1)))
+    if size < len(whole):
+        with pytest.raises(DecodeError):
+            wire.decode(whole[:size])
+
+
+@settings(derandomize=True)
+@given(st.integers(0, 51), st.integers(1, 255))
+def test_changed_flow_id_is_refused(place: int, flip: int) -> None:
+    """Guards against a forged or damaged flow id reaching an upstream."""
+    flow_id = bytearray(
+        CODEC.mint(
+            FlowFields(
+                flow_class=FlowClass.LONG,
+                kind_id=KindId(1),
+                service=ServiceNumber(3),
+                owner=Endpoint('127.0.0.1', 1),
+                owner_incarnation=Incarnation(5),
+                nonce=9,
+                upstream=Endpoint('127.0.0.1', 2),
+                upstream_incarnation=Incarnation(6),
+            ),
+        ),
+    )
+    flow_id[place] ^= flip
+    with pytest.raises(DecodeError):
+        CODEC.parse(bytes(flow_id))
