Add the changes of configuration as data classes

Cause: operators and configuration need a common form of a change. Change: one data class a change, and the events that ask for and decide it.

--- a/src/lycheedeal/kernel/__init__.py
+++ b/src/lycheedeal/kernel/__init__.py
@@ -36,6 +36,8 @@
     UpstreamMessage,
 )
 from lycheedeal.kernel._internal import (
+    ChangeDecided,
+    ChangeRequested,
     FlowClosed,
     FlowOpened,
     MembersChanged,
@@ -59,6 +61,8 @@
     'CallApi',
     'CallerMessage',
     'CallerPacket',
+    'ChangeDecided',
+    'ChangeRequested',
     'Clock',
     'Context',
     'Effect',
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -5,12 +5,16 @@
 from lycheedeal.errors import ErrorKind
 from lycheedeal.messages import Open
 from lycheedeal.model import (
+    Change,
+    ChangeId,
     ConfigurationView,
     Endpoint,
     FlowId,
+    Generation,
     Incarnation,
     KindId,
     Member,
+    QueryId,
     Service,
     ServiceNumber,
     UpstreamId,
@@ -119,6 +123,30 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeRequested:
+    """An operator asks for a change; answered by one ``ChangeDecided``."""
+
+    query_id: QueryId
+    change_id: ChangeId
+    change: Change
+    dry_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeDecided:
+    """Outcome of a change; ``error`` None means accepted (or valid, if dry run).
+
+    ``generation`` is that of the shard after the change, 0 if unknown.
+    """
+
+    query_id: QueryId
+    change_id: ChangeId
+    error: ErrorKind | None
+    generation: Generation
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class WorkRemaining:
     """A plug-in reports how much work it still has before a stop."""
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -34,6 +34,8 @@
     | internal.Refused
     | internal.StopStarted
     | internal.WorkRemaining
+    | internal.ChangeRequested
+    | internal.ChangeDecided
 )
 
 
--- a/src/lycheedeal/model/__init__.py
+++ b/src/lycheedeal/model/__init__.py
@@ -1,5 +1,16 @@
 """Identifiers, states and records shared by all parts."""
 
+from lycheedeal.model._changes import (
+    Change,
+    CreateKind,
+    CreateService,
+    CreateUpstream,
+    DeleteKind,
+    DeleteService,
+    DeleteUpstream,
+    DrainUpstream,
+    UndrainUpstream,
+)
 from lycheedeal.model._configuration import (
     SHARD_COUNT,
     ChangeRecord,
@@ -37,9 +48,17 @@
     'FLOW_ID_SIZE',
     'SHARD_COUNT',
     'AttemptId',
+    'Change',
     'ChangeId',
     'ChangeRecord',
     'ConfigurationView',
+    'CreateKind',
+    'CreateService',
+    'CreateUpstream',
+    'DeleteKind',
+    'DeleteService',
+    'DeleteUpstream',
+    'DrainUpstream',
     'Endpoint',
     'FlowClass',
     'FlowFields',
@@ -61,6 +80,7 @@
     'Shard',
     'ShardIndex',
     'SpillRule',
+    'UndrainUpstream',
     'Upstream',
     'UpstreamId',
     'UpstreamState',
--- /dev/null
+++ b/src/lycheedeal/model/_changes.py
@@ -0,0 +1,90 @@
+"""Changes of configuration that an operator can ask for."""
+
+from dataclasses import dataclass
+
+from lycheedeal.model._ids import Endpoint, ServiceName, UpstreamId, Zone
+from lycheedeal.model._states import SpillRule
+
+
+@dataclass(frozen=True, slots=True)
+class CreateService:
+    """Creates a service without kinds and upstreams."""
+
+    service: ServiceName
+    address: Endpoint
+    spill: SpillRule = SpillRule.NEVER
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteService:
+    """Deletes a service; refused while it still has upstreams."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class CreateKind:
+    """Adds a kind of work to a service; see ``WorkKind`` for the fields."""
+
+    service: ServiceName
+    name: str
+    priority: int
+    floor: float = 0
+    idempotent: bool = False
+    long: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteKind:
+    """Removes a kind of work from a service."""
+
+    service: ServiceName
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class CreateUpstream:
+    """Adds an upstream to a service."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+    endpoint: Endpoint
+    zone: Zone
+    slots: int = 2
+    connections: int = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class DrainUpstream:
+    """Stops new work for an upstream; what it holds goes on."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class UndrainUpstream:
+    """Allows new work for a drained upstream again."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteUpstream:
+    """Removes an upstream; refused unless it is drained."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+
+
+Change = (
+    CreateService
+    | DeleteService
+    | CreateKind
+    | DeleteKind
+    | CreateUpstream
+    | DrainUpstream
+    | UndrainUpstream
+    | DeleteUpstream
+)
--- a/src/lycheedeal/model/_member.py
+++ b/src/lycheedeal/model/_member.py
@@ -18,7 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One process incarnation of the daemon on an entry host."""
+    """One process incarnation of the daemon on an entry host.
+
+    ``revision`` is raised by the host itself to refute a suspicion; a record
+    with a higher (incarnation, revision) replaces an older one.
+    """
 
     host_id: HostId
     zone: Zone
@@ -26,4 +30,5 @@
     gossip: Endpoint
     admin: Endpoint
     incarnation: Incarnation
+    revision: int = 0
     state: MemberState = MemberState.ALIVE
