--- /dev/null
+++ b/bench/_echo.py
@@ -0,0 +1,25 @@
+"""Bare UDP echo, the baseline for packets a second."""
+
+import asyncio
+import sys
+from typing import Any
+
+import uvloop
+
+
+class _Echo(asyncio.DatagramProtocol):
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._transport.sendto(data, addr)
+
+
+async def _main(port: int) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(_Echo, local_addr=('127.0.0.1', port))
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    uvloop.run(_main(int(sys.argv[1])))
--- /dev/null
+++ b/bench/flows.py
@@ -0,0 +1,167 @@
+"""New flows a second of processor time, and bytes a held flow."""
+
+import json
+import random
+import time
+import tracemalloc
+from types import MappingProxyType
+
+from lycheedeal.kernel import (
+    CallerMessage,
+    Context,
+    Kernel,
+    MembersChanged,
+    SendToCaller,
+    SendToUpstream,
+    Started,
+    UpstreamChanged,
+    UpstreamMessage,
+    ViewChanged,
+    load_plugins,
+)
+from lycheedeal.messages import FlowAccepted, FlowOpen, Open
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    FlowClass,
+    FlowFields,
+    HostId,
+    HostSettings,
+    Incarnation,
+    KindId,
+    Region,
+    Service,
+    ServiceName,
+    ServiceNumber,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    WorkKind,
+    Zone,
+)
+from lycheedeal.runtime import SystemClock
+from lycheedeal.steering import RouteTable
+from lycheedeal.wire import decode, encode
+
+ZONE = Zone('bench')
+ADDRESS = Endpoint('192.0.2.1', 443)
+NUMBER = ServiceNumber(17)
+NEW_FLOWS = 10_000
+
+
+def _settings() -> HostSettings:
+    own = '127.0.0.1'
+    return HostSettings(
+        host_id=HostId('bench-1'),
+        region=Region('bench'),
+        zone=ZONE,
+        data=Endpoint(own, 1),
+        peer=Endpoint(own, 2),
+        gossip=Endpoint(own, 3),
+        admin=Endpoint(own, 4),
+        platform_url='http://127.0.0.1:5',
+        flow_key=b'bench flow key 0',
+    )
+
+
+def _kernel() -> Kernel:
+    """Return a core that owns one service with seven upstreams."""
+    context = Context(_settings(), SystemClock(), random.Random(1), Incarnation(1))
+    kernel = Kernel(context, load_plugins())
+    upstreams = tuple(
+        Upstream(
+            UpstreamId(f'u{one}'), Endpoint('127.0.0.2', one), ZONE, connections=9999
+        )
+        for one in range(1, 8)
+    )
+    kinds = (
+        WorkKind(KindId(1), 'feed', 0, long=True),
+        WorkKind(KindId(2), 'checkin', 0),
+    )
+    service = Service(
+        NUMBER, ServiceName('api'), ADDRESS, kinds=kinds, upstreams=upstreams
+    )
+    view = ConfigurationView(
+        MappingProxyType({NUMBER: service}), MappingProxyType({ADDRESS: service})
+    )
+    kernel.dispatch(Started())
+    kernel.dispatch(ViewChanged(view))
+    kernel.dispatch(MembersChanged((context.member,)))
+    for one in upstreams:
+        kernel.dispatch(
+            UpstreamChanged(
+                NUMBER,
+                one.upstream_id,
+                one.endpoint,
+                UpstreamState.READY,
+                Incarnation(1),
+                1,
+            ),
+        )
+    return kernel
+
+
+def _open_flows(kind_id: int) -> float:
+    """Return flows opened a processor second, with coding of messages."""
+    kernel = _kernel()
+    callers = [Endpoint('10.0.0.1', port) for port in range(1, NEW_FLOWS + 1)]
+    opened = 0
+    began = time.process_time()
+    for caller in callers:
+        message = decode(encode(Open(caller.port, KindId(kind_id))))
+        pending = kernel.dispatch(CallerMessage(caller, ADDRESS, message))
+        while pending:
+            effect = pending.pop(0)
+            if isinstance(effect, SendToUpstream) and isinstance(
+                effect.message, FlowOpen
+            ):
+                flow_open = decode(encode(effect.message))
+                accepted = FlowAccepted(flow_open.flow_id)
+                event = UpstreamMessage(effect.upstream, 0, decode(encode(accepted)))
+                pending += kernel.dispatch(event)
+            elif isinstance(effect, SendToCaller):
+                encode(effect.message)
+                opened += 1
+    if opened != NEW_FLOWS:
+        raise SystemExit(f'only {opened} of {NEW_FLOWS} flows were opened')
+    return opened / (time.process_time() - began)
+
+
+def _bytes_per_flow(count: int) -> float:
+    fields = FlowFields(
+        flow_class=FlowClass.LONG,
+        kind_id=KindId(1),
+        service=NUMBER,
+        owner=Endpoint('127.0.0.1', 2),
+        owner_incarnation=Incarnation(1),
+        nonce=0,
+        upstream=Endpoint('127.0.0.2', 1),
+        upstream_incarnation=Incarnation(1),
+    )
+    rng = random.Random(1)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    table = RouteTable(count)
+    for _ in range(count):
+        table.add(rng.randbytes(52), fields)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if len(table) != count:
+        raise SystemExit('the table dropped flows below its bound')
+    return (after - before) / count
+
+
+def main() -> None:
+    """Print JSON lines."""
+    for name, kind_id in (('long', 1), ('request', 2)):
+        rate = round(_open_flows(kind_id))
+        line = {'bench': 'new_flows', 'class': name, 'flows_per_cpu_second': rate}
+        print(json.dumps(line), flush=True)
+    for count in (100_000, 200_000, 300_000):
+        size = round(_bytes_per_flow(count), 1)
+        line = {'bench': 'flow_memory', 'flows': count, 'bytes_per_flow': size}
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/packets.py
@@ -0,0 +1,181 @@
+"""Packets of established flows a second of processor time, against an echo."""
+
+import asyncio
+import json
+import random
+import socket
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import uvloop
+
+from bench._processes import (
+    FLOW_KEY,
+    cpu_seconds,
+    daemon_arguments,
+    free_endpoint,
+    program,
+    resident_bytes,
+    thread_count,
+)
+from lycheedeal.model import (
+    Endpoint,
+    FlowClass,
+    FlowFields,
+    FlowIdCodec,
+    Incarnation,
+    KindId,
+    ServiceNumber,
+)
+from lycheedeal.wire import FabricHeader, caller_packet, pack_fabric_header
+
+FLOWS = 1000
+WINDOW = 200
+SECONDS = 3.0
+PAYLOAD = bytes(100)
+
+
+class _Caller(asyncio.DatagramProtocol):
+    """Keeps a fixed number of datagrams on the way."""
+
+    def __init__(self, target: Endpoint, datagrams: list[bytes]) -> None:
+        self._target = target
+        self._datagrams = datagrams
+        self.received = 0
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def send(self, count: int) -> None:
+        for _ in range(count):
+            self.transport.sendto(random.choice(self._datagrams), self._target)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.received += 1
+        self.transport.sendto(
+            self._datagrams[self.received % len(self._datagrams)], self._target
+        )
+
+
+class _Upstream(asyncio.DatagramProtocol):
+    """Sends every packet back; both directions have the same layout."""
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        if data[0] == 0x11:
+            self._transport.sendto(data, addr)
+
+
+def _socket() -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
+    bound.bind(('127.0.0.1', 0))
+    return bound
+
+
+def flow_packets(caller: Endpoint, upstream: Endpoint, count: int) -> Iterator[bytes]:
+    """Yield one datagram, as the fabric hands it on, for each of some flows."""
+    codec = FlowIdCodec(FLOW_KEY)
+    header = pack_fabric_header(FabricHeader(caller, Endpoint('192.0.2.1', 443)))
+    for nonce in range(count):
+        fields = FlowFields(
+            flow_class=FlowClass.LONG,
+            kind_id=KindId(1),
+            service=ServiceNumber(1),
+            owner=Endpoint('127.0.0.1', 9),
+            owner_incarnation=Incarnation(1),
+            nonce=nonce,
+            upstream=upstream,
+            upstream_incarnation=Incarnation(1),
+        )
+        yield header + caller_packet(codec.mint(fields), PAYLOAD)
+
+
+async def _measure(pid: int, caller: _Caller) -> tuple[float, float]:
+    """Return datagrams a processor second and a second."""
+    caller.send(WINDOW)
+    await asyncio.sleep(1)
+    cpu, count, began = cpu_seconds(pid), caller.received, time.perf_counter()
+    for _ in range(10):
+        await asyncio.sleep(SECONDS / 10)
+        # Replaces datagrams that the kernel dropped.
+        caller.send(WINDOW // 20)
+    done = caller.received - count
+    used = max(cpu_seconds(pid) - cpu, 0.01)
+    return done / used, done / (time.perf_counter() - began)
+
+
+async def _echo() -> tuple[float, float]:
+    target = free_endpoint()
+    loop = asyncio.get_running_loop()
+    datagram = bytes(165)
+    async with program('bench._echo', str(target.port)) as process:
+        await asyncio.sleep(1)
+        transport, caller = await loop.create_datagram_endpoint(
+            lambda: _Caller(target, [datagram]), sock=_socket()
+        )
+        measured = await _measure(process.pid, caller)
+        transport.close()
+    return measured
+
+
+async def _daemon() -> dict[str, float]:
+    loop = asyncio.get_running_loop()
+    upstream_transport, _ = await loop.create_datagram_endpoint(
+        _Upstream, sock=_socket()
+    )
+    upstream = Endpoint(*upstream_transport.get_extra_info('sockname'))
+    data = free_endpoint()
+    bound = _socket()
+    own = Endpoint(*bound.getsockname())
+    datagrams = list(flow_packets(own, upstream, FLOWS))
+    began = time.perf_counter()
+    async with program(*daemon_arguments(data)) as process:
+        transport, caller = await loop.create_datagram_endpoint(
+            lambda: _Caller(data, datagrams), sock=bound
+        )
+        while not caller.received:
+            caller.send(1)
+            await asyncio.sleep(0.005)
+        first = time.perf_counter() - began
+        per_cpu, per_second = await _measure(process.pid, caller)
+        answer = {
+            'round_trips_per_cpu_second': round(per_cpu),
+            'round_trips_per_second': round(per_second),
+            'start_to_first_packet_seconds': round(first, 3),
+            'resident_megabytes': round(resident_bytes(process.pid) / 1e6, 1),
+            'threads': thread_count(process.pid),
+        }
+        transport.close()
+    upstream_transport.close()
+    return answer
+
+
+async def _main() -> None:
+    echo, echo_rate = await _echo()
+    daemon = await _daemon()
+    # A round trip through the daemon forwards two datagrams, an echo one.
+    ratio = 2 * daemon['round_trips_per_cpu_second'] / echo
+    line = {
+        'bench': 'packets',
+        'echo_datagrams_per_cpu_second': round(echo),
+        'echo_datagrams_per_second': round(echo_rate),
+        **daemon,
+        'datagrams_per_cpu_second': 2 * daemon['round_trips_per_cpu_second'],
+        'ratio_to_echo': round(ratio, 3),
+    }
+    print(json.dumps(line), flush=True)
+
+
+def main() -> None:
+    """Print one JSON line."""
+    uvloop.run(_main())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/scenarios/_callers.py
@@ -0,0 +1,277 @@
+"""Callers on virtual time: single requests and long flows."""
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from lycheedeal import messages
+from lycheedeal.errors import ErrorKind, Verdict, answer_for
+from lycheedeal.model import Endpoint, FlowId, KindId, RequestNumber
+from scenarios._upstream import ENTRY
+
+if TYPE_CHECKING:
+    from scenarios._world import World
+
+OPEN_RETRY = 0.25
+REQUEST_RETRY = 0.5
+KEEPALIVE = 1.0
+STALL = 8.0
+
+
+class Result(enum.Enum):
+    """How a submission or a call ended."""
+
+    PENDING = 'pending'
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+    SILENT = 'silent'
+    GAVE_UP = 'gave_up'
+
+
+@dataclass
+class Submission:
+    """One request as submitted; a retry after "not run" is another one."""
+
+    token: bytes
+    kind: str
+    submitted: float
+    result: Result = Result.PENDING
+    error: ErrorKind | None = None
+
+
+@dataclass
+class CallRecord:
+    """One piece of work that a caller wants done before its deadline."""
+
+    kind: str
+    service: str
+    started: float
+    deadline: float
+    result: Result = Result.PENDING
+    finished: float = 0
+    submissions: list[Submission] = field(default_factory=list)
+    foreign: int = 0
+    refusals: int = 0
+
+
+class RequestCall:
+    """Opens a request flow, submits, retries what was not run."""
+
+    def __init__(
+        self,
+        world: 'World',
+        service: str,
+        kind: str,
+        seconds: float,
+        *,
+        impatient: bool = False,
+    ) -> None:
+        """Start a call that must be done within ``seconds``."""
+        self._world = world
+        self._impatient = impatient
+        self.endpoint = world.new_caller(self)
+        now = world.time.now
+        self.record = CallRecord(kind, service, now, now + seconds)
+        world.calls.append(self.record)
+        self._kind_id = world.kind_id(service, kind)
+        self._address = world.service_address(service)
+        self._nonce = 0
+        self._flow_id: FlowId | None = None
+        self._number = 0
+        self._parts: dict[int, bytes] = {}
+        self._submission: Submission | None = None
+        world.time.call_at(self.record.deadline, self._expire)
+        self._open()
+
+    @property
+    def _done(self) -> bool:
+        return self.record.result is not Result.PENDING
+
+    def receive(self, message: Any) -> None:
+        """Take a message of a host."""
+        if self._done:
+            return
+        match message:
+            case messages.Opened(nonce=nonce, flow_id=flow_id):
+                if nonce == self._nonce and self._flow_id is None:
+                    self._flow_id = flow_id
+                    self._submit()
+            case messages.OpenRefused(nonce=nonce, retry_after_ms=delay):
+                if nonce == self._nonce and self._flow_id is None:
+                    self.record.refusals += 1
+                    self._nonce = 0
+                    self._later(delay, self._open)
+            case messages.Answer():
+                self._answer(message)
+            case messages.Outcome():
+                self._outcome(message)
+
+    def _open(self) -> None:
+        if self._done:
+            return
+        self._nonce = self._world.rng.getrandbits(63)
+        self._flow_id = None
+        self._send_open(self._nonce, 0)
+
+    def _send_open(self, nonce: int, attempt: int) -> None:
+        if self._done or nonce != self._nonce or self._flow_id is not None:
+            return
+        message = messages.Open(nonce, self._kind_id, attempt)
+        self._world.from_caller(self.endpoint, self._address, message)
+        delay = OPEN_RETRY * min(2**attempt, 4) * self._world.rng.uniform(0.8, 1.2)
+        self._world.time.call_later(delay, lambda: self._send_open(nonce, attempt + 1))
+
+    def _submit(self) -> None:
+        self._number += 1
+        self._parts = {}
+        token = self._world.new_token()
+        self._submission = Submission(token, self.record.kind, self._world.time.now)
+        self.record.submissions.append(self._submission)
+        self._send_request(self._number)
+
+    def _send_request(self, number: int) -> None:
+        submission = self._submission
+        if self._done or number != self._number or submission is None:
+            return
+        if submission.result is not Result.PENDING or self._flow_id is None:
+            return
+        wall = self._world.time.wall() - self._world.time.now
+        body = self.record.service.encode() + b'/' + submission.token
+        deadline_ms = int((wall + self.record.deadline) * 1000)
+        half = len(body) // 2
+        for part, piece in enumerate((body[:half], body[half:])):
+            message = messages.Request(
+                self._flow_id, RequestNumber(number), deadline_ms, part, 2, piece
+            )
+            self._world.from_caller(self.endpoint, self._address, message)
+        delay = REQUEST_RETRY * self._world.rng.uniform(0.8, 1.2)
+        self._world.time.call_later(delay, lambda: self._send_request(number))
+
+    def _answer(self, message: messages.Answer) -> None:
+        submission = self._submission
+        if message.flow_id != self._flow_id or message.number != self._number:
+            return
+        self._parts[message.part] = message.body
+        if submission is None or len(self._parts) < message.parts:
+            return
+        whole = b''.join(self._parts[part] for part in range(message.parts))
+        if whole != submission.token:
+            self.record.foreign += 1
+        submission.result = Result.ANSWERED
+        self._finish(Result.ANSWERED)
+
+    def _outcome(self, message: messages.Outcome) -> None:
+        submission = self._submission
+        if message.flow_id != self._flow_id or message.number != self._number:
+            return
+        if submission is None or submission.result is not Result.PENDING:
+            return
+        submission.error = message.error
+        if answer_for(message.error).verdict is Verdict.NOT_RUN:
+            submission.result = Result.NOT_RUN
+            self.record.refusals += 1
+            self._nonce = 0
+            self._later(message.retry_after_ms, self._open)
+        else:
+            submission.result = Result.UNKNOWN
+            self._finish(Result.UNKNOWN)
+
+    def _later(self, delay_ms: int, action: Any) -> None:
+        delay = 0.05 if self._impatient else delay_ms / 1000
+        self._world.time.call_later(delay, action)
+
+    def _expire(self) -> None:
+        if self._done:
+            return
+        submission = self._submission
+        if submission is not None and submission.result is Result.PENDING:
+            submission.result = Result.SILENT
+            self._finish(Result.SILENT)
+        else:
+            self._finish(Result.GAVE_UP)
+
+    def _finish(self, result: Result) -> None:
+        self.record.result = result
+        self.record.finished = self._world.time.now
+        # Late answers are still looked at, so the endpoint stays for a while.
+        endpoint = self.endpoint
+        self._world.time.call_later(30, lambda: self._world.drop_caller(endpoint))
+
+
+class FlowCaller:
+    """Holds a long flow open and checks that every entry arrives."""
+
+    def __init__(self, world: 'World', service: str, kind: str) -> None:
+        """Open the flow."""
+        self._world = world
+        self.kind = kind
+        self.service = service
+        self.endpoint = world.new_caller(self)
+        self._kind_id: KindId = world.kind_id(service, kind)
+        self._address: Endpoint = world.service_address(service)
+        self._nonce = world.rng.getrandbits(63)
+        self.flow_id: FlowId | None = None
+        self.opened_at = -1.0
+        self.broken: str | None = None
+        self.broken_at = 0.0
+        self.seen = 0
+        self.received = 0
+        self.longest_gap = 0.0
+        self._last_progress = world.time.now
+        world.flows.append(self)
+        self._open(0)
+
+    def receive(self, message: Any) -> None:
+        """Take a message of a host."""
+        match message:
+            case messages.Opened(nonce=nonce, flow_id=flow_id):
+                if nonce == self._nonce and self.flow_id is None:
+                    self.flow_id = flow_id
+                    self.opened_at = self._world.time.now
+                    self._last_progress = self.opened_at
+                    self._keepalive()
+            case messages.FlowBroken(flow_id=flow_id, error=error):
+                if flow_id == self.flow_id and self.broken is None:
+                    self._break(error.name)
+
+    def packet(self, flow_id: FlowId, payload: bytes) -> None:
+        """Take an entry of the feed."""
+        if flow_id != self.flow_id:
+            self._world.foreign_packets += 1
+            return
+        (number,) = ENTRY.unpack(payload)
+        if number == self.seen + 1:
+            self.seen = number
+            self.received += 1
+            now = self._world.time.now
+            self.longest_gap = max(self.longest_gap, now - self._last_progress)
+            self._last_progress = now
+
+    def check(self) -> None:
+        """Count the flow as broken if it stalled."""
+        now = self._world.time.now
+        if self.flow_id is not None and self.broken is None:
+            if now - self._last_progress > STALL:
+                self._break('STALLED')
+
+    def _break(self, cause: str) -> None:
+        self.broken = cause
+        self.broken_at = self._world.time.now
+
+    def _open(self, attempt: int) -> None:
+        if self.flow_id is not None:
+            return
+        message = messages.Open(self._nonce, self._kind_id, attempt)
+        self._world.from_caller(self.endpoint, self._address, message)
+        delay = OPEN_RETRY * min(2**attempt, 8) * self._world.rng.uniform(0.8, 1.2)
+        self._world.time.call_later(delay, lambda: self._open(attempt + 1))
+
+    def _keepalive(self) -> None:
+        if self.broken is not None or self.flow_id is None:
+            return
+        self.check()
+        payload = ENTRY.pack(self.seen)
+        self._world.packet_from_caller(self.endpoint, self.flow_id, payload)
+        delay = KEEPALIVE * self._world.rng.uniform(0.8, 1.2)
+        self._world.time.call_later(delay, self._keepalive)
--- /dev/null
+++ b/scenarios/_measures.py
@@ -0,0 +1,187 @@
+"""Measures of a finished scenario, counted on callers' and upstreams' side."""
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from scenarios._callers import CallRecord, Result
+
+if TYPE_CHECKING:
+    from scenarios._runner import Run
+
+Span = tuple[float, float]
+
+
+def count(run: 'Run', name: str) -> float:
+    """Return one of the plain counters."""
+    return _COUNTERS[name](run)
+
+
+def goodput(run: 'Run', kind: str, span: Span) -> float:
+    """Return answers a second of a kind (or ``all``) that ended in a span."""
+    begin, end = span
+    answered = sum(
+        one.result is Result.ANSWERED
+        and kind in {one.kind, 'all'}
+        and begin <= one.finished - run.start < end
+        for one in run.world.calls
+    )
+    return answered / (end - begin)
+
+
+def imbalance(run: 'Run', what: str, service: str, span: Span) -> float:
+    """Return max/mean over a service's upstreams of flows or work in hand."""
+    begin, end = span
+    totals: Counter[str] = Counter()
+    for sample in run.samples:
+        if begin <= sample.time < end:
+            values = sample.flows if what == 'flows' else sample.running
+            for name, value in values.items():
+                if name.startswith(f'{service}-'):
+                    totals[name] += value
+    mean = sum(totals.values()) / max(len(totals), 1)
+    return max(totals.values()) / mean if mean else math.inf
+
+
+def work_after(run: 'Run', upstream: str, after: float) -> float:
+    """Return runs started and flows opened on an upstream after a time."""
+    begin = run.start + after
+    started = sum(
+        one.upstream == upstream and one.started > begin for one in run.world.runs
+    )
+    opened = run.world.upstreams_by_name[upstream].opened_times
+    return started + sum(when > begin for when in opened)
+
+
+def in_force(run: 'Run') -> float:
+    """Return the longest time from acceptance until all live hosts applied."""
+    longest = 0.0
+    for change in run.accepted:
+        for host in run.world.live_hosts():
+            later = [
+                when
+                for (shard, generation), when in host.trace.in_force.items()
+                if shard == change.shard and generation >= change.generation
+            ]
+            longest = max(longest, min(later, default=math.inf) - change.time)
+    return longest
+
+
+def control(run: 'Run') -> float:
+    """Return the most control bytes a second that one host sent."""
+    span = run.world.time.now
+    return max(one.trace.control_bytes for one in run.world.live_hosts()) / span
+
+
+def recovery(run: 'Run', kind: str, after: float) -> float:
+    """Return seconds after a time until calls of a kind are answered within 1 s."""
+    begin = run.start + after
+    late = [
+        one.started
+        for one in run.world.calls
+        if one.kind == kind and one.started >= begin and not _prompt(one)
+    ]
+    return max(late, default=begin) - begin
+
+
+def _prompt(call: CallRecord) -> bool:
+    return call.result is Result.ANSWERED and call.finished - call.started <= 1
+
+
+def _ran_twice(run: 'Run') -> float:
+    idempotent = {one.name for one in run.scenario.kinds if one.idempotent}
+    kinds_by_token = {
+        one.token: one.kind for call in run.world.calls for one in call.submissions
+    }
+    runs = Counter(one.token for one in run.world.runs)
+    return sum(
+        times > 1 and kinds_by_token.get(token) not in idempotent
+        for token, times in runs.items()
+    )
+
+
+def _refused_but_ran(run: 'Run') -> float:
+    ran = {one.token for one in run.world.runs}
+    return sum(
+        one.result is Result.NOT_RUN and one.token in ran
+        for call in run.world.calls
+        for one in call.submissions
+    )
+
+
+def _late_runs(run: 'Run') -> float:
+    return sum(one.started > one.deadline for one in run.world.runs)
+
+
+def _ended(*results: Result) -> Callable[['Run'], float]:
+    def counter(run: 'Run') -> float:
+        return sum(one.result in results for one in run.world.calls)
+
+    return counter
+
+
+def _flows(condition: Callable[[Any], bool]) -> Callable[['Run'], float]:
+    def counter(run: 'Run') -> float:
+        return sum(condition(flow) for flow in run.world.flows)
+
+    return counter
+
+
+def _behind(run: 'Run') -> float:
+    """Count live hosts that do not hold the newest generation of a shard."""
+    newest: Counter[int] = Counter()
+    for host in run.world.live_hosts():
+        for shard, generation in host.trace.generations.items():
+            newest[shard] = max(newest[shard], generation)
+    for change in run.accepted:
+        newest[change.shard] = max(newest[change.shard], change.generation)
+    return sum(
+        any(host.trace.generations.get(shard, 0) < top for shard, top in newest.items())
+        for host in run.world.live_hosts()
+    )
+
+
+def _traced(name: str) -> Callable[['Run'], float]:
+    def counter(run: 'Run') -> float:
+        return sum(trace.metrics[name] for _, trace in run.traces)
+
+    return counter
+
+
+_COUNTERS: dict[str, Callable[['Run'], float]] = {
+    'flows_broken': _flows(lambda one: one.broken is not None),
+    'flows_stalled': _flows(lambda one: one.broken == 'STALLED'),
+    'flows_open': _flows(lambda one: one.flow_id is not None and one.broken is None),
+    'ran_twice': _ran_twice,
+    'refused_but_ran': _refused_but_ran,
+    'late_runs': _late_runs,
+    'foreign_answers': lambda run: (
+        sum(one.foreign for one in run.world.calls) + run.world.foreign_packets
+    ),
+    'misrouted': lambda run: sum(
+        one.misrouted for one in run.world.upstreams_by_name.values()
+    ),
+    'reverted': lambda run: sum(trace.reverted for _, trace in run.traces),
+    'regressions': lambda run: sum(
+        trace.refused['CONFIGURATION_REGRESSED'] for _, trace in run.traces
+    ),
+    'behind': _behind,
+    'answered': _ended(Result.ANSWERED),
+    'unanswered': _ended(Result.GAVE_UP, Result.SILENT),
+    'outcome_unknown': _ended(Result.UNKNOWN, Result.SILENT),
+    'path_switches': _traced('path_switches'),
+    'exit_failures': lambda run: run.exit_failures,
+    'accepted': lambda run: len(run.accepted),
+    'conflicts': lambda run: run.conflicts,
+}
+
+MEASURES: dict[str, Callable[..., float]] = {
+    'count': count,
+    'goodput': goodput,
+    'imbalance': imbalance,
+    'work_after': work_after,
+    'in_force': in_force,
+    'control': control,
+    'recovery': recovery,
+}
--- /dev/null
+++ b/scenarios/_upstream.py
@@ -0,0 +1,258 @@
+"""Fake upstream on virtual time: slots, flows, and a log of what ran."""
+
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from lycheedeal import messages
+from lycheedeal.errors import ErrorKind
+from lycheedeal.model import (
+    AttemptId,
+    Endpoint,
+    FlowId,
+    Incarnation,
+    ServiceName,
+    UpstreamState,
+)
+
+if TYPE_CHECKING:
+    from scenarios._host import VirtualHost
+    from scenarios._world import World
+
+ENTRY = struct.Struct('!Q')
+
+
+@dataclass
+class RunRecord:
+    """One request that started on an upstream."""
+
+    token: bytes
+    kind_id: int
+    upstream: str
+    started: float
+    deadline: float
+
+
+@dataclass
+class _Flow:
+    caller: Endpoint
+    host: 'VirtualHost'
+    path: int
+    last_number: int = 0
+    opened: float = 0
+
+
+@dataclass
+class _Parts:
+    total: int
+    bodies: dict[int, bytes] = field(default_factory=dict)
+
+
+class VirtualUpstream:
+    """Runs requests in slots and pushes numbered entries to long flows."""
+
+    def __init__(
+        self,
+        world: 'World',
+        name: str,
+        service: str,
+        zone: str,
+        endpoint: Endpoint,
+    ) -> None:
+        """Create a running upstream."""
+        self.world = world
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.endpoint = endpoint
+        self.slots = 2
+        self.connections = 4000
+        self.service_seconds = 0.05
+        self.incarnation = 1
+        self.state = UpstreamState.READY
+        self.alive = True
+        self.lies_idle = False
+        self.fails_at_once = False
+        self.silent: set[tuple[str, int]] = set()
+        self.flows: dict[FlowId, _Flow] = {}
+        self.running: dict[AttemptId, RunRecord] = {}
+        self.finished = 0
+        self.opened_times: list[float] = []
+        self.misrouted = 0
+        self.shed = 0
+        self._parts: dict[AttemptId, _Parts] = {}
+        self._seen: set[AttemptId] = set()
+
+    @property
+    def started_total(self) -> int:
+        """Return how many runs this incarnation and earlier ones started."""
+        return sum(one.upstream == self.name for one in self.world.runs)
+
+    def restart(self, service: str | None = None) -> None:
+        """Become a new process at the same address, maybe of another service."""
+        self.incarnation += 1
+        self.service = service or self.service
+        self.flows.clear()
+        self.running.clear()
+        self._parts.clear()
+        self._seen.clear()
+
+    def receive(self, host: 'VirtualHost', path: int, message: Any) -> None:
+        """Take a message of a host that arrived on one of its paths."""
+        if not self.alive or (host.name, path) in self.silent:
+            return
+        match message:
+            case messages.Hello(nonce=nonce):
+                self._reply(host, path, self._welcome(nonce))
+            case messages.FlowOpen():
+                self._reply(host, path, self._open(host, path, message))
+            case messages.UpstreamClose(flow_id=flow_id):
+                self.flows.pop(flow_id, None)
+            case messages.Run():
+                self._run(host, path, message)
+            case messages.CancelRun(attempt_id=attempt_id):
+                started = attempt_id in self._seen
+                self._reply(host, path, messages.RunCancelled(attempt_id, started))
+
+    def packet(
+        self,
+        host: 'VirtualHost',
+        path: int,
+        flow_id: FlowId,
+        caller: Endpoint,
+        payload: bytes,
+    ) -> None:
+        """Take a keepalive with the last entry number that the caller has."""
+        if not self.alive or (host.name, path) in self.silent:
+            return
+        flow = self.flows.get(flow_id)
+        if flow is None:
+            error = ErrorKind.UNKNOWN_FLOW
+            self._reply(host, path, messages.FlowRejected(flow_id, error, caller))
+            return
+        flow.host, flow.path, flow.caller = host, path, caller
+        (seen,) = ENTRY.unpack(payload)
+        missing = range(seen + 1, flow.last_number + 1)
+        for number in missing[:20] or (flow.last_number,):
+            self._push(flow_id, flow, number)
+
+    def push_entries(self) -> None:
+        """Send the next entry of every feed."""
+        for flow_id, flow in self.flows.items():
+            flow.last_number += 1
+            self._push(flow_id, flow, flow.last_number)
+
+    def _push(self, flow_id: FlowId, flow: _Flow, number: int) -> None:
+        if self.alive and (flow.host.name, flow.path) not in self.silent:
+            self.world.packet_from_upstream(
+                self, flow.host, flow.caller, flow_id, ENTRY.pack(number)
+            )
+
+    def _welcome(self, nonce: int) -> messages.Welcome:
+        running = 0 if self.lies_idle else len(self.running)
+        flows = 0 if self.lies_idle else len(self.flows)
+        return messages.Welcome(
+            nonce,
+            ServiceName(self.service),
+            Incarnation(self.incarnation),
+            self.state,
+            self.slots,
+            running,
+            flows,
+        )
+
+    def _open(self, host: 'VirtualHost', path: int, message: messages.FlowOpen) -> Any:
+        flow_id = message.flow_id
+        if not self._meant_for_us(message.service, message.incarnation):
+            error = ErrorKind.UPSTREAM_REPLACED
+            return messages.FlowRejected(flow_id, error, message.caller)
+        if flow_id not in self.flows:
+            if len(self.flows) >= self.connections:
+                return messages.FlowRejected(
+                    flow_id, ErrorKind.FLOW_LIMIT, message.caller
+                )
+            now = self.world.time.now
+            self.flows[flow_id] = _Flow(message.caller, host, path, opened=now)
+            self.opened_times.append(now)
+        return messages.FlowAccepted(flow_id)
+
+    def _meant_for_us(self, service: str, incarnation: int) -> bool:
+        return service == self.service and incarnation == self.incarnation
+
+    def _run(self, host: 'VirtualHost', path: int, message: messages.Run) -> None:
+        attempt_id = message.attempt_id
+        error = self._refusal(message)
+        if error is not None:
+            self._reply(host, path, messages.RunRefused(attempt_id, error))
+            return
+        if attempt_id in self._seen:
+            return
+        parts = self._parts.setdefault(attempt_id, _Parts(message.parts))
+        parts.bodies[message.part] = message.body
+        if len(parts.bodies) < parts.total:
+            return
+        body = b''.join(parts.bodies[number] for number in range(parts.total))
+        self._parts.pop(attempt_id)
+        self._start(host, path, message, body)
+
+    def _refusal(self, message: messages.Run) -> ErrorKind | None:
+        if not self._meant_for_us(message.service, message.incarnation):
+            return ErrorKind.UPSTREAM_REPLACED
+        if message.attempt_id in self._seen:
+            return None
+        if self.fails_at_once or len(self.running) >= self.slots:
+            self.shed += 1
+            return ErrorKind.QUEUE_FULL
+        if self.world.time.wall() * 1000 > message.deadline_ms:
+            return ErrorKind.DEADLINE_PASSED
+        return None
+
+    def _start(
+        self,
+        host: 'VirtualHost',
+        path: int,
+        message: messages.Run,
+        body: bytes,
+    ) -> None:
+        service, _, token = body.partition(b'/')
+        if service.decode() != self.service:
+            self.misrouted += 1
+        now = self.world.time.now
+        deadline = message.deadline_ms / 1000 - self.world.time.wall() + now
+        record = RunRecord(token, message.kind_id, self.name, now, deadline)
+        self._seen.add(message.attempt_id)
+        self.running[message.attempt_id] = record
+        self.world.runs.append(record)
+        incarnation = self.incarnation
+        duration = self.service_seconds * self.world.rng.uniform(0.6, 1.4)
+        self.world.time.call_later(
+            duration,
+            lambda: self._finish(host, path, message.attempt_id, incarnation),
+        )
+
+    def _finish(
+        self,
+        host: 'VirtualHost',
+        path: int,
+        attempt_id: AttemptId,
+        incarnation: int,
+    ) -> None:
+        if not self.alive or incarnation != self.incarnation:
+            return
+        record = self.running.pop(attempt_id)
+        self.finished += 1
+        half = len(record.token) // 2
+        answer = (record.token[:half], record.token[half:])
+        for part, body in enumerate(answer):
+            reply = messages.RunAnswer(attempt_id, part, len(answer), body)
+            self._reply(host, path, reply)
+
+    def _reply(self, host: 'VirtualHost', path: int, message: Any) -> None:
+        if (host.name, path) not in self.silent:
+            self.world.from_upstream(self, host, path, message)
+
+
+def kind_counts(runs: list[RunRecord]) -> Counter[int]:
+    """Return the number of runs by kind of work."""
+    return Counter(one.kind_id for one in runs)
--- a/src/lycheedeal/kernel/_effects.py
+++ b/src/lycheedeal/kernel/_effects.py
@@ -21,6 +21,8 @@
     messages.RelayedOpen
     | messages.RelayedRequest
     | messages.RelayedCancel
+    | messages.RelayedClose
+    | messages.FlowCounts
     | messages.Pushback
     | messages.Probe
     | messages.ProbeAck
--- a/src/lycheedeal/kernel/_inputs.py
+++ b/src/lycheedeal/kernel/_inputs.py
@@ -13,6 +13,8 @@
     messages.RelayedOpen
     | messages.RelayedRequest
     | messages.RelayedCancel
+    | messages.RelayedClose
+    | messages.FlowCounts
     | messages.Pushback
     | messages.Probe
     | messages.ProbeAck
@@ -71,6 +73,16 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamPacket:
+    """A packet from an upstream for a flow that has no cached route."""
+
+    upstream: Endpoint
+    caller: Endpoint
+    flow_id: FlowId
+    payload: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A message of another host came in over UDP."""
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -39,6 +39,13 @@
     members: tuple[Member, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HostsListed:
+    """The platform's lagging list of hosts of all zones of the region."""
+
+    members: tuple[Member, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamChanged:
     """State of an upstream as this host sees it.
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -17,6 +17,7 @@
     | inputs.StopRequested
     | inputs.CallerMessage
     | inputs.CallerPacket
+    | inputs.UpstreamPacket
     | inputs.PeerMessage
     | inputs.UpstreamMessage
     | inputs.GossipReceived
@@ -25,6 +26,7 @@
     | inputs.StatementReceived
     | internal.ViewChanged
     | internal.MembersChanged
+    | internal.HostsListed
     | internal.UpstreamChanged
     | internal.OpenAdmitted
     | internal.OwnerReady
--- a/src/lycheedeal/messages/__init__.py
+++ b/src/lycheedeal/messages/__init__.py
@@ -13,11 +13,14 @@
 )
 from lycheedeal.messages._gossip import Digest, ShardCopy
 from lycheedeal.messages._peer import (
+    FlowCount,
+    FlowCounts,
     IndirectProbe,
     Probe,
     ProbeAck,
     Pushback,
     RelayedCancel,
+    RelayedClose,
     RelayedOpen,
     RelayedRequest,
 )
@@ -43,6 +46,8 @@
     'Digest',
     'FlowAccepted',
     'FlowBroken',
+    'FlowCount',
+    'FlowCounts',
     'FlowOpen',
     'FlowRejected',
     'Hello',
@@ -55,6 +60,7 @@
     'ProbeAck',
     'Pushback',
     'RelayedCancel',
+    'RelayedClose',
     'RelayedOpen',
     'RelayedRequest',
     'Request',
--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from lycheedeal.messages._caller import CancelRequest, Open, Request
-from lycheedeal.model import Endpoint, Member, ServiceNumber
+from lycheedeal.model import Endpoint, FlowId, Member, ServiceNumber
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +31,29 @@
     message: CancelRequest
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedClose:
+    """Tells the owner that a flow id names that the flow has ended."""
+
+    flow_id: FlowId
+
+
+@dataclass(frozen=True, slots=True)
+class FlowCount:
+    """Number of open flows on one upstream."""
+
+    upstream: Endpoint
+    flows: int
+
+
+@dataclass(frozen=True, slots=True)
+class FlowCounts:
+    """Open flows of a service that the sender opened while it was the owner."""
+
+    service: ServiceNumber
+    counts: tuple[FlowCount, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Pushback:
     """Asks a host to refuse new flows whose priority number is above a bound."""
--- a/src/lycheedeal/model/_states.py
+++ b/src/lycheedeal/model/_states.py
@@ -25,7 +25,11 @@
 
 @unique
 class SpillRule(Enum):
-    """When a service may use upstreams of other availability zones."""
+    """When a service may use upstreams of other availability zones.
+
+    BALANCED sends a zone the share of new work that its share of slots is.
+    """
 
     NEVER = 'never'
     WHEN_DOWN = 'when-down'
+    BALANCED = 'balanced'
--- /dev/null
+++ b/src/lycheedeal/runtime/_daemon.py
@@ -0,0 +1,200 @@
+"""The daemon: builds the core and connects it to the outside."""
+
+import asyncio
+import random
+import signal
+from typing import Final
+
+import uvloop
+
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.kernel import (
+    Context,
+    Event,
+    GossipInput,
+    GossipReceived,
+    Kernel,
+    Refused,
+    Resumed,
+    Started,
+    StopRequested,
+    Tick,
+    load_plugins,
+)
+from lycheedeal.model import Endpoint, HostSettings, Incarnation
+from lycheedeal.runtime._admin import AdminServer
+from lycheedeal.runtime._clock import SystemClock
+from lycheedeal.runtime._executor import Executor, Outputs
+from lycheedeal.runtime._gossip import GossipLink
+from lycheedeal.runtime._logs import LogSink
+from lycheedeal.runtime._metrics import MetricsSink
+from lycheedeal.runtime._platform import PlatformClient
+from lycheedeal.runtime._sockets import (
+    PATH_COUNT,
+    CallerSender,
+    FabricProtocol,
+    PeerProtocol,
+    UpstreamPaths,
+    UpstreamProtocol,
+    open_socket,
+)
+from lycheedeal.steering import SteeringPlugin
+from lycheedeal.telemetry import TelemetryPlugin
+
+TICK_SECONDS: Final = 0.1
+# A gap of this length between ticks means that the process was paused.
+PAUSE_SECONDS: Final = 2
+_ANY_PORT: Final = 0
+_MILLISECONDS: Final = 1000
+
+
+class Daemon:
+    """One process incarnation on an entry host.
+
+    ``start`` binds sockets and begins to serve; ``close`` releases all.
+    """
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Build the core; nothing is bound yet."""
+        self._settings = settings
+        self._clock = SystemClock()
+        context = Context(
+            settings=settings,
+            clock=self._clock,
+            rng=random.SystemRandom(),
+            incarnation=Incarnation(int(self._clock.wall() * _MILLISECONDS)),
+        )
+        self._kernel = Kernel(context, load_plugins())
+        self._outputs = self._make_outputs()
+        self._executor = Executor(self._outputs)
+        self._peer_transport: asyncio.DatagramTransport | None = None
+        self._last_tick = self._clock.monotonic()
+        self._timer: asyncio.TimerHandle | None = None
+        self._exited: asyncio.Future[int] | None = None
+
+    async def start(self) -> None:
+        """Bind all sockets and start the core.
+
+        Raises OSError if an address cannot be bound.
+        """
+        self._exited = asyncio.get_running_loop().create_future()
+        await self._open_sockets()
+        await self._outputs.gossip.start()
+        await self._outputs.platform.start()
+        await self._outputs.admin.start()
+        self._last_tick = self._clock.monotonic()
+        self._deliver(Started())
+        self._tick()
+
+    async def wait(self) -> int:
+        """Wait for the end and return the exit status."""
+        if self._exited is None:
+            return 0
+        return await self._exited
+
+    async def close(self) -> None:
+        """Release all sockets and clients."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._outputs.admin.close()
+        await self._outputs.platform.close()
+        await self._outputs.gossip.close()
+        for transport in self._transports():
+            transport.close()
+
+    def stop(self) -> None:
+        """Begin a planned stop; safe to call again."""
+        self._deliver(StopRequested())
+
+    def _make_outputs(self) -> Outputs:
+        settings = self._settings
+        metrics = MetricsSink()
+        telemetry = self._kernel.plugins_by_name['telemetry']
+        assert isinstance(telemetry, TelemetryPlugin)  # noqa: S101
+        return Outputs(
+            callers=CallerSender(),
+            paths=UpstreamPaths(),
+            send_to_peer=self._send_to_peer,
+            gossip=GossipLink(settings.gossip, self._gossip, self._bad_gossip),
+            platform=PlatformClient(settings.platform_url, self._deliver),
+            admin=AdminServer(
+                settings.admin,
+                self._deliver,
+                metrics,
+                telemetry.burn,
+                self.stop,
+            ),
+            metrics=metrics,
+            logs=LogSink(settings.log_level, settings.log_json),
+            exit=self._exit,
+        )
+
+    async def _open_sockets(self) -> None:
+        steering = self._kernel.plugins_by_name['steering']
+        assert isinstance(steering, SteeringPlugin)  # noqa: S101
+        routes = steering.routes
+        callers = self._outputs.callers
+        paths = self._outputs.paths
+        for path in range(PATH_COUNT):
+            upstream = UpstreamProtocol(self._deliver, path, routes, callers)
+            local = Endpoint(self._settings.data.ip, _ANY_PORT)
+            paths.transports.append(await open_socket(upstream, local))
+        peer = PeerProtocol(self._deliver)
+        self._peer_transport = await open_socket(peer, self._settings.peer)
+        fabric = FabricProtocol(self._deliver, routes, paths)
+        callers.transport = await open_socket(fabric, self._settings.data)
+
+    def _transports(self) -> list[asyncio.DatagramTransport]:
+        optional = (self._outputs.callers.transport, self._peer_transport)
+        present = [one for one in optional if one is not None]
+        return present + self._outputs.paths.transports
+
+    def _deliver(self, event: Event) -> None:
+        """Dispatch an event, after ``Resumed`` if the process was paused."""
+        self._notice_pause()
+        self._executor.run(self._kernel.dispatch(event))
+
+    def _notice_pause(self) -> None:
+        now = self._clock.monotonic()
+        gap = now - self._last_tick
+        if gap > PAUSE_SECONDS:
+            self._last_tick = now
+            self._executor.run(self._kernel.dispatch(Resumed(gap)))
+
+    def _tick(self) -> None:
+        self._notice_pause()
+        self._last_tick = self._clock.monotonic()
+        self._deliver(Tick(self._last_tick))
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(TICK_SECONDS, self._tick)
+
+    def _send_to_peer(self, datagram: bytes, peer: Endpoint) -> None:
+        if self._peer_transport is not None:
+            self._peer_transport.sendto(datagram, peer)
+
+    def _gossip(self, message: GossipInput) -> None:
+        self._deliver(GossipReceived(message))
+
+    def _bad_gossip(self, error: DecodeError) -> None:
+        self._deliver(Refused(error.kind, None, 'gossip'))
+
+    def _exit(self, status: int) -> None:
+        if self._exited is not None and not self._exited.done():
+            self._exited.set_result(status)
+
+
+async def _serve(settings: HostSettings) -> int:
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.stop)
+    try:
+        await daemon.start()
+        return await daemon.wait()
+    finally:
+        await daemon.close()
+
+
+def run(settings: HostSettings) -> int:
+    """Run the daemon until it is stopped and return its exit status."""
+    return uvloop.run(_serve(settings))
--- /dev/null
+++ b/src/lycheedeal/runtime/_executor.py
@@ -0,0 +1,133 @@
+"""Carries out the effects of the core."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from lycheedeal import messages
+from lycheedeal.kernel import (
+    CallApi,
+    Effect,
+    Exit,
+    Gossip,
+    Log,
+    Observe,
+    Reply,
+    SendPacketToCaller,
+    SendPacketToUpstream,
+    SendToCaller,
+    SendToPeer,
+    SendToUpstream,
+    SetNeighbours,
+    SwitchPath,
+)
+from lycheedeal.model import Endpoint
+from lycheedeal.runtime._admin import AdminServer
+from lycheedeal.runtime._gossip import GossipLink
+from lycheedeal.runtime._logs import LogSink
+from lycheedeal.runtime._metrics import MetricsSink
+from lycheedeal.runtime._platform import PlatformClient
+from lycheedeal.runtime._sockets import CallerSender, UpstreamPaths
+from lycheedeal.wire import caller_packet, encode, pack_endpoint, upstream_packet
+
+# Everything that is neither work nor relayed work counts as control traffic.
+_WORK: Final = (
+    messages.RelayedOpen,
+    messages.RelayedRequest,
+    messages.RelayedCancel,
+    messages.FlowOpen,
+    messages.UpstreamClose,
+    messages.Run,
+    messages.CancelRun,
+)
+
+
+@dataclass(slots=True)
+class Outputs:
+    """Everything that effects act on."""
+
+    callers: CallerSender
+    paths: UpstreamPaths
+    send_to_peer: Callable[[bytes, Endpoint], None]
+    gossip: GossipLink
+    platform: PlatformClient
+    admin: AdminServer
+    metrics: MetricsSink
+    logs: LogSink
+    exit: Callable[[int], None]
+
+
+class Executor:
+    """Turns effects into output; never waits."""
+
+    def __init__(self, outputs: Outputs) -> None:
+        """Act on these outputs."""
+        self._outputs = outputs
+
+    def run(self, effects: Iterable[Effect]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            self._run_one(effect)
+
+    def _run_one(self, effect: Effect) -> None:
+        outputs = self._outputs
+        match effect:
+            case SendPacketToUpstream(upstream, flow_id, caller, payload):
+                packet = upstream_packet(flow_id, pack_endpoint(caller), payload)
+                outputs.paths.send(packet, upstream)
+            case SendPacketToCaller(caller, flow_id, payload):
+                outputs.callers.send(caller_packet(flow_id, payload), caller)
+            case SendToCaller(caller, message):
+                outputs.callers.send(encode(message), caller)
+            case SendToPeer(peer, message):
+                outputs.send_to_peer(self._encode(message, 'peer'), peer)
+            case SendToUpstream():
+                self._send_to_upstream(effect)
+            case _:
+                self._run_control(effect)
+
+    def _run_control(self, effect: Effect) -> None:
+        outputs = self._outputs
+        match effect:
+            case Gossip(message):
+                outputs.gossip.send(message)
+            case SetNeighbours(neighbours):
+                outputs.gossip.set_neighbours(neighbours)
+            case SwitchPath(upstream, path):
+                outputs.paths.switch(upstream, path)
+            case CallApi():
+                outputs.metrics.observe(_api_call(effect))
+                outputs.platform.submit(effect)
+            case _:
+                self._run_local(effect)
+
+    def _run_local(self, effect: Effect) -> None:
+        outputs = self._outputs
+        match effect:
+            case Reply():
+                outputs.admin.answer(effect)
+            case Observe():
+                outputs.metrics.observe(effect)
+            case Log():
+                outputs.logs.write(effect)
+            case Exit(status):
+                outputs.exit(status)
+
+    def _send_to_upstream(self, effect: SendToUpstream) -> None:
+        datagram = self._encode(effect.message, 'upstream')
+        if effect.path is None:
+            self._outputs.paths.send(datagram, effect.upstream)
+        else:
+            self._outputs.paths.send_on(effect.path, datagram, effect.upstream)
+
+    def _encode(self, message: Any, link: str) -> bytes:
+        datagram = encode(message)
+        if not isinstance(message, _WORK):
+            self._outputs.metrics.observe(
+                Observe('control_bytes_total', len(datagram), (('link', link),)),
+            )
+        return datagram
+
+
+def _api_call(call: CallApi) -> Observe:
+    return Observe('api_calls_total', labels=(('operation', call.operation.value),))
--- /dev/null
+++ b/src/lycheedeal/steering/__init__.py
@@ -0,0 +1,43 @@
+"""Steering of flows: choice of upstream for new ones, routes for others."""
+
+from typing import Final
+
+from lycheedeal.kernel import (
+    CallerMessage,
+    CallerPacket,
+    HostsListed,
+    MembersChanged,
+    OpenAdmitted,
+    PeerMessage,
+    PluginSpec,
+    StopStarted,
+    Tick,
+    UpstreamChanged,
+    UpstreamMessage,
+    UpstreamPacket,
+    ViewChanged,
+    register,
+)
+from lycheedeal.steering._plugin import SteeringPlugin
+from lycheedeal.steering._routes import RouteTable
+
+__all__ = ('RouteTable', 'SteeringPlugin')
+
+_EVENTS: Final = frozenset(
+    (
+        CallerMessage,
+        CallerPacket,
+        HostsListed,
+        MembersChanged,
+        OpenAdmitted,
+        PeerMessage,
+        StopStarted,
+        Tick,
+        UpstreamChanged,
+        UpstreamMessage,
+        UpstreamPacket,
+        ViewChanged,
+    ),
+)
+
+register(PluginSpec('steering', SteeringPlugin, _EVENTS))
--- /dev/null
+++ b/src/lycheedeal/steering/_counts.py
@@ -0,0 +1,80 @@
+"""Counts of open flows by upstream, from own knowledge first."""
+
+from collections import Counter
+from typing import Final
+
+from lycheedeal.messages import FlowCount, FlowCounts
+from lycheedeal.model import Endpoint, FlowId, ServiceNumber
+
+# Reports of former owners come every 5 s; three may be lost.
+REPORT_LIFETIME_SECONDS: Final = 20
+
+
+_ReportsByPeer = dict[Endpoint, tuple[float, FlowCounts]]
+
+
+class FlowCounter:
+    """Counts flows opened by this process and those that peers report."""
+
+    def __init__(self) -> None:
+        """Create an empty counter."""
+        self._flows_by_service: dict[ServiceNumber, dict[FlowId, Endpoint]] = {}
+        self._own_by_service: dict[ServiceNumber, Counter[Endpoint]] = {}
+        self._reports_by_service: dict[ServiceNumber, _ReportsByPeer] = {}
+
+    def opened(self, service: ServiceNumber, flow_id: FlowId, to: Endpoint) -> None:
+        """Count a flow that this process opened."""
+        flows = self._flows_by_service.setdefault(service, {})
+        if flow_id not in flows:
+            flows[flow_id] = to
+            self._own_by_service.setdefault(service, Counter())[to] += 1
+
+    def closed(self, service: ServiceNumber, flow_id: FlowId) -> bool:
+        """Stop counting a flow; return whether it was counted here."""
+        flows = self._flows_by_service.get(service, {})
+        upstream = flows.pop(flow_id, None)
+        if upstream is None:
+            return False
+        self._own_by_service[service][upstream] -= 1
+        if not flows:
+            self._flows_by_service.pop(service)
+            self._own_by_service.pop(service)
+        return True
+
+    def close_all(self, service: ServiceNumber, upstream: Endpoint) -> list[FlowId]:
+        """Stop counting the flows of a lost upstream and return them."""
+        flows = self._flows_by_service.get(service, {})
+        lost = [flow_id for flow_id, to in flows.items() if to == upstream]
+        for flow_id in lost:
+            self.closed(service, flow_id)
+        return lost
+
+    def reported(self, peer: Endpoint, report: FlowCounts, now: float) -> None:
+        """Take the report of a host that opened flows as an earlier owner."""
+        by_peer = self._reports_by_service.setdefault(report.service, {})
+        by_peer[peer] = (now + REPORT_LIFETIME_SECONDS, report)
+
+    def expire(self, now: float) -> None:
+        """Drop reports that were not renewed."""
+        for by_peer in self._reports_by_service.values():
+            expired = [peer for peer, (until, _) in by_peer.items() if until <= now]
+            for peer in expired:
+                by_peer.pop(peer)
+
+    def totals(self, service: ServiceNumber) -> Counter[Endpoint]:
+        """Return own and reported flows of a service by upstream."""
+        totals = Counter(self._own_by_service.get(service, {}))
+        for _, report in self._reports_by_service.get(service, {}).values():
+            for one in report.counts:
+                totals[one.upstream] += one.flows
+        return totals
+
+    def report(self, service: ServiceNumber) -> FlowCounts:
+        """Return the message that tells the current owner about own flows."""
+        own = self._own_by_service.get(service, Counter())
+        counts = (FlowCount(upstream, flows) for upstream, flows in own.items())
+        return FlowCounts(service, tuple(counts))
+
+    def services(self) -> tuple[ServiceNumber, ...]:
+        """Return the services that have flows opened here."""
+        return tuple(self._flows_by_service)
--- /dev/null
+++ b/src/lycheedeal/steering/_forwarding.py
@@ -0,0 +1,110 @@
+"""Packets and ends of established flows."""
+
+from collections.abc import Generator, Iterator
+
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.kernel import (
+    CallerPacket,
+    Effect,
+    FlowClosed,
+    Publish,
+    Refused,
+    SendPacketToCaller,
+    SendPacketToUpstream,
+    SendToCaller,
+    SendToPeer,
+    SendToUpstream,
+    UpstreamPacket,
+)
+from lycheedeal.messages import (
+    CloseFlow,
+    FlowBroken,
+    FlowRejected,
+    RelayedClose,
+    UpstreamClose,
+)
+from lycheedeal.model import Endpoint, FlowClass, FlowFields, FlowId
+from lycheedeal.steering._state import SteeringState
+
+
+class Forwarder:
+    """Forwards packets by what their flow ids say."""
+
+    def __init__(self, state: SteeringState) -> None:
+        """Share the state of the plug-in."""
+        self._state = state
+
+    def from_caller(self, event: CallerPacket) -> Iterator[Effect]:
+        """Forward a packet that had no cached route."""
+        fields = yield from self._parse(event.flow_id)
+        if fields is None:
+            return
+        self._state.routes.add(event.flow_id, fields)
+        yield SendPacketToUpstream(
+            fields.upstream,
+            event.flow_id,
+            event.caller,
+            event.payload,
+        )
+
+    def from_upstream(self, event: UpstreamPacket) -> Iterator[Effect]:
+        """Forward a packet to the caller if the flow belongs to its sender."""
+        fields = yield from self._parse(event.flow_id)
+        if fields is None:
+            return
+        if fields.upstream != event.upstream:
+            yield Publish(Refused(ErrorKind.UNKNOWN_FLOW, fields.service, 'sender'))
+            return
+        self._state.routes.add(event.flow_id, fields)
+        yield SendPacketToCaller(event.caller, event.flow_id, event.payload)
+
+    def close(self, message: CloseFlow) -> Iterator[Effect]:
+        """Pass the end of a flow on to its upstream and its owner."""
+        fields = yield from self._parse(message.flow_id)
+        if fields is None:
+            return
+        yield SendToUpstream(fields.upstream, UpstreamClose(message.flow_id))
+        yield from self._ended(message.flow_id, fields, None)
+
+    def rejected(self, upstream: Endpoint, message: FlowRejected) -> Iterator[Effect]:
+        """Tell the caller that the upstream does not hold its flow."""
+        fields = yield from self._parse(message.flow_id)
+        if fields is None or fields.upstream != upstream:
+            return
+        yield SendToCaller(message.caller, FlowBroken(message.flow_id, message.error))
+        yield Publish(Refused(message.error, fields.service, 'flow'))
+        yield from self._ended(message.flow_id, fields, message.error)
+
+    def closed_elsewhere(self, message: RelayedClose) -> Iterator[Effect]:
+        """Stop counting a flow that this host opened."""
+        fields = yield from self._parse(message.flow_id)
+        if fields is not None:
+            self._state.counter.closed(fields.service, message.flow_id)
+
+    def _ended(
+        self,
+        flow_id: FlowId,
+        fields: FlowFields,
+        error: ErrorKind | None,
+    ) -> Iterator[Effect]:
+        self._state.routes.remove(flow_id)
+        if fields.owner == self._state.own:
+            self._state.counter.closed(fields.service, flow_id)
+        else:
+            yield SendToPeer(fields.owner, RelayedClose(flow_id))
+        yield Publish(FlowClosed(fields.service, flow_id, error))
+
+    def _parse(
+        self,
+        flow_id: FlowId,
+    ) -> Generator[Effect, None, FlowFields | None]:
+        try:
+            fields = self._state.codec.parse(flow_id)
+        except DecodeError as error:
+            yield Publish(Refused(error.kind, None, 'flow id'))
+            return None
+        if fields.flow_class is not FlowClass.LONG:
+            yield Publish(Refused(ErrorKind.MALFORMED, fields.service, 'flow class'))
+            return None
+        return fields
--- /dev/null
+++ b/src/lycheedeal/steering/_state.py
@@ -0,0 +1,70 @@
+"""State shared by the parts of the steering plug-in."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lycheedeal.kernel import Context, UpstreamChanged
+from lycheedeal.membership import HostRanking
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    FlowIdCodec,
+    Member,
+    ServiceNumber,
+    UpstreamState,
+)
+from lycheedeal.steering._counts import FlowCounter
+from lycheedeal.steering._routes import FlowOwner, RouteTable
+
+_OPEN_STATES = frozenset((UpstreamState.READY, UpstreamState.STARTING))
+
+
+@dataclass(slots=True)
+class SteeringState:
+    """What steering knows; owned by the plug-in."""
+
+    context: Context
+    codec: FlowIdCodec
+    routes: RouteTable
+    counter: FlowCounter = field(default_factory=FlowCounter)
+    view: ConfigurationView = field(default_factory=ConfigurationView)
+    members: tuple[Member, ...] = ()
+    stopping: bool = False
+    orphans: Counter[Endpoint] = field(default_factory=Counter)
+    _upstreams_by_service: dict[ServiceNumber, dict[Endpoint, UpstreamChanged]] = field(
+        default_factory=dict,
+    )
+    _ranking: HostRanking = field(default_factory=HostRanking)
+
+    @property
+    def own(self) -> Endpoint:
+        """Return the peer endpoint of this host."""
+        return self.context.settings.peer
+
+    def ranked(self, service: ServiceNumber) -> list[Member]:
+        """Return the first hosts of the zone in the order of ownership."""
+        return self._ranking.candidates(service)
+
+    def set_members(self, members: tuple[Member, ...]) -> None:
+        """Replace the hosts that may own services."""
+        self.members = members
+        self._ranking.update(members)
+
+    def count_orphans(self) -> None:
+        """Count observed flows whose owner is gone and counts them no more."""
+        live = {FlowOwner(one.peer, one.incarnation) for one in self.members}
+        live.add(FlowOwner(self.own, self.context.incarnation))
+        self.orphans = self.routes.counts(live)
+
+    def set_upstream(self, change: UpstreamChanged) -> None:
+        """Take the state of an upstream as health sees it."""
+        by_endpoint = self._upstreams_by_service.setdefault(change.service, {})
+        if change.state is UpstreamState.GONE:
+            by_endpoint.pop(change.endpoint, None)
+        else:
+            by_endpoint[change.endpoint] = change
+
+    def open_upstreams(self, service: ServiceNumber) -> list[UpstreamChanged]:
+        """Return the upstreams of a service that take new flows."""
+        known = self._upstreams_by_service.get(service, {})
+        return [one for one in known.values() if one.state in _OPEN_STATES]
--- a/src/lycheedeal/wire/_codec.py
+++ b/src/lycheedeal/wire/_codec.py
@@ -51,6 +51,8 @@
         44: messages.Probe,
         45: messages.ProbeAck,
         46: messages.IndirectProbe,
+        47: messages.RelayedClose,
+        48: messages.FlowCounts,
         60: messages.Digest,
         61: messages.ShardCopy,
     },
