Add the configuration plug-in

Cause: hosts need configuration that is accepted through the object API, spread between neighbours and never reverted. Change: shards with validation, changes by conditional write, gossip of digests and copies, watchers. Service gets next_kind, so that kind ids are not reused; wire.decode gets a limit, since a shard may exceed a datagram.

--- /dev/null
+++ b/src/lycheedeal/configuration/__init__.py
@@ -0,0 +1,47 @@
+"""Configuration: accepted, spread, applied, and never reverted."""
+
+from lycheedeal.configuration._changes import apply_change, summarize
+from lycheedeal.configuration._codec import MAX_BODY, decode_shard, encode_shard
+from lycheedeal.configuration._plugin import ConfigurationPlugin
+from lycheedeal.configuration._validation import validate_shard
+from lycheedeal.kernel import (
+    ApiChanged,
+    ApiReplied,
+    ChangeRequested,
+    GossipReceived,
+    MembersChanged,
+    PluginSpec,
+    Resumed,
+    Started,
+    Tick,
+    register,
+)
+
+__all__ = (
+    'MAX_BODY',
+    'ConfigurationPlugin',
+    'apply_change',
+    'decode_shard',
+    'encode_shard',
+    'summarize',
+    'validate_shard',
+)
+
+register(
+    PluginSpec(
+        name='configuration',
+        factory=ConfigurationPlugin,
+        events=frozenset(
+            (
+                Started,
+                Tick,
+                Resumed,
+                MembersChanged,
+                GossipReceived,
+                ApiChanged,
+                ApiReplied,
+                ChangeRequested,
+            ),
+        ),
+    ),
+)
--- /dev/null
+++ b/src/lycheedeal/configuration/_attempt.py
@@ -0,0 +1,232 @@
+"""One change on its way to the object API; decides, but calls nothing."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from lycheedeal.configuration._changes import (
+    apply_change,
+    find_record,
+    find_service,
+    summarize,
+)
+from lycheedeal.configuration._codec import encode_shard
+from lycheedeal.configuration._validation import check_against_others
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import InvalidConfigurationError
+from lycheedeal.kernel import ApiStatus, ChangeRequested
+from lycheedeal.model import Generation, Service, Shard, ShardIndex, shard_of
+
+MAX_TRIES: Final = 8
+# A read may be stale for a moment; an object that was replaced stays old.
+_MAX_OLD_READS: Final = 4
+# Operators wait for an answer; after this time the outcome is reported as it is.
+MAX_SECONDS: Final = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredShard:
+    """A shard as it was read; version 0 means that there was no object."""
+
+    shard: Shard
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Next step: write this shard if the object still has this version."""
+
+    shard: Shard
+    version: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Next step: wait a little, then read the shard."""
+
+
+@dataclass(frozen=True, slots=True)
+class Decide:
+    """Last step: the outcome; ``error`` None means accepted.
+
+    ``shard`` is what this attempt stored, to be applied at once.
+    """
+
+    error: ErrorKind | None
+    generation: Generation
+    detail: str
+    shard: Shard | None = None
+
+
+Step = Write | Retry | Decide
+
+
+@dataclass(slots=True)
+class Attempt:
+    """State of one requested change.
+
+    ``written`` is the last write that was sent. ``unresolved`` is set while
+    that write may have taken effect, or may still do so.
+    """
+
+    request: ChangeRequested
+    deadline: float
+    tries: int = 0
+    base: Shard | None = None
+    written: Write | None = None
+    unresolved: bool = False
+    index: ShardIndex = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Find the shard that the change concerns."""
+        self.index = shard_of(self.request.change.service)
+
+    def after_read(
+        self,
+        stored: StoredShard,
+        in_force: Shard,
+        others: Iterable[Service],
+        *,
+        now: float,
+        wall: float,
+    ) -> Step:
+        """Return the step after the shard was read.
+
+        ``in_force`` and ``others`` are the shard and all services in force
+        on this host before the read.
+        """
+        shard = stored.shard
+        if self._has_regressed(shard, in_force):
+            return self.retry(
+                ErrorKind.CONFIGURATION_REGRESSED,
+                f'generation {shard.generation} is stored, '
+                f'{in_force.generation} is in force',
+                now,
+                _MAX_OLD_READS,
+            )
+        record = find_record(shard, self.request.change_id)
+        if record is not None:
+            return Decide(None, record.generation, record.summary)
+        if self._may_still_land(shard):
+            return self.written or Retry()
+        self.unresolved = False
+        conflict = self._find_conflict(shard)
+        if conflict:
+            return Decide(ErrorKind.CONFLICT, shard.generation, conflict)
+        return self._propose(stored, others, wall)
+
+    def after_write(self, status: ApiStatus, in_force: Shard, now: float) -> Step:
+        """Return the step after a write was answered or given up."""
+        match status:
+            case ApiStatus.OK if self.written is not None:
+                return self._accept(self.written.shard, in_force)
+            case ApiStatus.UNKNOWN:
+                self.unresolved = True
+                return self.retry(ErrorKind.CHANGE_UNKNOWN, 'no answer', now)
+            case ApiStatus.UNAVAILABLE:
+                return self.retry(
+                    ErrorKind.PLATFORM_UNAVAILABLE,
+                    'nothing was written',
+                    now,
+                )
+            case _:
+                return self.retry(
+                    ErrorKind.CONFLICT,
+                    'the shard changes too often, nothing was written',
+                    now,
+                )
+
+    def retry(
+        self,
+        error: ErrorKind,
+        detail: str,
+        now: float,
+        max_tries: int = MAX_TRIES,
+    ) -> Step:
+        """Return one more try, or the outcome if there were enough."""
+        self.tries += 1
+        if self.tries < max_tries and now < self.deadline:
+            return Retry()
+        if self.unresolved:
+            return Decide(
+                ErrorKind.CHANGE_UNKNOWN,
+                Generation(0),
+                'a write was sent and its outcome could not be read',
+            )
+        return Decide(error, Generation(0), detail)
+
+    def _has_regressed(self, shard: Shard, in_force: Shard) -> bool:
+        # An object that was deleted and made anew can reach the generation
+        # in force with other content.
+        if shard.generation == in_force.generation:
+            return shard != in_force
+        return shard.generation < in_force.generation
+
+    def _accept(self, written: Shard, in_force: Shard) -> Step:
+        # The object may have been replaced by an older one between the read
+        # and the write; then other hosts hold a higher generation without
+        # this change and will not apply it.
+        known = find_record(in_force, self.request.change_id)
+        if known is None and in_force.generation >= written.generation:
+            return Decide(
+                ErrorKind.CHANGE_UNKNOWN,
+                Generation(0),
+                f'stored as generation {written.generation}, '
+                f'but {in_force.generation} is in force',
+            )
+        return Decide(
+            None,
+            written.generation,
+            summarize(self.request.change),
+            written,
+        )
+
+    def _may_still_land(self, shard: Shard) -> bool:
+        # A generation as high as the one written, without the record of this
+        # change, proves that another change took its place.
+        if not self.unresolved or self.written is None:
+            return False
+        return shard.generation < self.written.shard.generation
+
+    def _find_conflict(self, shard: Shard) -> str:
+        if self.base is None:
+            return ''
+        name = self.request.change.service
+        if find_service(self.base, name) == find_service(shard, name):
+            return ''
+        newer = [
+            record
+            for record in shard.changes
+            if record.generation > self.base.generation
+        ]
+        touching = [one for one in newer if name in one.summary.split()]
+        first = next(iter(touching or newer), None)
+        if first is None:
+            return f'service {name} was changed'
+        return f'{first.summary} came first (generation {first.generation})'
+
+    def _propose(
+        self,
+        stored: StoredShard,
+        others: Iterable[Service],
+        wall: float,
+    ) -> Step:
+        self.base = stored.shard
+        request = self.request
+        try:
+            shard = apply_change(stored.shard, request.change, request.change_id, wall)
+            service = find_service(shard, request.change.service)
+            if service is not None:
+                check_against_others(service, others)
+            body = encode_shard(shard)
+        except InvalidConfigurationError as error:
+            return Decide(
+                ErrorKind.INVALID_CONFIGURATION,
+                stored.shard.generation,
+                error.detail,
+            )
+        if request.dry_run:
+            return Decide(None, stored.shard.generation, summarize(request.change))
+        self.written = Write(shard, stored.version, body)
+        return self.written
--- /dev/null
+++ b/src/lycheedeal/configuration/_changes.py
@@ -0,0 +1,232 @@
+"""Effect of one change on a shard; pure functions."""
+
+from dataclasses import replace
+from typing import NoReturn
+
+from lycheedeal.configuration._validation import MAX_RECORDS, validate_shard
+from lycheedeal.exceptions import InvalidConfigurationError
+from lycheedeal.model import (
+    SHARD_COUNT,
+    Change,
+    ChangeId,
+    ChangeRecord,
+    CreateKind,
+    CreateService,
+    CreateUpstream,
+    DeleteKind,
+    DeleteService,
+    DeleteUpstream,
+    DrainUpstream,
+    Generation,
+    KindId,
+    Service,
+    ServiceName,
+    ServiceNumber,
+    Shard,
+    UndrainUpstream,
+    Upstream,
+    UpstreamId,
+    WorkKind,
+)
+
+
+def apply_change(
+    shard: Shard,
+    change: Change,
+    change_id: ChangeId,
+    wall: float,
+) -> Shard:
+    """Return the next generation of the shard with the change in it.
+
+    Raises InvalidConfigurationError if the change does not fit the shard or
+    the result breaks a rule.
+    """
+    changed = _edit(shard, change)
+    generation = Generation(shard.generation + 1)
+    record = ChangeRecord(change_id, generation, summarize(change), wall)
+    changed = replace(
+        changed,
+        generation=generation,
+        changes=(*shard.changes, record)[-MAX_RECORDS:],
+    )
+    validate_shard(changed)
+    return changed
+
+
+def find_record(shard: Shard, change_id: ChangeId) -> ChangeRecord | None:
+    """Return the record of an accepted change, if the shard still has it."""
+    return next((one for one in shard.changes if one.change_id == change_id), None)
+
+
+def find_service(shard: Shard, name: ServiceName) -> Service | None:
+    """Return the service of this name, if the shard has it."""
+    return next((one for one in shard.services if one.name == name), None)
+
+
+def summarize(change: Change) -> str:
+    """Return the change as an operator would state it."""
+    match change:
+        case CreateService(service, address):
+            return f'create service {service} at {address}'
+        case DeleteService(service):
+            return f'delete service {service}'
+        case CreateKind(service, name):
+            return f'create kind {name} of {service}'
+        case DeleteKind(service, name):
+            return f'delete kind {name} of {service}'
+        case CreateUpstream(service, upstream_id):
+            return f'create upstream {upstream_id} of {service}'
+        case DrainUpstream(service, upstream_id):
+            return f'drain upstream {upstream_id} of {service}'
+        case UndrainUpstream(service, upstream_id):
+            return f'undrain upstream {upstream_id} of {service}'
+        case DeleteUpstream(service, upstream_id):
+            return f'delete upstream {upstream_id} of {service}'
+
+
+def _edit(shard: Shard, change: Change) -> Shard:
+    match change:
+        case CreateService():
+            return _create_service(shard, change)
+        case DeleteService(name):
+            return _delete_service(shard, name)
+        case _:
+            service = _need_service(shard, change.service)
+            return _replace_service(shard, _edit_service(service, change))
+
+
+def _edit_service(service: Service, change: Change) -> Service:
+    match change:
+        case CreateKind():
+            return _create_kind(service, change)
+        case DeleteKind(_, name):
+            return _delete_kind(service, name)
+        case CreateUpstream():
+            return _create_upstream(service, change)
+        case DrainUpstream(_, upstream_id):
+            return _set_drained(service, upstream_id, drained=True)
+        case UndrainUpstream(_, upstream_id):
+            return _set_drained(service, upstream_id, drained=False)
+        case DeleteUpstream(_, upstream_id):
+            return _delete_upstream(service, upstream_id)
+        case CreateService() | DeleteService():
+            return service
+
+
+def _create_service(shard: Shard, change: CreateService) -> Shard:
+    if find_service(shard, change.service) is not None:
+        _refuse(f'service {change.service}', 'exists already')
+    service = Service(
+        number=ServiceNumber(shard.next_counter * SHARD_COUNT + shard.index),
+        name=change.service,
+        address=change.address,
+        spill=change.spill,
+    )
+    return replace(
+        shard,
+        next_counter=shard.next_counter + 1,
+        services=(*shard.services, service),
+    )
+
+
+def _delete_service(shard: Shard, name: ServiceName) -> Shard:
+    service = _need_service(shard, name)
+    if service.upstreams:
+        _refuse(f'service {name}', f'still has {len(service.upstreams)} upstreams')
+    remaining = tuple(one for one in shard.services if one.name != name)
+    return replace(shard, services=remaining)
+
+
+def _replace_service(shard: Shard, service: Service) -> Shard:
+    return replace(
+        shard,
+        services=tuple(
+            service if one.name == service.name else one for one in shard.services
+        ),
+    )
+
+
+def _create_kind(service: Service, change: CreateKind) -> Service:
+    if any(one.name == change.name for one in service.kinds):
+        _refuse(f'kind {change.name} of {service.name}', 'exists already')
+    kind = WorkKind(
+        kind_id=KindId(service.next_kind),
+        name=change.name,
+        priority=change.priority,
+        floor=change.floor,
+        idempotent=change.idempotent,
+        long=change.long,
+    )
+    return replace(
+        service,
+        kinds=(*service.kinds, kind),
+        next_kind=service.next_kind + 1,
+    )
+
+
+def _delete_kind(service: Service, name: str) -> Service:
+    remaining = tuple(one for one in service.kinds if one.name != name)
+    if len(remaining) == len(service.kinds):
+        _refuse(f'kind {name} of {service.name}', 'does not exist')
+    return replace(service, kinds=remaining)
+
+
+def _create_upstream(service: Service, change: CreateUpstream) -> Service:
+    place = f'upstream {change.upstream_id} of {service.name}'
+    for one in service.upstreams:
+        if one.upstream_id == change.upstream_id:
+            _refuse(place, 'exists already')
+        if one.endpoint == change.endpoint:
+            _refuse(place, f'{one.endpoint} is the endpoint of {one.upstream_id}')
+    upstream = Upstream(
+        upstream_id=change.upstream_id,
+        endpoint=change.endpoint,
+        zone=change.zone,
+        slots=change.slots,
+        connections=change.connections,
+    )
+    return replace(service, upstreams=(*service.upstreams, upstream))
+
+
+def _set_drained(
+    service: Service,
+    upstream_id: UpstreamId,
+    *,
+    drained: bool,
+) -> Service:
+    wanted = _need_upstream(service, upstream_id)
+    return replace(
+        service,
+        upstreams=tuple(
+            replace(one, drained=drained) if one is wanted else one
+            for one in service.upstreams
+        ),
+    )
+
+
+def _delete_upstream(service: Service, upstream_id: UpstreamId) -> Service:
+    wanted = _need_upstream(service, upstream_id)
+    if not wanted.drained:
+        _refuse(f'upstream {upstream_id} of {service.name}', 'is not drained')
+    return replace(
+        service,
+        upstreams=tuple(one for one in service.upstreams if one is not wanted),
+    )
+
+
+def _need_service(shard: Shard, name: ServiceName) -> Service:
+    service = find_service(shard, name)
+    if service is None:
+        _refuse(f'service {name}', 'does not exist')
+    return service
+
+
+def _need_upstream(service: Service, upstream_id: UpstreamId) -> Upstream:
+    for one in service.upstreams:
+        if one.upstream_id == upstream_id:
+            return one
+    _refuse(f'upstream {upstream_id} of {service.name}', 'does not exist')
+
+
+def _refuse(place: str, detail: str) -> NoReturn:
+    raise InvalidConfigurationError(place, detail)
--- /dev/null
+++ b/src/lycheedeal/configuration/_refresh.py
@@ -0,0 +1,97 @@
+"""When this host lists and watches the shards at the platform."""
+
+import random
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.configuration._ring import is_watcher
+from lycheedeal.kernel import ApiCall, ApiStatus, CallApi, MembersChanged
+from lycheedeal.model import HostSettings
+
+# A host that has just started waits this long to hear of others before it
+# watches by itself; otherwise every host of a restarted zone would.
+_ALONE_SECONDS: Final = 1.0
+_RELIST_SECONDS: Final = 30.0
+_RETRY_SECONDS: Final = 2.0
+_MAX_RETRY_SECONDS: Final = 30.0
+# The platform client gives up earlier; this covers a reply that is lost.
+_REPLY_SECONDS: Final = 10.0
+
+
+class Refresher:
+    """Decides on the calls that fetch shards from the object API."""
+
+    def __init__(self, settings: HostSettings, rng: random.Random) -> None:
+        """Start without knowing any other host."""
+        self._settings = settings
+        self._rng = rng
+        self._prefix = f'config/{settings.region}/'
+        self._watcher = True
+        self._watch_at = 0.0
+        self._watch_id: int | None = None
+        self._list_id: int | None = None
+        self._list_at = 0.0
+        self._failures = 0
+        self._listed = False
+
+    def start(self, now: float) -> Iterator[CallApi]:
+        """List the shards at once and watch a little later."""
+        self._watch_at = now + _ALONE_SECONDS
+        yield from self.list_shards(now)
+
+    def change_members(self, event: MembersChanged, now: float) -> Iterator[CallApi]:
+        """Start or stop the watch according to the watcher order."""
+        settings = self._settings
+        watcher = is_watcher(settings.host_id, settings.zone, event.members)
+        alone = len(event.members) < 2
+        if watcher and not self._watcher:
+            self._list_at = min(
+                self._list_at, now + _RETRY_SECONDS * self._rng.uniform(1, 2)
+            )
+        self._watcher = watcher
+        if not alone:
+            self._watch_at = now
+        yield from self._update_watch(now)
+
+    def tick(self, now: float, *, configured: bool) -> Iterator[CallApi]:
+        """List if it is due; ``configured`` tells whether any shard is in force."""
+        yield from self._update_watch(now)
+        wanted = self._watcher or not (self._listed or configured)
+        if wanted and now >= self._list_at:
+            yield from self.list_shards(now)
+
+    def resume(self, now: float) -> Iterator[CallApi]:
+        """List after a pause, if this host is a watcher."""
+        if self._watcher:
+            yield from self.list_shards(now)
+
+    def list_shards(self, now: float) -> Iterator[CallApi]:
+        """Fetch all shards; the outcome comes to ``list_replied``."""
+        self._list_id = self._rng.getrandbits(63)
+        self._list_at = now + _REPLY_SECONDS
+        yield CallApi(self._list_id, ApiCall.LIST, self._prefix)
+
+    def list_replied(self, call_id: int, status: ApiStatus, now: float) -> None:
+        """Set the time of the next list after the outcome of this one."""
+        if call_id != self._list_id:
+            return
+        self._list_id = None
+        if status is ApiStatus.OK:
+            self._listed = True
+            self._failures = 0
+            self._list_at = now + self._jitter(_RELIST_SECONDS)
+            return
+        self._failures += 1
+        delay = min(_MAX_RETRY_SECONDS, _RETRY_SECONDS * 2 ** (self._failures - 1))
+        self._list_at = now + delay * self._rng.uniform(1, 2)
+
+    def _update_watch(self, now: float) -> Iterator[CallApi]:
+        if self._watcher and self._watch_id is None and now >= self._watch_at:
+            self._watch_id = self._rng.getrandbits(63)
+            yield CallApi(self._watch_id, ApiCall.WATCH, self._prefix)
+        elif not self._watcher and self._watch_id is not None:
+            yield CallApi(self._watch_id, ApiCall.UNWATCH, self._prefix)
+            self._watch_id = None
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(0.75, 1.25)
--- /dev/null
+++ b/src/lycheedeal/configuration/_ring.py
@@ -0,0 +1,53 @@
+"""Which hosts of the zone are neighbours, and which hold the watches."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+from lycheedeal.model import Endpoint, HostId, Member, Zone
+
+# The second watcher covers the first one's failure.
+WATCHER_COUNT: Final = 2
+
+
+def choose_neighbours(
+    host_id: HostId,
+    zone: Zone,
+    members: Iterable[Member],
+) -> tuple[Endpoint, ...]:
+    """Return the gossip endpoints at distances 1, 2, 4, ... on the zone's ring.
+
+    Each host dials log2(n) others and is dialled by as many.
+    """
+    ring = sorted(
+        (one for one in members if one.host_id != host_id and one.zone == zone),
+        key=lambda member: _ring_position(member.host_id),
+    )
+    own = _ring_position(host_id)
+    start = sum(_ring_position(one.host_id) < own for one in ring)
+    neighbours: list[Endpoint] = []
+    distance = 1
+    while distance <= len(ring):
+        neighbours.append(ring[(start + distance - 1) % len(ring)].gossip)
+        distance *= 2
+    return tuple(neighbours)
+
+
+def is_watcher(host_id: HostId, zone: Zone, members: Iterable[Member]) -> bool:
+    """Tell whether this host is one of the first in the zone's watcher order.
+
+    A host that knows no others watches by itself.
+    """
+    host_ids = {one.host_id for one in members if one.zone == zone}
+    if not host_ids - {host_id}:
+        return True
+    order = sorted(
+        host_ids,
+        key=lambda one: xxhash.xxh64_intdigest(f'watch/{zone}/{one}'.encode()),
+    )
+    return host_id in order[:WATCHER_COUNT]
+
+
+def _ring_position(host_id: HostId) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(host_id.encode()), host_id
--- /dev/null
+++ b/src/lycheedeal/configuration/_validation.py
@@ -0,0 +1,172 @@
+"""Rules that a shard must meet before it is written or applied."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Hashable, Iterable, Iterator
+from itertools import chain
+from typing import Final, TypeVar
+
+from lycheedeal.exceptions import InvalidConfigurationError
+from lycheedeal.model import (
+    SHARD_COUNT,
+    Endpoint,
+    Service,
+    Shard,
+    Upstream,
+    WorkKind,
+    shard_of,
+)
+
+MAX_RECORDS: Final = 64
+# The flow id stores the kind in one byte and the service in four.
+_MAX_KIND_ID: Final = 255
+_MAX_NUMBER: Final = 2**32 - 1
+_MAX_PRIORITY: Final = 255
+_MAX_LIMIT: Final = 1_000_000
+_MAX_PORT: Final = 65_535
+# Floors are decimal fractions; their sum may be off by rounding.
+_ROUNDING: Final = 1e-9
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}', re.ASCII)
+
+_Item = TypeVar('_Item')
+
+
+def validate_shard(shard: Shard) -> None:
+    """Raise InvalidConfigurationError if the shard breaks a rule by itself."""
+    _check(0 <= shard.index < SHARD_COUNT, '$.index', 'no such shard')
+    _check(shard.generation > 0, '$.generation', 'must be positive')
+    _check(shard.next_counter > 0, '$.next_counter', 'must be positive')
+    _check(len(shard.changes) <= MAX_RECORDS, '$.changes', 'too many records')
+    for where, record in _places('$.changes', shard.changes):
+        _check_range(f'{where}.generation', record.generation, 1, shard.generation)
+    services = shard.services
+    _check_unique('$.services', 'number', (one.number for one in services))
+    _check_unique('$.services', 'name', (one.name for one in services))
+    _check_unique('$.services', 'address', (one.address for one in services))
+    for place, service in _places('$.services', services):
+        _check_number(place, service, shard)
+        _check_service(place, service)
+    upstreams = chain.from_iterable(one.upstreams for one in services)
+    _check_unique(
+        '$.services',
+        'upstream endpoint',
+        (one.endpoint for one in upstreams),
+    )
+
+
+def check_against_others(service: Service, others: Iterable[Service]) -> None:
+    """Raise InvalidConfigurationError if another service has an address of this.
+
+    An upstream endpoint of two services would receive the work of both, so
+    it belongs to one service only.
+    """
+    endpoints = {one.endpoint for one in service.upstreams}
+    for other in others:
+        if other.number == service.number:
+            continue
+        _check(
+            other.address != service.address,
+            f'service {service.name}',
+            f'address {service.address} belongs to service {other.name}',
+        )
+        for upstream in other.upstreams:
+            _check(
+                upstream.endpoint not in endpoints,
+                f'service {service.name}',
+                f'upstream {upstream.endpoint} belongs to service {other.name}',
+            )
+
+
+def _check_number(place: str, service: Service, shard: Shard) -> None:
+    counter, index = divmod(service.number, SHARD_COUNT)
+    _check(
+        index == shard.index and 0 < counter < shard.next_counter,
+        f'{place}.number',
+        f'{service.number} was not given out by this shard',
+    )
+    _check_range(f'{place}.number', service.number, 1, _MAX_NUMBER)
+    owner = shard_of(service.name)
+    _check(
+        owner == shard.index,
+        f'{place}.name',
+        f'{service.name} belongs to shard {owner}',
+    )
+
+
+def _check_service(place: str, service: Service) -> None:
+    _check_name(f'{place}.name', service.name)
+    _check_endpoint(f'{place}.address', service.address)
+    kinds = service.kinds
+    _check_unique(f'{place}.kinds', 'kind_id', (one.kind_id for one in kinds))
+    _check_unique(f'{place}.kinds', 'name', (one.name for one in kinds))
+    for at_kind, kind in _places(f'{place}.kinds', kinds):
+        _check_kind(at_kind, kind, service.next_kind)
+    floors = math.fsum(one.floor for one in kinds)
+    _check(
+        floors <= 1 + _ROUNDING,
+        f'{place}.kinds',
+        f'floors sum to {floors:.2f}, more than 1',
+    )
+    upstreams = service.upstreams
+    _check_unique(
+        f'{place}.upstreams',
+        'upstream_id',
+        (one.upstream_id for one in upstreams),
+    )
+    for at_upstream, upstream in _places(f'{place}.upstreams', upstreams):
+        _check_upstream(at_upstream, upstream)
+
+
+def _check_kind(place: str, kind: WorkKind, next_kind: int) -> None:
+    _check_name(f'{place}.name', kind.name)
+    _check_range(f'{place}.kind_id', kind.kind_id, 1, _MAX_KIND_ID)
+    _check(kind.kind_id < next_kind, f'{place}.kind_id', 'was not given out')
+    _check_range(f'{place}.priority', kind.priority, 0, _MAX_PRIORITY)
+    _check_range(f'{place}.floor', kind.floor, 0, 1)
+
+
+def _check_upstream(place: str, upstream: Upstream) -> None:
+    _check_name(f'{place}.upstream_id', upstream.upstream_id)
+    _check_name(f'{place}.zone', upstream.zone)
+    _check_endpoint(f'{place}.endpoint', upstream.endpoint)
+    _check_range(f'{place}.slots', upstream.slots, 1, _MAX_LIMIT)
+    _check_range(f'{place}.connections', upstream.connections, 1, _MAX_LIMIT)
+
+
+def _check_endpoint(place: str, endpoint: Endpoint) -> None:
+    _check_range(place, endpoint.port, 1, _MAX_PORT)
+    try:
+        parsed = ipaddress.IPv4Address(endpoint.ip)
+    except ValueError as error:
+        raise InvalidConfigurationError(place, str(error)) from error
+    _check(not parsed.is_unspecified, place, 'address is unspecified')
+
+
+def _check_name(place: str, name: str) -> None:
+    _check(
+        _NAME.fullmatch(name) is not None,
+        place,
+        f'{name!r} is not 1 to 63 letters, digits, dots, dashes or underscores',
+    )
+
+
+def _check_range(place: str, number: float, low: int, high: int) -> None:
+    _check(low <= number <= high, place, f'{number} is not from {low} to {high}')
+
+
+def _check_unique(place: str, what: str, items: Iterable[Hashable]) -> None:
+    seen: set[Hashable] = set()
+    for one in items:
+        _check(one not in seen, place, f'{what} {one} is used twice')
+        seen.add(one)
+
+
+def _check(passed: bool, place: str, detail: str) -> None:
+    if not passed:
+        raise InvalidConfigurationError(place, detail)
+
+
+def _places(place: str, items: Iterable[_Item]) -> Iterator[tuple[str, _Item]]:
+    for position, one in enumerate(items):
+        yield f'{place}[{position}]', one
--- a/src/lycheedeal/model/_configuration.py
+++ b/src/lycheedeal/model/_configuration.py
@@ -53,7 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service address with its kinds of work and upstreams."""
+    """A service address with its kinds of work and upstreams.
+
+    ``next_kind`` numbers new kinds; kind ids are never reused, since flow
+    ids name them.
+    """
 
     number: ServiceNumber
     name: ServiceName
@@ -61,6 +65,7 @@
     spill: SpillRule = SpillRule.NEVER
     kinds: tuple[WorkKind, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
+    next_kind: int = 1
 
     def kind(self, kind_id: KindId) -> WorkKind | None:
         """Return the kind of work with this id, if the service has it."""
--- a/src/lycheedeal/wire/_codec.py
+++ b/src/lycheedeal/wire/_codec.py
@@ -72,21 +72,21 @@
     return _HEADERS_BY_TYPE[type(message)] + _encoder.encode(message)
 
 
-def decode(datagram: bytes) -> Any:
-    """Return the message in a datagram.
+def decode(datagram: bytes, limit: int = MAX_DATAGRAM) -> Any:
+    """Return the message in a datagram of at most ``limit`` bytes.
 
     Raises DecodeError with kind MALFORMED, OVERSIZED or
     UNSUPPORTED_VERSION; never any other exception.
     """
-    decoder = _find_decoder(datagram)
+    decoder = _find_decoder(datagram, limit)
     try:
         return decoder.decode(memoryview(datagram)[_HEADER_SIZE:])
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise DecodeError(f'invalid message: {error}') from error
 
 
-def _find_decoder(datagram: bytes) -> _Decoder:
-    if len(datagram) > MAX_DATAGRAM:
+def _find_decoder(datagram: bytes, limit: int) -> _Decoder:
+    if len(datagram) > limit:
         raise DecodeError('datagram too large', ErrorKind.OVERSIZED)
     if len(datagram) < _HEADER_SIZE:
         raise DecodeError('datagram too short')
