--- /dev/null
+++ b/src/lycheedeal/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop, sockets and clients around the decision core."""
--- /dev/null
+++ b/src/lycheedeal/runtime/_gossip.py
@@ -0,0 +1,172 @@
+"""Gossip link between hosts: one pynng bus socket."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from typing import Any, Final
+
+import pynng
+
+from lycheedeal import messages, wire
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.model import Endpoint
+
+# A shard of 1 MB in JSON is smaller as a message, except for floats.
+_MAX_MESSAGE: Final = 1_300_000
+# Shards compress to about an eighth; digests are not worth the time.
+_COMPRESS_FROM: Final = 400
+_COMPRESSION_LEVEL: Final = 6
+# First byte of a zlib stream; no message starts with it.
+_COMPRESSED: Final = 0x78
+# Bounds the time that one readiness callback holds the loop.
+_MESSAGES_PER_CALLBACK: Final = 32
+_QUEUE_LENGTH: Final = 32
+_RECONNECT_MIN_MS: Final = 200
+_RECONNECT_MAX_MS: Final = 5000
+# nng starts 31 native threads on a machine of 10 cores unless it is told
+# otherwise; with one of each sort it starts 6.
+_THREAD_PARAMETERS: Final = (
+    'NNG_INIT_NUM_TASK_THREADS',
+    'NNG_INIT_MAX_TASK_THREADS',
+    'NNG_INIT_NUM_EXPIRE_THREADS',
+    'NNG_INIT_MAX_EXPIRE_THREADS',
+    'NNG_INIT_NUM_POLLER_THREADS',
+    'NNG_INIT_MAX_POLLER_THREADS',
+    'NNG_INIT_NUM_RESOLVER_THREADS',
+)
+
+GossipMessage = messages.Digest | messages.ShardCopy
+
+
+class GossipLink:
+    """Sends messages to all neighbours and delivers theirs.
+
+    ``bytes_in`` and ``bytes_out`` count what was received and what was
+    queued for all connections together; ``dropped`` counts sends that found
+    no room.
+    """
+
+    def __init__(
+        self,
+        listen: Endpoint,
+        deliver: Callable[[GossipMessage], None],
+        on_bad: Callable[[DecodeError], None],
+    ) -> None:
+        """Take the endpoint to listen on; port 0 lets the system choose one."""
+        self.endpoint = listen
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.dropped = 0
+        self._deliver = deliver
+        self._on_bad = on_bad
+        self._socket: Any = None
+        self._receive_fd = -1
+        self._dialers_by_endpoint: dict[Endpoint, Any] = {}
+
+    async def start(self) -> None:
+        """Open the socket and listen."""
+        _limit_threads()
+        self._socket = pynng.Bus0(
+            recv_max_size=_MAX_MESSAGE,
+            recv_buffer_size=_QUEUE_LENGTH,
+            send_buffer_size=_QUEUE_LENGTH,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+        )
+        listener = self._socket.listen(_url(self.endpoint))
+        ip, _, port = str(listener.local_address).rpartition(':')
+        self.endpoint = Endpoint(ip, int(port))
+        self._receive_fd = self._socket.recv_fd
+        asyncio.get_running_loop().add_reader(self._receive_fd, self._receive)
+
+    async def close(self) -> None:
+        """Close the socket; what is still queued may be lost."""
+        if self._socket is None:
+            return
+        asyncio.get_running_loop().remove_reader(self._receive_fd)
+        self._socket.close()
+        self._socket = None
+        self._dialers_by_endpoint.clear()
+
+    def set_neighbours(self, neighbours: tuple[Endpoint, ...]) -> None:
+        """Dial these endpoints and no others; connections are kept up by nng."""
+        if self._socket is None:
+            return
+        for former in self._dialers_by_endpoint.keys() - set(neighbours):
+            self._dialers_by_endpoint.pop(former).close()
+        for endpoint in neighbours:
+            if endpoint not in self._dialers_by_endpoint:
+                dialer = self._socket.dial(_url(endpoint), block=False)
+                self._dialers_by_endpoint[endpoint] = dialer
+
+    def send(self, message: GossipMessage) -> None:
+        """Queue a message for every connection; drop it where there is no room."""
+        if self._socket is None:
+            return
+        frame = encode_frame(message)
+        try:
+            self._socket.send(frame, block=False)
+        except pynng.NNGException:
+            self.dropped += 1
+            return
+        self.bytes_out += len(frame) * len(self._socket.pipes)
+
+    def _receive(self) -> None:
+        for _ in range(_MESSAGES_PER_CALLBACK):
+            if self._socket is None:
+                return
+            try:
+                frame = self._socket.recv(block=False)
+            except pynng.NNGException:
+                return
+            self.bytes_in += len(frame)
+            self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        try:
+            message = decode_frame(frame)
+        except DecodeError as error:
+            self._on_bad(error)
+            return
+        self._deliver(message)
+
+
+def encode_frame(message: GossipMessage) -> bytes:
+    """Return the form of a message on the link."""
+    plain = wire.encode(message)
+    if len(plain) < _COMPRESS_FROM:
+        return plain
+    return zlib.compress(plain, _COMPRESSION_LEVEL)
+
+
+def decode_frame(frame: bytes) -> GossipMessage:
+    """Return the message in a frame; raises DecodeError and nothing else."""
+    plain = _decompress(frame) if frame[:1] == bytes((_COMPRESSED,)) else frame
+    message = wire.decode(plain, _MAX_MESSAGE)
+    if not isinstance(message, (messages.Digest, messages.ShardCopy)):
+        raise DecodeError(f'{type(message).__name__} does not belong on this link')
+    return message
+
+
+def _decompress(frame: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    try:
+        plain = stream.decompress(frame, _MAX_MESSAGE)
+    except zlib.error as error:
+        raise DecodeError(f'invalid compression: {error}') from error
+    if stream.unconsumed_tail:
+        raise DecodeError('message too large', ErrorKind.OVERSIZED)
+    if not stream.eof:
+        raise DecodeError('message is cut short')
+    return plain
+
+
+def _limit_threads() -> None:
+    # Takes effect only before the first socket of the process.
+    for name in _THREAD_PARAMETERS:
+        pynng.lib.nng_init_set_parameter(getattr(pynng.lib, name), 1)
+
+
+def _url(endpoint: Endpoint) -> str:
+    return f'tcp://{endpoint.ip}:{endpoint.port}'
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,432 @@
+"""Stand-in for the platform's object API and host list.
+
+Run as ``python -m standins.platform --port 0 --port-file FILE``.
+
+Objects:  GET, PUT, DELETE /objects/KEY; If-Match carries the version, and 0
+means that the object must not exist. A deleted object that is made anew
+starts at version 1 again. GET /objects?prefix= lists. GET
+/watch?prefix=&since=&timeout= waits until something changed after revision
+``since``; a deleted object is reported with version 0. Bodies are base64 in
+JSON.
+
+Hosts:  POST /hosts registers a JSON object with ``host_id``, DELETE
+/hosts/ID removes it, GET /hosts lists them as they were some time ago.
+
+Faults:  POST /control/outage?seconds=&mode=refuse|hang|reset,
+/control/slow?ms=, /control/lose-answer?count=, /control/stale-reads?seconds=.
+GET /control/stats counts calls.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import os
+import signal
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from aiohttp import web
+
+MAX_VALUE = 1_000_000
+MAX_WATCH_SECONDS = 30.0
+RATE_WINDOW_SECONDS = 10.0
+
+
+@dataclass(frozen=True)
+class Stored:
+    """An object; version 0 means that it was deleted."""
+
+    version: int
+    revision: int
+    body: bytes = b''
+
+
+class VersionMismatch(Exception):
+    """A conditional update named another version than the stored one."""
+
+    def __init__(self, version: int) -> None:
+        """Store the version that the object has."""
+        super().__init__(f'version is {version}')
+        self.version = version
+
+
+class ObjectStore:
+    """Versioned objects; a revision numbers all changes of the store."""
+
+    def __init__(self, revision: int = 0) -> None:
+        """Start empty; ``revision`` should rise over restarts."""
+        self.revision = revision
+        self.objects_by_key: dict[str, Stored] = {}
+
+    def get(self, key: str) -> Stored | None:
+        """Return an object that exists."""
+        stored = self.objects_by_key.get(key)
+        return stored if stored and stored.version else None
+
+    def put(self, key: str, body: bytes, expected: int | None) -> int:
+        """Store a body and return its version."""
+        version = self._check(key, expected) + 1
+        self._set(key, version, body)
+        return version
+
+    def delete(self, key: str, expected: int | None) -> None:
+        """Delete an object; the next one with this key starts at version 1."""
+        self._check(key, expected)
+        self._set(key, 0, b'')
+
+    def select(self, prefix: str, since: int = 0) -> dict[str, Stored]:
+        """Return objects changed after a revision; 0 means all that exist."""
+        if since > self.revision:
+            since = 0
+        return {
+            key: stored
+            for key, stored in sorted(self.objects_by_key.items())
+            if key.startswith(prefix)
+            and stored.revision > since
+            and (since or stored.version)
+        }
+
+    def copy(self) -> 'ObjectStore':
+        """Return a copy that later changes do not touch."""
+        other = ObjectStore(self.revision)
+        other.objects_by_key = dict(self.objects_by_key)
+        return other
+
+    def _check(self, key: str, expected: int | None) -> int:
+        stored = self.get(key)
+        version = stored.version if stored else 0
+        if expected is not None and expected != version:
+            raise VersionMismatch(version)
+        return version
+
+    def _set(self, key: str, version: int, body: bytes) -> None:
+        self.revision += 1
+        self.objects_by_key[key] = Stored(version, self.revision, body)
+
+
+class HostList:
+    """Registered hosts; readers see the list as it was ``lag`` seconds ago."""
+
+    def __init__(self, lag: float) -> None:
+        """Take the lag in seconds."""
+        self._lag = lag
+        self._visible: dict[str, dict[str, Any]] = {}
+        self._pending: deque[tuple[float, str, dict[str, Any] | None]] = deque()
+
+    def change(self, now: float, host_id: str, entry: dict[str, Any] | None) -> None:
+        """Register a host, or remove it if ``entry`` is None."""
+        self._pending.append((now, host_id, entry))
+
+    def visible(self, now: float) -> list[dict[str, Any]]:
+        """Return the list that readers see at this time."""
+        while self._pending and self._pending[0][0] + self._lag <= now:
+            _, host_id, entry = self._pending.popleft()
+            if entry is None:
+                self._visible.pop(host_id, None)
+            else:
+                self._visible[host_id] = entry
+        return list(self._visible.values())
+
+
+@dataclass
+class Faults:
+    """Faults that are switched on; times are monotonic."""
+
+    outage_until: float = 0
+    outage_mode: str = 'refuse'
+    slow_seconds: float = 0
+    lost_answers: int = 0
+    stale_until: float = 0
+    stale_copy: ObjectStore = field(default_factory=ObjectStore)
+
+
+class CallCounter:
+    """Counts calls by operation and their recent rate."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.calls_by_operation: Counter[str] = Counter()
+        self._times: deque[float] = deque()
+
+    def add(self, operation: str, now: float) -> None:
+        """Count one call."""
+        self.calls_by_operation[operation] += 1
+        self._times.append(now)
+        self._forget(now)
+
+    def rate(self, now: float) -> float:
+        """Return calls per second over the last window."""
+        self._forget(now)
+        return len(self._times) / RATE_WINDOW_SECONDS
+
+    def _forget(self, now: float) -> None:
+        while self._times and self._times[0] < now - RATE_WINDOW_SECONDS:
+            self._times.popleft()
+
+
+class PlatformServer:
+    """HTTP front end of the store; ``start`` and ``close`` own the socket."""
+
+    def __init__(
+        self,
+        host_lag: float = 2.0,
+        clock: Callable[[], float] = time.monotonic,
+        first_revision: int = 0,
+    ) -> None:
+        """Build the server without listening yet."""
+        self.store = ObjectStore(first_revision)
+        self.hosts = HostList(host_lag)
+        self.faults = Faults()
+        self.counter = CallCounter()
+        self.port = 0
+        self._clock = clock
+        self._changed: set[asyncio.Event] = set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback; port 0 lets the system choose one."""
+        app = web.Application(client_max_size=MAX_VALUE + 1)
+        app.add_routes(
+            [
+                web.get('/objects', self._list),
+                web.get('/objects/{key:.+}', self._get),
+                web.put('/objects/{key:.+}', self._put),
+                web.delete('/objects/{key:.+}', self._delete),
+                web.get('/watch', self._watch),
+                web.get('/hosts', self._get_hosts),
+                web.post('/hosts', self._post_host),
+                web.delete('/hosts/{host_id}', self._delete_host),
+                web.get('/control/stats', self._stats),
+                web.post('/control/{fault}', self._control),
+            ],
+        )
+        app.middlewares.append(self._with_faults)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, '127.0.0.1', port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop listening and drop all calls."""
+        if self._runner is not None:
+            self._notify()
+            await self._runner.cleanup()
+            self._runner = None
+
+    @web.middleware
+    async def _with_faults(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Any],
+    ) -> web.StreamResponse:
+        if request.path.startswith('/control/'):
+            response: web.StreamResponse = await handler(request)
+            return response
+        self.counter.add(_operation(request), self._clock())
+        if self.faults.slow_seconds:
+            await asyncio.sleep(self.faults.slow_seconds)
+        if self._is_out():
+            return await self._refuse(request)
+        response = await handler(request)
+        return response
+
+    async def _refuse(self, request: web.Request) -> web.Response:
+        match self.faults.outage_mode:
+            case 'hang':
+                await asyncio.sleep(self.faults.outage_until - self._clock())
+            case 'reset':
+                _drop_connection(request)
+        return web.Response(status=503)
+
+    def _is_out(self) -> bool:
+        return self._clock() < self.faults.outage_until
+
+    def _readable(self) -> ObjectStore:
+        if self._clock() < self.faults.stale_until:
+            return self.faults.stale_copy
+        return self.store
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = request.match_info['key']
+        stored = self._readable().get(key)
+        if stored is None:
+            return web.Response(status=404)
+        return web.json_response(_object(key, stored))
+
+    async def _list(self, request: web.Request) -> web.Response:
+        store = self._readable()
+        return web.json_response(_listing(store, request.query.get('prefix', '')))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        key = request.match_info['key']
+        body = await request.read()
+        if len(body) > MAX_VALUE:
+            return web.Response(status=413)
+        try:
+            version = self.store.put(key, body, _expected(request))
+        except VersionMismatch as error:
+            return web.json_response({'version': error.version}, status=412)
+        return self._answer_change(request, key, version)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        key = request.match_info['key']
+        try:
+            self.store.delete(key, _expected(request))
+        except VersionMismatch as error:
+            return web.json_response({'version': error.version}, status=412)
+        return self._answer_change(request, key, 0)
+
+    def _answer_change(
+        self,
+        request: web.Request,
+        key: str,
+        version: int,
+    ) -> web.Response:
+        self._notify()
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            _drop_connection(request)
+        return web.json_response(_object(key, Stored(version, self.store.revision)))
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query.get('prefix', '')
+        since = int(request.query.get('since', '0'))
+        timeout = min(MAX_WATCH_SECONDS, float(request.query.get('timeout', '30')))
+        changed = asyncio.Event()
+        self._changed.add(changed)
+        try:
+            async with asyncio.timeout(timeout):
+                while since and not self.store.select(prefix, since):
+                    await changed.wait()
+                    changed.clear()
+                    if self._is_out() or self._runner is None:
+                        return await self._refuse(request)
+        except TimeoutError:
+            pass
+        finally:
+            self._changed.discard(changed)
+        return web.json_response(_listing(self.store, prefix, since))
+
+    def _notify(self) -> None:
+        for changed in self._changed:
+            changed.set()
+
+    async def _get_hosts(self, _: web.Request) -> web.Response:
+        return web.json_response(self.hosts.visible(self._clock()))
+
+    async def _post_host(self, request: web.Request) -> web.Response:
+        entry = await request.json()
+        self.hosts.change(self._clock(), entry['host_id'], entry)
+        return web.json_response({})
+
+    async def _delete_host(self, request: web.Request) -> web.Response:
+        self.hosts.change(self._clock(), request.match_info['host_id'], None)
+        return web.json_response({})
+
+    async def _stats(self, _: web.Request) -> web.Response:
+        calls = self.counter.calls_by_operation
+        return web.json_response(
+            {
+                'calls': dict(calls),
+                'total': calls.total(),
+                'per_second': self.counter.rate(self._clock()),
+                'pending_watches': len(self._changed),
+                'objects': len(self.store.select('')),
+            },
+        )
+
+    async def _control(self, request: web.Request) -> web.Response:
+        now = self._clock()
+        query = request.query
+        faults = self.faults
+        match request.match_info['fault']:
+            case 'outage':
+                faults.outage_until = now + float(query['seconds'])
+                faults.outage_mode = query.get('mode', 'refuse')
+                self._notify()
+            case 'slow':
+                faults.slow_seconds = float(query['ms']) / 1000
+            case 'lose-answer':
+                faults.lost_answers = int(query['count'])
+            case 'stale-reads':
+                faults.stale_until = now + float(query['seconds'])
+                faults.stale_copy = self.store.copy()
+            case _:
+                return web.Response(status=404)
+        return web.json_response({})
+
+
+def _operation(request: web.Request) -> str:
+    match request.method, request.path:
+        case 'GET', '/objects':
+            return 'list'
+        case 'GET', '/watch':
+            return 'watch'
+        case method, path if path.startswith('/hosts'):
+            return 'hosts' if method == 'GET' else 'register'
+        case 'GET', _:
+            return 'read'
+        case _:
+            return 'write'
+
+
+def _expected(request: web.Request) -> int | None:
+    header = request.headers.get('If-Match')
+    return None if header is None else int(header)
+
+
+def _object(key: str, stored: Stored) -> dict[str, Any]:
+    body = base64.b64encode(stored.body).decode()
+    return {'key': key, 'version': stored.version, 'body': body}
+
+
+def _listing(store: ObjectStore, prefix: str, since: int = 0) -> dict[str, Any]:
+    found = store.select(prefix, since)
+    return {
+        'revision': store.revision,
+        'objects': [_object(key, stored) for key, stored in found.items()],
+    }
+
+
+def _drop_connection(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def serve(port: int, port_file: Path | None, host_lag: float) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    # Revisions of a restarted server must be higher than those that clients
+    # remember.
+    server = PlatformServer(host_lag, first_revision=int(time.time() * 1000))
+    await server.start(port)
+    if port_file is not None:
+        unfinished = port_file.with_suffix('.tmp')
+        unfinished.write_text(json.dumps(server.port))
+        os.replace(unfinished, port_file)
+    print(f'platform: listening on 127.0.0.1:{server.port}', flush=True)
+    await stopped.wait()
+    await server.close()
+
+
+def main() -> None:
+    """Parse arguments and serve."""
+    parser = argparse.ArgumentParser(description='Stand-in for the object API.')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--port-file', type=Path)
+    parser.add_argument('--host-lag', type=float, default=2.0)
+    args = parser.parse_args()
+    asyncio.run(serve(args.port, args.port_file, args.host_lag))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/functional/test_configuration_gossip.py
@@ -0,0 +1,122 @@
+"""Two gossip links on loopback."""
+
+import asyncio
+
+import pytest
+import uvloop
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheedeal import messages, wire
+from lycheedeal.configuration import apply_change
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.model import (
+    ChangeId,
+    CreateService,
+    Endpoint,
+    Generation,
+    HostId,
+    ServiceName,
+    Shard,
+    ShardIndex,
+    Zone,
+    shard_of,
+)
+from lycheedeal.runtime._gossip import (
+    GossipLink,
+    GossipMessage,
+    decode_frame,
+    encode_frame,
+)
+
+SYSTEM_CHOSEN = Endpoint('127.0.0.1', 0)
+
+
+def big_shard() -> Shard:
+    index = shard_of(ServiceName('s0'))
+    shard = Shard(index, Generation(0))
+    names = (ServiceName(f's{number}') for number in range(2000))
+    for number, name in enumerate(one for one in names if shard_of(one) == index):
+        change = CreateService(name, Endpoint('10.0.0.1', number + 1))
+        shard = apply_change(shard, change, ChangeId(f'c{number}'), 1.5)
+    return shard
+
+
+async def send_until_received(
+    link: GossipLink,
+    message: GossipMessage,
+    received: 'asyncio.Queue[GossipMessage]',
+) -> GossipMessage:
+    # The bus drops messages until the connection is made.
+    for _ in range(200):
+        link.send(message)
+        await asyncio.sleep(0.05)
+        if not received.empty():
+            return received.get_nowait()
+    raise AssertionError('nothing was received')
+
+
+async def exchange() -> None:
+    received: asyncio.Queue[GossipMessage] = asyncio.Queue()
+    faults: list[DecodeError] = []
+    first = GossipLink(SYSTEM_CHOSEN, received.put_nowait, faults.append)
+    second = GossipLink(SYSTEM_CHOSEN, received.put_nowait, faults.append)
+    await first.start()
+    await second.start()
+    try:
+        first.set_neighbours((second.endpoint,))
+        digest = messages.Digest(
+            HostId('h1'),
+            Zone('z'),
+            {ShardIndex(2): Generation(9)},
+        )
+        copy = messages.ShardCopy(HostId('h2'), big_shard())
+        assert await send_until_received(first, digest, received) == digest
+        while not received.empty():
+            received.get_nowait()
+        second.send(copy)
+        assert await asyncio.wait_for(received.get(), 10) == copy
+        assert first.bytes_in > 0
+        assert second.bytes_out == len(encode_frame(copy))
+        first.set_neighbours(())
+        assert not faults
+    finally:
+        await first.close()
+        await second.close()
+
+
+def test_links_exchange_digests_and_shards_on_uvloop() -> None:
+    """Guards against a link that loses large shards or works one way only."""
+    uvloop.run(exchange())
+
+
+def test_compressed_shard_is_restored() -> None:
+    """Guards against damage by compression, and against sending it plain."""
+    copy = messages.ShardCopy(HostId('h'), big_shard())
+    frame = encode_frame(copy)
+    assert decode_frame(frame) == copy
+    assert len(frame) * 4 < len(wire.encode(copy))
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=100), st.sampled_from((b'', b'x\x9c', b'\x12\x3d')))
+def test_random_frames_raise_only_decode_errors(tail: bytes, head: bytes) -> None:
+    """Guards against an exception that would end the loop."""
+    try:
+        decode_frame(head + tail)
+    except DecodeError:
+        return
+
+
+def test_message_of_another_link_is_refused() -> None:
+    """Guards against a caller's message that arrives as gossip."""
+    with pytest.raises(DecodeError):
+        decode_frame(wire.encode(messages.Hello(3)))
+
+
+def test_frame_that_expands_too_far_is_refused() -> None:
+    """Guards against a small frame that fills the memory."""
+    bomb = encode_frame(messages.ShardCopy(HostId('h' * 2_000_000), big_shard()))
+    assert len(bomb) < 100_000
+    with pytest.raises(DecodeError):
+        decode_frame(bomb)
