Add settings, metrics, logs and the admin server

Cause: the daemon needs validated settings and a way in for operators. Change: settings from flags and variables with all faults reported at once; a metrics table with bounded label sets; log lines with a prefix for each part; an HTTP server with bounded bodies and waiting statements.

--- /dev/null
+++ b/src/lycheedeal/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop, sockets and outside systems of one daemon."""
--- /dev/null
+++ b/src/lycheedeal/runtime/_admin.py
@@ -0,0 +1,169 @@
+"""HTTP server for operators."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from aiohttp import web
+
+from lycheedeal.errors import ErrorKind, answer_for
+from lycheedeal.kernel import Reply, StatementReceived
+from lycheedeal.model import Endpoint, QueryId
+from lycheedeal.runtime._metrics import MetricsSink
+
+_BODY_LIMIT: Final = 64 * 1024
+_MAX_WAITING: Final = 64
+# The operators plug-in answers an undecided change after 10 s.
+_ANSWER_SECONDS: Final = 12
+# Handlers are told of a close before the wait, so they need little time.
+_CLOSE_SECONDS: Final = 1
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class AdminServer:
+    """Accepts statements over HTTP and serves metrics and burn rates.
+
+    ``submit`` hands a statement to the core, whose ``Reply`` comes back by
+    ``answer``. ``burn`` returns JSON types. ``stop`` begins a planned stop.
+    """
+
+    def __init__(
+        self,
+        listen: Endpoint,
+        submit: Callable[[StatementReceived], None],
+        metrics: MetricsSink,
+        burn: Callable[[], Any],
+        stop: Callable[[], None],
+    ) -> None:
+        """Take the listening address and the callbacks; port 0 picks a port."""
+        self._listen = listen
+        self._submit = submit
+        self._metrics = metrics
+        self._burn = burn
+        self._stop = stop
+        self._waiting_by_id: dict[QueryId, asyncio.Future[Reply]] = {}
+        self._last_id = 0
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> Endpoint:
+        """Return the address in use; valid between start and close."""
+        if self._runner is None:
+            return self._listen
+        ip, port = self._runner.addresses[0][:2]
+        return Endpoint(ip, port)
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        app = web.Application(
+            client_max_size=_BODY_LIMIT,
+            middlewares=(_explain_errors,),
+        )
+        app.router.add_post('/v1/statement', self._post_statement)
+        app.router.add_post('/v1/stop', self._post_stop)
+        app.router.add_get('/v1/burn', self._get_burn)
+        app.router.add_get('/metrics', self._get_metrics)
+        app.router.add_get('/healthz', self._get_health)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=_CLOSE_SECONDS,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._listen.ip, self._listen.port).start()
+
+    async def close(self) -> None:
+        """Answer waiting statements as unknown and stop listening."""
+        for query_id in tuple(self._waiting_by_id):
+            self.answer(_unknown_reply(query_id, 'host stopped before the answer'))
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def answer(self, reply: Reply) -> None:
+        """Answer a statement; ignored if nobody waits for it any more."""
+        waiting = self._waiting_by_id.pop(reply.query_id, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+
+    async def _post_statement(self, request: web.Request) -> web.Response:
+        text, change_id = _statement_fields(await request.read())
+        if len(self._waiting_by_id) >= _MAX_WAITING:
+            return _error_response(503, 'too many statements are waiting')
+        reply = await self._ask(text, change_id)
+        return web.json_response(
+            {'exit_code': reply.exit_code, 'content': reply.content},
+        )
+
+    async def _ask(self, text: str, change_id: str) -> Reply:
+        self._last_id += 1
+        query_id = QueryId(self._last_id)
+        waiting: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._waiting_by_id[query_id] = waiting
+        try:
+            self._submit(StatementReceived(query_id, text, change_id))
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                return await waiting
+        except TimeoutError:
+            return _unknown_reply(query_id, 'no answer from the core in time')
+        finally:
+            self._waiting_by_id.pop(query_id, None)
+
+    async def _post_stop(self, request: web.Request) -> web.Response:
+        self._stop()
+        return web.json_response({'stopping': True}, status=202)
+
+    async def _get_burn(self, request: web.Request) -> web.Response:
+        return web.json_response(self._burn())
+
+    async def _get_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.expose(),
+            headers={'Content-Type': self._metrics.content_type},
+        )
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return web.Response(text='ok\n')
+
+
+@web.middleware
+async def _explain_errors(
+    request: web.Request,
+    handler: _Handler,
+) -> web.StreamResponse:
+    """Turn the HTTP errors of aiohttp into JSON with a reason."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        return _error_response(error.status, error.text or error.reason)
+
+
+def _statement_fields(body: bytes) -> tuple[str, str]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise web.HTTPBadRequest(text=f'body is not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise web.HTTPBadRequest(text='body is not a JSON object')
+    text = document.get('text')
+    change_id = document.get('change_id', '')
+    if not isinstance(text, str):
+        raise web.HTTPBadRequest(text='field text is missing or not a string')
+    if not isinstance(change_id, str):
+        raise web.HTTPBadRequest(text='field change_id is not a string')
+    return text, change_id
+
+
+def _error_response(status: int, reason: str) -> web.Response:
+    return web.json_response({'reason': reason}, status=status)
+
+
+def _unknown_reply(query_id: QueryId, detail: str) -> Reply:
+    kind = ErrorKind.CHANGE_UNKNOWN
+    return Reply(
+        query_id,
+        answer_for(kind).exit_code,
+        {'error': kind.name, 'detail': detail},
+    )
--- /dev/null
+++ b/src/lycheedeal/settings/_load.py
@@ -0,0 +1,81 @@
+"""Loads and checks settings; flags go before environment variables."""
+
+from collections.abc import Iterator, Mapping
+from itertools import combinations
+from typing import Any, Final
+
+from lycheedeal.exceptions import SettingsError
+from lycheedeal.model import Endpoint, HostSettings
+from lycheedeal.settings._table import FLOW_KEY, FLOW_KEY_FILE, SETTINGS, Setting
+from lycheedeal.settings._values import convert
+
+# Listeners of the same protocol cannot share an address.
+_LISTENERS_BY_PROTOCOL: Final = (('data', 'peer'), ('gossip', 'admin'))
+
+
+def load_settings(
+    flags: Mapping[str, str],
+    environment: Mapping[str, str],
+) -> HostSettings:
+    """Return validated settings.
+
+    ``flags`` holds the flags that were given, by name without leading
+    hyphens. Raises SettingsError with all faults.
+    """
+    fields: dict[str, Any] = {}
+    faults: list[str] = []
+    for setting in SETTINGS:
+        if setting is not FLOW_KEY_FILE:
+            _load_one(setting, flags, environment, fields, faults)
+    _load_one(_key_source(flags, environment), flags, environment, fields, faults)
+    faults.extend(_shared_addresses(fields))
+    if faults:
+        raise SettingsError(tuple(faults))
+    return HostSettings(**fields)
+
+
+def _load_one(
+    setting: Setting,
+    flags: Mapping[str, str],
+    environment: Mapping[str, str],
+    fields: dict[str, Any],
+    faults: list[str],
+) -> None:
+    source = f'--{setting.flag}'
+    text = flags.get(setting.flag)
+    if text is None:
+        source = setting.variable
+        text = environment.get(setting.variable, setting.default)
+    if text is None:
+        faults.append(_missing(setting))
+        return
+    try:
+        fields[setting.target] = convert(setting.form, text)
+    except ValueError as error:
+        faults.append(f'{source}: {error}')
+
+
+def _missing(setting: Setting) -> str:
+    if setting is FLOW_KEY:
+        return f'--{FLOW_KEY_FILE.flag} or {FLOW_KEY.variable} is required'
+    return f'--{setting.flag} or {setting.variable} is required'
+
+
+def _key_source(
+    flags: Mapping[str, str],
+    environment: Mapping[str, str],
+) -> Setting:
+    """Choose between the key and its file; a flag goes before variables."""
+    if FLOW_KEY_FILE.flag in flags:
+        return FLOW_KEY_FILE
+    if FLOW_KEY.variable not in environment and FLOW_KEY_FILE.variable in environment:
+        return FLOW_KEY_FILE
+    return FLOW_KEY
+
+
+def _shared_addresses(fields: Mapping[str, Any]) -> Iterator[str]:
+    for names in _LISTENERS_BY_PROTOCOL:
+        for first, second in combinations(names, 2):
+            address: Endpoint | None = fields.get(first)
+            if address is not None and address == fields.get(second):
+                yield f'--{second}: address {address} is already used by --{first}'
--- /dev/null
+++ b/src/lycheedeal/settings/_values.py
@@ -0,0 +1,204 @@
+"""Forms that the text of a setting can have, and their conversion."""
+
+import ipaddress
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+from urllib.parse import urlsplit
+
+from lycheedeal.model import Endpoint
+
+_MAX_PORT: Final = 65535
+# Names are parts of object keys and metric labels.
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_DIGITS: Final = re.compile('[0-9]{1,5}')
+# Limits of keyed blake2b: shorter keys can be guessed, longer ones are refused.
+_MIN_KEY_SIZE: Final = 16
+_MAX_KEY_SIZE: Final = 64
+_TRUE: Final = frozenset(('1', 'true', 'yes', 'on'))
+_FALSE: Final = frozenset(('', '0', 'false', 'no', 'off'))
+
+
+@dataclass(frozen=True, slots=True)
+class NameForm:
+    """Name of up to 63 letters, digits, dots, underscores and hyphens."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointForm:
+    """IPv4 address and port."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsForm:
+    """Comma-separated IPv4 addresses and ports; may be empty."""
+
+
+@dataclass(frozen=True, slots=True)
+class UrlForm:
+    """HTTP URL whose host is an IPv4 address."""
+
+
+@dataclass(frozen=True, slots=True)
+class NumberForm:
+    """Number within limits, both included."""
+
+    minimum: float
+    maximum: float
+    whole: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceForm:
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchForm:
+    """True or false; the flag takes no value."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyForm:
+    """Secret key in hexadecimal digits."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFileForm:
+    """Path of a file that holds a secret key in hexadecimal digits."""
+
+
+Form = (
+    NameForm
+    | EndpointForm
+    | EndpointsForm
+    | UrlForm
+    | NumberForm
+    | ChoiceForm
+    | SwitchForm
+    | KeyForm
+    | KeyFileForm
+)
+
+
+def convert(form: Form, text: str) -> Any:
+    """Return the value of a setting; raises ValueError with a reason."""
+    value: Any
+    match form:
+        case NameForm():
+            value = _parse_name(text)
+        case EndpointForm():
+            value = parse_endpoint(text)
+        case EndpointsForm():
+            value = parse_endpoints(text)
+        case UrlForm():
+            value = _parse_url(text)
+        case NumberForm():
+            value = _parse_number(form, text)
+        case ChoiceForm(words):
+            value = _parse_choice(words, text)
+        case SwitchForm():
+            value = _parse_switch(text)
+        case KeyForm():
+            value = _parse_key(text)
+        case KeyFileForm():
+            value = _parse_key(_read_key_file(text))
+    return value
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the endpoint in ``IP:PORT``; raises ValueError with a reason."""
+    ip, colon, port = text.strip().partition(':')
+    if not colon:
+        raise ValueError('expected IP:PORT')
+    return Endpoint(_parse_ip(ip), _parse_port(port))
+
+
+def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
+    """Return the endpoints in ``IP:PORT,IP:PORT``; an empty text has none."""
+    parts = (part.strip() for part in text.split(','))
+    return tuple(parse_endpoint(part) for part in parts if part)
+
+
+def _parse_ip(text: str) -> str:
+    try:
+        address = ipaddress.IPv4Address(text)
+    except ValueError as error:
+        raise ValueError(f'{text!r} is not an IPv4 address') from error
+    # Peers and callers use the address as a destination.
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError(f'{text} is not the address of one host')
+    return str(address)
+
+
+def _parse_port(text: str) -> int:
+    if _DIGITS.fullmatch(text) and 1 <= int(text) <= _MAX_PORT:
+        return int(text)
+    raise ValueError(f'port {text!r} is not between 1 and {_MAX_PORT}')
+
+
+def _parse_name(text: str) -> str:
+    if _NAME.fullmatch(text):
+        return text
+    raise ValueError(
+        'expected up to 63 letters, digits, dots, underscores or hyphens, '
+        'the first a letter or digit',
+    )
+
+
+def _parse_url(text: str) -> str:
+    parts = urlsplit(text)
+    if parts.scheme != 'http' or parts.query or parts.fragment:
+        raise ValueError('expected http://IP:PORT')
+    parse_endpoint(parts.netloc)
+    return text.rstrip('/')
+
+
+def _parse_number(form: NumberForm, text: str) -> float:
+    try:
+        number = int(text) if form.whole else float(text)
+    except ValueError as error:
+        raise ValueError(f'{text!r} is not a number') from error
+    if form.minimum <= number <= form.maximum:
+        return number
+    raise ValueError(f'{text} is not between {form.minimum} and {form.maximum}')
+
+
+def _parse_choice(words: tuple[str, ...], text: str) -> str:
+    if text.upper() in words:
+        return text.upper()
+    raise ValueError(f'{text!r} is not one of {", ".join(words)}')
+
+
+def _parse_switch(text: str) -> bool:
+    word = text.strip().lower()
+    if word in _TRUE:
+        return True
+    if word in _FALSE:
+        return False
+    raise ValueError(f'{text!r} is neither true nor false')
+
+
+def _parse_key(text: str) -> bytes:
+    # The reasons never quote the text, which may be a real key with a typo.
+    try:
+        key = bytes.fromhex(text.strip())
+    except ValueError as error:
+        raise ValueError('expected hexadecimal digits') from error
+    if _MIN_KEY_SIZE <= len(key) <= _MAX_KEY_SIZE:
+        return key
+    raise ValueError(
+        f'key has {len(key)} bytes, expected {_MIN_KEY_SIZE} to {_MAX_KEY_SIZE}',
+    )
+
+
+def _read_key_file(path: str) -> str:
+    try:
+        return Path(path).read_text('ascii')
+    except OSError as error:
+        raise ValueError(f'cannot read {path!r}: {error.strerror}') from error
+    except ValueError as error:
+        raise ValueError('expected hexadecimal digits') from error
