Add the plug-ins operators and telemetry

Cause: operators need statements and answers, and services need burn rates. Change: a Lark grammar parsed to data classes with readable errors, queries answered from bounded state, changes published and answered when decided; metrics and one-minute windows over six hours by service and kind.

--- /dev/null
+++ b/src/lycheedeal/operators/_parser.py
@@ -0,0 +1,260 @@
+"""Parser of the statement language."""
+
+from importlib import resources
+from types import MappingProxyType
+from typing import Any, Final, NoReturn
+
+from lark import Lark, Token, Transformer, v_args
+from lark.exceptions import (
+    UnexpectedCharacters,
+    UnexpectedInput,
+    UnexpectedToken,
+    VisitError,
+)
+
+from lycheedeal import model
+from lycheedeal.exceptions import StatementError
+from lycheedeal.operators import _statements as statements
+from lycheedeal.settings import parse_endpoint
+
+# The longest valid statement has fewer than 600 characters.
+_MAX_LENGTH: Final = 4096
+_MAX_NAME: Final = 63
+_MAX_PRIORITY: Final = 255
+_MAX_SLOTS: Final = 10_000
+_MAX_CONNECTIONS: Final = 1_000_000
+_PERCENT: Final = 100
+_SECONDS_BY_UNIT: Final = MappingProxyType(
+    {'ms': 0.001, 's': 1, 'm': 60, 'h': 3600, 'd': 86400},
+)
+_READABLE: Final = MappingProxyType(
+    {
+        'NAME': 'a name',
+        'ADDRESS': 'an address such as 10.0.0.1:80',
+        'NUMBER': 'a number',
+        'PERCENT': 'a percentage such as 20%',
+        'DURATION': 'a duration such as 5m',
+        '$END': 'the end of the statement',
+        '<END-OF-FILE>': 'the end of the statement',
+    },
+)
+
+
+def parse_statement(text: str) -> statements.Statement:
+    """Return the statement in ``text``.
+
+    Raises StatementError with line, column and what was expected.
+    """
+    if len(text) > _MAX_LENGTH:
+        raise StatementError(
+            f'statement is longer than {_MAX_LENGTH} characters',
+            1,
+            _MAX_LENGTH + 1,
+        )
+    try:
+        statement: statements.Statement = _builder.transform(_lark.parse(text))
+    except UnexpectedInput as error:
+        raise _explain(error, text) from error
+    except VisitError as error:
+        if isinstance(error.orig_exc, StatementError):
+            raise error.orig_exc from error
+        raise
+    return statement
+
+
+@v_args(inline=True)
+class _ClauseBuilder(Transformer[Token, statements.Statement]):
+    """Builds the optional parts of changes."""
+
+    def spill_never(self) -> model.SpillRule:
+        return model.SpillRule.NEVER
+
+    def spill_when_down(self) -> model.SpillRule:
+        return model.SpillRule.WHEN_DOWN
+
+    def floor(self, percent: Token) -> float:
+        share = float(percent.rstrip('%')) / _PERCENT
+        if share > 1:
+            _fail(percent, 'floor is above 100%')
+        return share
+
+    def slots(self, number: Token) -> int:
+        return _number(number, 1, _MAX_SLOTS)
+
+    def connections(self, number: Token) -> int:
+        return _number(number, 1, _MAX_CONNECTIONS)
+
+
+@v_args(inline=True)
+class _Builder(_ClauseBuilder):
+    """Builds data classes from the parse tree; method names are rule names."""
+
+    def start(self, statement: Any) -> statements.Statement:
+        if isinstance(statement, statements.Query):
+            return statement
+        return statements.ChangeStatement(statement)
+
+    def dry_run(self, change: model.Change) -> statements.Statement:
+        return statements.ChangeStatement(change, dry_run=True)
+
+    def show_services(self) -> statements.Query:
+        return statements.ShowServices()
+
+    def show_service(self, name: Token) -> statements.Query:
+        return statements.ShowService(_service(name))
+
+    def show_upstreams(self, name: Token | None) -> statements.Query:
+        return statements.ShowUpstreams(_optional_service(name))
+
+    def show_flows(self, name: Token | None) -> statements.Query:
+        return statements.ShowFlows(_optional_service(name))
+
+    def show_hosts(self) -> statements.Query:
+        return statements.ShowHosts()
+
+    def show_config(self) -> statements.Query:
+        return statements.ShowConfig()
+
+    def show_refusals(self, duration: Token | None) -> statements.Query:
+        since = None if duration is None else _duration(duration)
+        return statements.ShowRefusals(since)
+
+    def create_service(
+        self,
+        name: Token,
+        address: Token,
+        spill: model.SpillRule | None,
+    ) -> model.Change:
+        return model.CreateService(
+            _service(name),
+            _address(address),
+            spill or model.SpillRule.NEVER,
+        )
+
+    def create_kind(
+        self,
+        name: Token,
+        service: Token,
+        priority: Token,
+        floor: float | None,
+        idempotent: Token | None,
+        long: Token | None,
+    ) -> model.Change:
+        return model.CreateKind(
+            service=_service(service),
+            name=_name(name),
+            priority=_number(priority, 0, _MAX_PRIORITY),
+            floor=floor or 0,
+            idempotent=idempotent is not None,
+            long=long is not None,
+        )
+
+    def create_upstream(
+        self,
+        name: Token,
+        service: Token,
+        address: Token,
+        zone: Token,
+        slots: int | None,
+        connections: int | None,
+    ) -> model.Change:
+        limits = {'slots': slots, 'connections': connections}
+        return model.CreateUpstream(
+            service=_service(service),
+            upstream_id=_upstream(name),
+            endpoint=_address(address),
+            zone=model.Zone(_name(zone)),
+            **{limit: count for limit, count in limits.items() if count},
+        )
+
+    def drain_upstream(self, name: Token, service: Token) -> model.Change:
+        return model.DrainUpstream(_service(service), _upstream(name))
+
+    def undrain_upstream(self, name: Token, service: Token) -> model.Change:
+        return model.UndrainUpstream(_service(service), _upstream(name))
+
+    def delete_service(self, name: Token) -> model.Change:
+        return model.DeleteService(_service(name))
+
+    def delete_kind(self, name: Token, service: Token) -> model.Change:
+        return model.DeleteKind(_service(service), _name(name))
+
+    def delete_upstream(self, name: Token, service: Token) -> model.Change:
+        return model.DeleteUpstream(_service(service), _upstream(name))
+
+
+def _name(token: Token) -> str:
+    if len(token) > _MAX_NAME:
+        _fail(token, f'name is longer than {_MAX_NAME} characters')
+    return str(token)
+
+
+def _service(token: Token) -> model.ServiceName:
+    return model.ServiceName(_name(token))
+
+
+def _optional_service(token: Token | None) -> model.ServiceName | None:
+    return None if token is None else _service(token)
+
+
+def _upstream(token: Token) -> model.UpstreamId:
+    return model.UpstreamId(_name(token))
+
+
+def _address(token: Token) -> model.Endpoint:
+    try:
+        return parse_endpoint(token)
+    except ValueError as error:
+        _fail(token, str(error))
+
+
+def _number(token: Token, minimum: int, maximum: int) -> int:
+    # Length first: int() refuses texts of several thousand digits.
+    if len(token) > len(str(maximum)) or not minimum <= int(token) <= maximum:
+        _fail(token, f'number is not between {minimum} and {maximum}')
+    return int(token)
+
+
+def _duration(token: Token) -> float:
+    unit = token.lstrip('0123456789.')
+    return float(token.removesuffix(unit)) * _SECONDS_BY_UNIT[unit]
+
+
+def _fail(token: Token, detail: str) -> NoReturn:
+    raise StatementError(detail, token.line or 1, token.column or 1)
+
+
+def _explain(error: UnexpectedInput, text: str) -> StatementError:
+    line, column, found = _place(error, text)
+    expected = ' or '.join(sorted(_readable(name) for name in _expected(error)))
+    return StatementError(f'found {found}, expected {expected}', line, column)
+
+
+def _place(error: UnexpectedInput, text: str) -> tuple[int, int, str]:
+    if isinstance(error, UnexpectedToken) and error.token.type == '$END':
+        lines = text.rstrip().split('\n')
+        return len(lines), len(lines[-1]) + 1, 'the end'
+    rest = text[error.pos_in_stream or 0 :].split(maxsplit=1)
+    return error.line, error.column, repr(rest[0][:_MAX_NAME] if rest else '')
+
+
+def _expected(error: UnexpectedInput) -> set[str]:
+    match error:
+        case UnexpectedCharacters():
+            return set(error.allowed or ())
+        case UnexpectedToken():
+            return set(error.accepts or error.expected)
+    return set()
+
+
+def _readable(terminal: str) -> str:
+    known = _READABLE.get(terminal)
+    return known or repr(terminal.strip('_').lower().replace('_', '-'))
+
+
+_lark: Final = Lark(
+    resources.files(__package__).joinpath('statements.lark').read_text('utf-8'),
+    parser='lalr',
+    maybe_placeholders=True,
+)
+_builder: Final = _Builder()
--- /dev/null
+++ b/src/lycheedeal/operators/_plugin.py
@@ -0,0 +1,180 @@
+"""Plug-in that answers the statements of operators."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from lycheedeal.errors import ErrorKind, answer_for
+from lycheedeal.exceptions import LycheedealError, StatementError
+from lycheedeal.kernel import (
+    ChangeDecided,
+    ChangeRequested,
+    Context,
+    Effect,
+    Event,
+    Log,
+    LogLevel,
+    Observe,
+    Publish,
+    Reply,
+    StatementReceived,
+    Tick,
+)
+from lycheedeal.model import ChangeId, FlowIdCodec, QueryId
+from lycheedeal.operators._answers import affected_by, answer_query, error_content
+from lycheedeal.operators._knowledge import Knowledge
+from lycheedeal.operators._parser import parse_statement
+from lycheedeal.operators._statements import ChangeStatement, Statement
+
+_PART: Final = 'operators'
+# Time for one conditional update of the object API and its retries.
+_DECISION_SECONDS: Final = 10
+# A regional configuration takes 15,000 changes a day; more than this many
+# at once on one host is a script in a loop.
+_MAX_PENDING: Final = 256
+_MAX_CHANGE_ID: Final = 64
+_CHANGE_ID_BITS: Final = 128
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    request: ChangeRequested
+    expires: float
+
+
+class OperatorsPlugin:
+    """Answers queries at once and changes when they are decided."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without pending statements."""
+        self._context = context
+        self._knowledge = Knowledge(FlowIdCodec(context.settings.flow_key))
+        self._pending_by_id: dict[QueryId, _Pending] = {}
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event and yield the effects it calls for."""
+        match event:
+            case StatementReceived():
+                yield from self._on_statement(event)
+            case ChangeDecided():
+                yield from self._on_decided(event)
+            case Tick(now):
+                yield from self._expire(now)
+            case _:
+                self._knowledge.learn(event, self._context.clock.wall())
+
+    def _on_statement(self, event: StatementReceived) -> Iterator[Effect]:
+        try:
+            yield from self._run(event, parse_statement(event.text))
+        except LycheedealError as error:
+            content = error_content(error.kind, str(error))
+            if isinstance(error, StatementError):
+                content |= {'line': error.line, 'column': error.column}
+            yield from self._reply(event.query_id, error.kind, content)
+
+    def _run(self, event: StatementReceived, statement: Statement) -> Iterator[Effect]:
+        match statement:
+            case ChangeStatement():
+                yield from self._request(event, statement)
+            case _:
+                now = self._context.clock.wall()
+                content = answer_query(statement, self._knowledge, now)
+                yield from self._reply(event.query_id, None, content)
+
+    def _request(
+        self,
+        event: StatementReceived,
+        statement: ChangeStatement,
+    ) -> Iterator[Effect]:
+        fault = self._request_fault(event)
+        if fault is not None:
+            yield from self._reply(event.query_id, *fault)
+            return
+        request = ChangeRequested(
+            event.query_id,
+            ChangeId(event.change_id or self._new_change_id()),
+            statement.change,
+            statement.dry_run,
+        )
+        expires = self._context.clock.monotonic() + _DECISION_SECONDS
+        self._pending_by_id[event.query_id] = _Pending(request, expires)
+        yield Log(_PART, LogLevel.INFO, f'change {request.change_id}: {event.text}')
+        yield Publish(request)
+
+    def _request_fault(
+        self,
+        event: StatementReceived,
+    ) -> tuple[ErrorKind, dict[str, Any]] | None:
+        if len(event.change_id) > _MAX_CHANGE_ID:
+            kind = ErrorKind.BAD_STATEMENT
+            detail = f'change id is longer than {_MAX_CHANGE_ID} characters'
+        elif len(self._pending_by_id) >= _MAX_PENDING:
+            kind = ErrorKind.RESOURCE_LIMIT
+            detail = f'{_MAX_PENDING} changes are already waiting; nothing was sent'
+        else:
+            return None
+        return kind, error_content(kind, detail)
+
+    def _on_decided(self, event: ChangeDecided) -> Iterator[Effect]:
+        pending = self._pending_by_id.pop(event.query_id, None)
+        if pending is not None:
+            yield from self._finish(
+                pending.request,
+                event.error,
+                event.detail,
+                event.generation,
+            )
+
+    def _expire(self, now: float) -> Iterator[Effect]:
+        # A copy, since the answers remove entries.
+        for query_id, pending in tuple(self._pending_by_id.items()):
+            if now >= pending.expires:
+                self._pending_by_id.pop(query_id)
+                yield from self._finish(
+                    pending.request,
+                    ErrorKind.CHANGE_UNKNOWN,
+                    'no decision in time; repeat with the same change id',
+                )
+
+    def _finish(
+        self,
+        request: ChangeRequested,
+        error: ErrorKind | None,
+        detail: str,
+        generation: int = 0,
+    ) -> Iterator[Effect]:
+        accepted = 'valid' if request.dry_run else 'accepted'
+        outcome = accepted if error is None else error.name.lower()
+        content: dict[str, Any] = {
+            'outcome': outcome,
+            'change_id': request.change_id,
+            'generation': generation,
+            'detail': detail,
+        }
+        if error is not None:
+            content |= error_content(error, detail)
+        if request.dry_run:
+            content['affected'] = affected_by(request.change, self._knowledge)
+        yield Log(
+            _PART,
+            LogLevel.INFO,
+            f'change {request.change_id}: {outcome}, generation {generation}',
+        )
+        yield from self._reply(request.query_id, error, content)
+
+    def _reply(
+        self,
+        query_id: QueryId,
+        error: ErrorKind | None,
+        content: dict[str, Any],
+    ) -> Iterator[Effect]:
+        exit_code = 0 if error is None else answer_for(error).exit_code
+        yield Observe('statements_total', 1, (('exit_code', str(exit_code)),))
+        source = {
+            'host': self._context.settings.host_id,
+            'as_of': self._context.clock.wall(),
+        }
+        yield Reply(query_id, exit_code, source | content)
+
+    def _new_change_id(self) -> str:
+        return f'{self._context.rng.getrandbits(_CHANGE_ID_BITS):032x}'
--- /dev/null
+++ b/src/lycheedeal/operators/_work.py
@@ -0,0 +1,134 @@
+"""Counts of flows and requests, bounded by the services in use."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
+
+from lycheedeal.errors import ErrorKind
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.kernel import FlowClosed, FlowOpened, RequestFinished
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    FlowId,
+    FlowIdCodec,
+    KindId,
+    ServiceNumber,
+)
+
+# One zone holds about 2,300 upstreams at the planned size.
+_MAX_ENTRIES: Final = 4096
+_NO_KIND: Final = KindId(0)
+
+_Key = TypeVar('_Key')
+
+
+@dataclass(slots=True)
+class WorkCounts:
+    """Flows and requests of one kind, or flows of one upstream."""
+
+    opened: int = 0
+    closed: int = 0
+    broken: Counter[ErrorKind] = field(default_factory=Counter)
+    answered: int = 0
+    failed: Counter[ErrorKind] = field(default_factory=Counter)
+
+    @property
+    def open(self) -> int:
+        """Return how many of the flows opened here are not known to be over.
+
+        Never negative, although a flow may end on a host that did not open it.
+        """
+        return max(self.opened - self.closed, 0)
+
+
+class WorkLedger:
+    """Counts by service and kind, and by upstream, for configured services."""
+
+    def __init__(self, codec: FlowIdCodec) -> None:
+        """Take the codec that tells kind and upstream of a flow."""
+        self._codec = codec
+        self._counts_by_kind: dict[tuple[ServiceNumber, KindId], WorkCounts] = {}
+        self._counts_by_upstream: dict[
+            tuple[ServiceNumber, Endpoint],
+            WorkCounts,
+        ] = {}
+
+    def kinds_of(self, service: ServiceNumber) -> Iterator[tuple[KindId, WorkCounts]]:
+        """Yield the kinds of a service that had work on this host."""
+        for (number, kind_id), counts in self._counts_by_kind.items():
+            if number == service:
+                yield kind_id, counts
+
+    def of_upstream(self, service: ServiceNumber, upstream: Endpoint) -> WorkCounts:
+        """Return the flows and requests of one upstream."""
+        return self._counts_by_upstream.get((service, upstream)) or WorkCounts()
+
+    def add_opened(self, event: FlowOpened) -> None:
+        """Count a flow opened by this host."""
+        for counts in self._affected(event.service, event.flow_id):
+            counts.opened += 1
+
+    def add_closed(self, event: FlowClosed) -> None:
+        """Count a flow that ended."""
+        for counts in self._affected(event.service, event.flow_id):
+            counts.closed += 1
+            if event.error is not None:
+                counts.broken[event.error] += 1
+
+    def add_request(self, event: RequestFinished) -> None:
+        """Count a request that ended."""
+        entries = [self._of_kind(event.service, event.kind_id)]
+        if event.upstream is not None:
+            entries.append(self._of_upstream(event.service, event.upstream))
+        for counts in entries:
+            if event.error is None:
+                counts.answered += 1
+            else:
+                counts.failed[event.error] += 1
+
+    def retain(self, view: ConfigurationView) -> None:
+        """Forget what the configuration no longer holds."""
+        services = view.services_by_number
+        self._counts_by_kind = {
+            key: counts
+            for key, counts in self._counts_by_kind.items()
+            if key[0] in services
+        }
+        tracked = {number for number, _ in self._counts_by_upstream}
+        configured = {
+            (number, upstream.endpoint)
+            for number in tracked & services.keys()
+            for upstream in services[number].upstreams
+        }
+        self._counts_by_upstream = {
+            key: counts
+            for key, counts in self._counts_by_upstream.items()
+            if key in configured
+        }
+
+    def _affected(self, service: ServiceNumber, flow_id: FlowId) -> list[WorkCounts]:
+        try:
+            fields = self._codec.parse(flow_id)
+        except DecodeError:
+            return [self._of_kind(service, _NO_KIND)]
+        return [
+            self._of_kind(service, fields.kind_id),
+            self._of_upstream(service, fields.upstream),
+        ]
+
+    def _of_kind(self, service: ServiceNumber, kind_id: KindId) -> WorkCounts:
+        return _entry(self._counts_by_kind, (service, kind_id))
+
+    def _of_upstream(self, service: ServiceNumber, upstream: Endpoint) -> WorkCounts:
+        return _entry(self._counts_by_upstream, (service, upstream))
+
+
+def _entry(table: dict[_Key, WorkCounts], key: _Key) -> WorkCounts:
+    counts = table.get(key)
+    if counts is None:
+        counts = WorkCounts()
+        if len(table) < _MAX_ENTRIES:
+            table[key] = counts
+    return counts
--- /dev/null
+++ b/src/lycheedeal/telemetry/_windows.py
@@ -0,0 +1,125 @@
+"""Counts of good and bad events in one-minute buckets over six hours."""
+
+from array import array
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum, unique
+from types import MappingProxyType
+from typing import Final
+
+from lycheedeal.model import KindId, ServiceNumber
+
+_BUCKET_SECONDS: Final = 60
+_BUCKETS: Final = 360
+WINDOWS: Final = MappingProxyType({'5m': 5, '1h': 60, '6h': _BUCKETS})
+# Each series takes 6 KB; one host serves few services at a time.
+_MAX_SERIES: Final = 512
+
+SeriesKey = tuple[ServiceNumber, KindId]
+
+
+@unique
+class Outcome(Enum):
+    """What one event means for the service level."""
+
+    GOOD = 'good'
+    BAD = 'bad'
+    IGNORED = 'ignored'
+
+
+@dataclass(frozen=True, slots=True)
+class WindowCount:
+    """Events of one series in one window."""
+
+    service: ServiceNumber
+    kind_id: KindId
+    window: str
+    good: int
+    bad: int
+
+
+class _Series:
+    """Ring of buckets; a bucket is emptied when its minute comes round again."""
+
+    def __init__(self, minute: int) -> None:
+        self.last_minute = minute
+        self._good = array('L', bytes(array('L').itemsize * _BUCKETS))
+        self._bad = array('L', bytes(array('L').itemsize * _BUCKETS))
+
+    def add(self, minute: int, outcome: Outcome) -> None:
+        self.advance(minute)
+        place = self.last_minute % _BUCKETS
+        match outcome:
+            case Outcome.GOOD:
+                self._good[place] += 1
+            case Outcome.BAD:
+                self._bad[place] += 1
+
+    def advance(self, minute: int) -> None:
+        skipped = min(minute - self.last_minute, _BUCKETS)
+        for passed in range(1, skipped + 1):
+            place = (minute - skipped + passed) % _BUCKETS
+            self._good[place] = 0
+            self._bad[place] = 0
+        self.last_minute = max(self.last_minute, minute)
+
+    def count(self, minutes: int) -> tuple[int, int]:
+        places = [
+            (self.last_minute - age) % _BUCKETS
+            for age in range(minutes)
+        ]
+        return (
+            sum(self._good[place] for place in places),
+            sum(self._bad[place] for place in places),
+        )
+
+
+class LevelWindows:
+    """Service-level windows by service and kind; times are monotonic."""
+
+    def __init__(self) -> None:
+        """Start without series."""
+        self._series_by_key: dict[SeriesKey, _Series] = {}
+
+    def add(self, key: SeriesKey, outcome: Outcome, now: float) -> None:
+        """Count one event."""
+        if outcome is not Outcome.IGNORED:
+            minute = _minute(now)
+            self._series(key, minute).add(minute, outcome)
+
+    def counts(self, now: float) -> Iterator[WindowCount]:
+        """Yield the counts of every series and window."""
+        minute = _minute(now)
+        for (service, kind_id), series in self._series_by_key.items():
+            series.advance(minute)
+            for window, minutes in WINDOWS.items():
+                good, bad = series.count(minutes)
+                yield WindowCount(service, kind_id, window, good, bad)
+
+    def _series(self, key: SeriesKey, minute: int) -> _Series:
+        series = self._series_by_key.get(key)
+        if series is None:
+            if len(self._series_by_key) >= _MAX_SERIES:
+                self._drop_oldest()
+            series = _Series(minute)
+            self._series_by_key[key] = series
+        return series
+
+    def _drop_oldest(self) -> None:
+        oldest = min(
+            self._series_by_key,
+            key=lambda key: self._series_by_key[key].last_minute,
+        )
+        self._series_by_key.pop(oldest)
+
+
+def burn_rate(good: int, bad: int, objective: float) -> float:
+    """Return how fast the error budget is used; 1 uses it up exactly."""
+    total = good + bad
+    if not total:
+        return 0
+    return bad / total / (1 - objective)
+
+
+def _minute(now: float) -> int:
+    return int(now // _BUCKET_SECONDS)
