--- /dev/null
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -0,0 +1,128 @@
+"""The command behind ``lycheectl``."""
+
+import asyncio
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from typing import Any, ClassVar, Final
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from lycheedeal.cli import _hosts as hosts
+from lycheedeal.cli._exit_codes import ExitCode
+from lycheedeal.cli._output import (
+    OutputForm,
+    json_lines,
+    object_lines,
+    table_lines,
+    write_lines,
+)
+from lycheedeal.cli._statement import Outcome, send_statement
+
+_HELP: Final = """\
+Statements:
+
+  show services | show service NAME | show upstreams [of NAME]
+  show flows [of NAME] | show hosts | show config
+  show refusals [since DURATION]                     DURATION as in 30s, 5m, 1h
+
+  create service NAME at IP:PORT [spill never|when-down]
+  create kind NAME of SERVICE priority N [floor P%] [idempotent] [long]
+  create upstream NAME of SERVICE at IP:PORT in ZONE [slots N] [connections N]
+  drain upstream NAME of SERVICE | undrain upstream NAME of SERVICE
+  delete service NAME | delete kind NAME of SERVICE
+  delete upstream NAME of SERVICE
+
+Priority 0 is the most urgent. A floor is the share of slots that a kind keeps
+while other kinds flood. "dry run" before a change only validates it and tells
+what it affects.
+
+Queries about hosts, config, flows, upstreams and refusals ask up to 16 hosts at
+the same time and show the rows of all; hosts that did not answer are listed.
+Other statements go to the first host, and to the next ones if it does not
+answer. A change carries one change id, so it counts once however often it is
+sent.
+
+Examples:
+
+  lycheectl --host 10.0.0.1:9002,10.0.0.2:9002 show config
+  lycheectl dry run drain upstream api-3 of bitacora-api
+
+Exit codes: 0 done, 1 refused, 2 usage, 3 conflict with another change,
+4 unknown whether the change was made, 5 no host reachable.
+"""
+
+
+class CtlCommand(Command):
+    """Sends a statement and shows the answer."""
+
+    help = _HELP
+    arguments: ClassVar[list[Argument]] = [
+        argument('statement', 'words of one statement', multiple=True),
+    ]
+    options: ClassVar[list[Option]] = [
+        option(
+            'host',
+            description=f'admin addresses, IP:PORT,... [{hosts.ADMIN_VARIABLE}]',
+            flag=False,
+        ),
+        option('output', description='text or json', flag=False, default='text'),
+        option(
+            'timeout',
+            description='seconds to wait for one answer',
+            flag=False,
+            default='15',
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Return the exit code."""
+        try:
+            form = hosts.parse_form(self.option('output'))
+            sending = send_statement(
+                hosts.parse_hosts(self.option('host')),
+                ' '.join(self.argument('statement')),
+                hosts.parse_timeout(self.option('timeout')),
+            )
+        except hosts.UsageError as error:
+            self.line_error(f'lycheectl: {error}')
+            return ExitCode.USAGE
+        try:
+            outcome = asyncio.run(sending)
+        except KeyboardInterrupt:
+            self.line_error('lycheectl: interrupted; the outcome is unknown')
+            return ExitCode.UNKNOWN
+        lines = json_lines if form is OutputForm.JSON else text_lines
+        write_lines(self.io, lines(_document(outcome)))
+        return outcome.exit_code
+
+
+def text_lines(document: dict[str, Any]) -> Iterator[str]:
+    """Yield an answer as text: table or fields first, then its sources."""
+    content = dict(document)
+    content.pop('exit_code', None)
+    rows = content.pop('rows', None)
+    answers = content.pop('answers', ())
+    not_answered = content.pop('not_answered', ())
+    as_of = content.pop('as_of', None)
+    if rows is not None:
+        yield from table_lines(rows)
+    yield from object_lines(content.pop('object', {}))
+    yield from object_lines(content)
+    if as_of is not None:
+        yield f'as of {_time(as_of)}'
+    for answer in answers:
+        age = answer['age_seconds']
+        yield f'{answer["host"]}: as of {_time(answer["as_of"])}, {age} s ago'
+    for missing in not_answered:
+        yield f'{missing["address"]}: did not answer: {missing["reason"]}'
+
+
+def _document(outcome: Outcome) -> dict[str, Any]:
+    return {'exit_code': int(outcome.exit_code), **outcome.content}
+
+
+def _time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec='milliseconds')
--- /dev/null
+++ b/src/lycheedeal/cli/_output.py
@@ -0,0 +1,83 @@
+"""Output of answers as text or JSON."""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from enum import Enum, unique
+from typing import Any, Final
+
+from cleo.io.io import IO
+from cleo.io.outputs.output import Type
+
+_GAP: Final = '  '
+_MILLION: Final = 1_000_000
+
+
+@unique
+class OutputForm(Enum):
+    """Form of the output."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+def write_lines(io: IO, lines: Iterable[str]) -> None:
+    """Write lines as they are, without interpreting markup."""
+    for line in lines:
+        io.write_line(line, type=Type.RAW)
+
+
+def json_lines(document: Any) -> Iterator[str]:
+    """Yield a document as indented JSON."""
+    yield json.dumps(document, indent=2, sort_keys=True)
+
+
+def table_lines(rows: Sequence[Mapping[str, Any]]) -> Iterator[str]:
+    """Yield a table with a column for each key, in order of appearance."""
+    if not rows:
+        yield 'no rows'
+        return
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    cells = [[format_cell(row.get(column)) for column in columns] for row in rows]
+    lines = [[column.upper() for column in columns], *cells]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        padded = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        yield _GAP.join(padded).rstrip()
+
+
+def object_lines(document: Mapping[str, Any]) -> Iterator[str]:
+    """Yield one line for each field, and a table for a list of rows."""
+    for key, content in document.items():
+        if _is_table(content):
+            yield f'{key}:'
+            yield from (_GAP + line for line in table_lines(content))
+        else:
+            yield f'{key}: {format_cell(content)}'
+
+
+def format_cell(content: Any) -> str:
+    """Return a short text without control characters."""
+    match content:
+        case None:
+            text = '-'
+        case bool():
+            text = 'yes' if content else 'no'
+        case float():
+            text = f'{content:.6g}' if abs(content) < _MILLION else f'{content:.0f}'
+        case list():
+            text = ', '.join(map(format_cell, content)) or '-'
+        case dict():
+            pairs = (f'{key}={format_cell(one)}' for key, one in content.items())
+            text = ' '.join(pairs) or '-'
+        case _:
+            text = str(content)
+    # Answers quote callers, who must not be able to control a terminal.
+    return ''.join(letter if letter.isprintable() else '?' for letter in text)
+
+
+def _is_table(content: Any) -> bool:
+    return (
+        isinstance(content, list)
+        and bool(content)
+        and all(isinstance(row, dict) for row in content)
+    )
--- a/src/lycheedeal/settings/_table.py
+++ b/src/lycheedeal/settings/_table.py
@@ -29,6 +29,11 @@
         """Return the name of the environment variable."""
         return f'LYCHEEDEAL_{self.name.upper()}'
 
+    @property
+    def is_switch(self) -> bool:
+        """Tell whether the flag takes no value."""
+        return isinstance(self.form, forms.SwitchForm)
+
     @property
     def target(self) -> str:
         """Return the field of ``HostSettings`` that takes the value."""
--- a/src/lycheedeal/telemetry/_windows.py
+++ b/src/lycheedeal/telemetry/_windows.py
@@ -64,10 +64,7 @@
         self.last_minute = max(self.last_minute, minute)
 
     def count(self, minutes: int) -> tuple[int, int]:
-        places = [
-            (self.last_minute - age) % _BUCKETS
-            for age in range(minutes)
-        ]
+        places = [(self.last_minute - age) % _BUCKETS for age in range(minutes)]
         return (
             sum(self._good[place] for place in places),
             sum(self._bad[place] for place in places),
