--- /dev/null
+++ b/src/lycheedeal/admission/_lines.py
@@ -0,0 +1,116 @@
+"""Requests of one kind that wait for a slot."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from lycheedeal.admission._floors import FloorAccount
+from lycheedeal.model import FlowId, KindId, RequestNumber, WorkKind
+
+RequestKey = tuple[FlowId, RequestNumber]
+
+_FIRST_ESTIMATE_MS: Final = 50
+_FIRST_BUDGET_MS: Final = 1000
+_SMOOTHING: Final = 0.1
+# Removed requests may linger until they outnumber the waiting ones.
+_COMPACTION_SLACK: Final = 64
+
+
+@dataclass(slots=True, eq=False)
+class QueuedRequest:
+    """A whole request that waits for a slot; times are Unix milliseconds."""
+
+    key: RequestKey
+    kind_id: KindId
+    arrived_ms: int
+    deadline_ms: int
+    waiting: bool = False
+
+
+class KindLine:
+    """Waiting requests of one kind, oldest first, with measured averages.
+
+    ``service_ms`` is the mean time that an upstream needs for this kind,
+    ``budget_ms`` the mean time from arrival to deadline.
+    """
+
+    def __init__(self, kind: WorkKind) -> None:
+        """Start empty."""
+        self.kind = kind
+        self.account = FloorAccount(kind.floor)
+        self.count = 0
+        self.service_ms: float = _FIRST_ESTIMATE_MS
+        self.budget_ms: float = _FIRST_BUDGET_MS
+        self._requests: deque[QueuedRequest] = deque()
+
+    def reconfigure(self, kind: WorkKind) -> None:
+        """Take over a changed priority or floor."""
+        self.kind = kind
+        self.account.floor = kind.floor
+
+    def append(self, request: QueuedRequest) -> None:
+        """Add a new request."""
+        budget = request.deadline_ms - request.arrived_ms
+        self.budget_ms += _SMOOTHING * (budget - self.budget_ms)
+        self._requests.append(request)
+        self._added(request)
+
+    def put_back(self, request: QueuedRequest, lifo_depth: int) -> None:
+        """Add a request that was taken but not run, to be taken next."""
+        if self.count >= lifo_depth:
+            self._requests.append(request)
+        else:
+            self._requests.appendleft(request)
+        self._added(request)
+
+    def take(self, lifo_depth: int) -> QueuedRequest:
+        """Remove and return the next request; the line must not be empty.
+
+        Above ``lifo_depth`` the newest request is next: when not all can be
+        served, the callers of the newest still have time to wait, while the
+        oldest would expire just before or during their turn.
+        """
+        self._trim()
+        if self.count > lifo_depth:
+            request = self._requests.pop()
+        else:
+            request = self._requests.popleft()
+        self._removed(request)
+        return request
+
+    def take_oldest(self) -> QueuedRequest:
+        """Remove and return the oldest request; the line must not be empty."""
+        self._trim()
+        request = self._requests.popleft()
+        self._removed(request)
+        return request
+
+    def discard(self, request: QueuedRequest) -> None:
+        """Remove a waiting request wherever it stands."""
+        self._removed(request)
+        if len(self._requests) > 2 * self.count + _COMPACTION_SLACK:
+            self._requests = deque(one for one in self._requests if one.waiting)
+
+    def oldest_arrival_ms(self) -> int:
+        """Return the arrival of the oldest request; the line must not be empty."""
+        self._trim()
+        return self._requests[0].arrived_ms
+
+    def observe_service(self, elapsed_ms: float) -> None:
+        """Record how long an upstream took for a request of this kind."""
+        self.service_ms += _SMOOTHING * (elapsed_ms - self.service_ms)
+
+    def _added(self, request: QueuedRequest) -> None:
+        request.waiting = True
+        self.count += 1
+
+    def _removed(self, request: QueuedRequest) -> None:
+        request.waiting = False
+        self.count -= 1
+
+    def _trim(self) -> None:
+        requests = self._requests
+        while requests and not requests[0].waiting:
+            requests.popleft()
+        while requests and not requests[-1].waiting:
+            requests.pop()
--- /dev/null
+++ b/src/lycheedeal/admission/_pushback.py
@@ -0,0 +1,57 @@
+"""Pushback between owners and relaying hosts."""
+
+from typing import Final
+
+from lycheedeal.messages import Pushback
+from lycheedeal.model import Endpoint, ServiceNumber
+
+LONGEST_PUSHBACK_MS: Final = 1000
+SHORTEST_PUSHBACK_MS: Final = 50
+_LARGEST_TABLE: Final = 4096
+
+
+class PushbackTable:
+    """Pushbacks in force on this host, and those it sent to others."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._bounds_by_service: dict[ServiceNumber, tuple[int, int]] = {}
+        self._sent_until_ms: dict[tuple[Endpoint, ServiceNumber], int] = {}
+
+    def accept(self, message: Pushback, now_ms: int) -> None:
+        """Put a received pushback in force; the latest one counts."""
+        ttl = min(message.ttl_ms, LONGEST_PUSHBACK_MS)
+        if len(self._bounds_by_service) >= _LARGEST_TABLE:
+            self._bounds_by_service.clear()
+        bound = (message.max_priority, now_ms + ttl)
+        self._bounds_by_service[message.service] = bound
+
+    def refuses(self, service: ServiceNumber, priority: int, now_ms: int) -> bool:
+        """Tell whether a pushback covers new work of this priority."""
+        bound = self._bounds_by_service.get(service)
+        if bound is None:
+            return False
+        max_priority, until_ms = bound
+        if now_ms >= until_ms:
+            self._bounds_by_service.pop(service)
+            return False
+        return priority > max_priority
+
+    def may_send(
+        self,
+        peer: Endpoint,
+        service: ServiceNumber,
+        ttl_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Tell whether to send a pushback; at most two in each lifetime.
+
+        Opens that were on the way already would each cause another one.
+        """
+        sent = (peer, service)
+        if now_ms < self._sent_until_ms.get(sent, 0):
+            return False
+        if len(self._sent_until_ms) >= _LARGEST_TABLE:
+            self._sent_until_ms.clear()
+        self._sent_until_ms[sent] = now_ms + ttl_ms // 2
+        return True
--- /dev/null
+++ b/src/lycheedeal/admission/_retries.py
@@ -0,0 +1,46 @@
+"""Limits on retries and spread of retry delays."""
+
+import random
+from typing import Final
+
+from lycheedeal.errors import ErrorKind, answer_for
+
+_RATIO: Final = 0.1
+# A quiet service may still retry a few times.
+_RESERVE: Final = 3
+_LARGEST_BALANCE: Final = 50
+_FIRST_DELAY_MS: Final = 25
+_LONGEST_DELAY_MS: Final = 2000
+
+
+class RetryBudget:
+    """Token bucket: retries are at most a tenth of first attempts."""
+
+    def __init__(self) -> None:
+        """Start with the reserve."""
+        self._balance: float = _RESERVE
+
+    def first_attempt(self) -> None:
+        """Earn a part of a retry."""
+        self._balance = min(self._balance + _RATIO, _LARGEST_BALANCE)
+
+    def spend(self) -> bool:
+        """Take a retry from the budget; False if none is left."""
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
+
+
+def backoff_ms(rng: random.Random, retry: int) -> int:
+    """Return the delay before a retry, counted from 0, with jitter."""
+    mean = min(_FIRST_DELAY_MS << min(retry, 8), _LONGEST_DELAY_MS)
+    return round(mean * rng.uniform(0.5, 1.5))
+
+
+def spread_retry_after(rng: random.Random, error: ErrorKind) -> int:
+    """Return the caller's delay for an error, spread by 50% either way.
+
+    Callers that were refused together must not return together.
+    """
+    return round(answer_for(error).retry_after_ms * rng.uniform(0.5, 1.5))
--- /dev/null
+++ b/src/lycheedeal/admission/_slots.py
@@ -0,0 +1,186 @@
+"""Slots of the upstreams of one service, as one owner uses them."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import ceil
+from typing import Final
+
+from lycheedeal.model import (
+    Endpoint,
+    Incarnation,
+    SpillRule,
+    Upstream,
+    UpstreamState,
+    Zone,
+)
+
+_USABLE: Final = frozenset((UpstreamState.STARTING, UpstreamState.READY))
+_UNDECIDED: Final = frozenset((UpstreamState.UNKNOWN,)) | _USABLE
+_LIMIT_STEP: Final = 0.1
+_LIMIT_FACTOR: Final = 0.5
+# About one service time; another owner's work then frees a slot.
+_PAUSE_MS: Final = 50
+_LONGEST_PAUSE_MS: Final = 800
+# An upstream that was slow for long makes up for at most this many dispatches.
+_CATCH_UP: Final = 16
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamSlots:
+    """Own use of one upstream.
+
+    ``limit`` is the number of slots that this owner takes for its own; it
+    falls below the configured number when another owner uses some of them.
+    """
+
+    upstream: Upstream
+    limit: float
+    state: UpstreamState = UpstreamState.UNKNOWN
+    incarnation: Incarnation = Incarnation(0)
+    weight: float = 0
+    in_flight: int = 0
+    dispatched: int = 0
+    refusals: int = 0
+    paused_until_ms: int = 0
+    configured: bool = True
+
+    @property
+    def usable(self) -> bool:
+        """Whether the upstream may get new work at all."""
+        return (
+            self.configured
+            and not self.upstream.drained
+            and self.state in _USABLE
+            and self.weight > 0
+            and self.upstream.slots > 0
+        )
+
+    @property
+    def capacity(self) -> int:
+        """Number of own requests that may be in flight; a ramp lowers it."""
+        return max(1, min(int(self.limit), ceil(self.upstream.slots * self.weight)))
+
+    def load_with_one_more(self) -> float:
+        """Return the requests in flight after a dispatch, relative to weight."""
+        return (self.in_flight + 1) / (self.upstream.slots * self.weight)
+
+    def answered(self) -> None:
+        """Raise the own limit by a step, up to the configured slots."""
+        self.refusals = 0
+        self.limit = min(self.limit + _LIMIT_STEP, self.upstream.slots)
+
+    def refused(self, now_ms: int, rng: random.Random) -> None:
+        """Lower the own limit and pause; the pause is spread over owners."""
+        self.limit = max(1, self.limit * _LIMIT_FACTOR)
+        pause = min(_PAUSE_MS << min(self.refusals, 8), _LONGEST_PAUSE_MS)
+        self.refusals += 1
+        self.paused_until_ms = now_ms + round(pause * rng.uniform(0.5, 1.5))
+
+
+class UpstreamPool:
+    """Chooses the upstream for the next request of a service."""
+
+    def __init__(self, zone: Zone, rng: random.Random) -> None:
+        """Start without upstreams."""
+        self.slots_by_endpoint: dict[Endpoint, UpstreamSlots] = {}
+        self._zone = zone
+        self._rng = rng
+        self._spill = SpillRule.NEVER
+
+    def reconfigure(self, upstreams: Iterable[Upstream], spill: SpillRule) -> None:
+        """Take over configured upstreams; removed ones only finish their work."""
+        self._spill = spill
+        for previous in self.slots_by_endpoint.values():
+            previous.configured = False
+        for upstream in upstreams:
+            self._configure(upstream)
+        self.slots_by_endpoint = {
+            endpoint: one
+            for endpoint, one in self.slots_by_endpoint.items()
+            if one.configured or one.in_flight
+        }
+
+    def change(
+        self,
+        endpoint: Endpoint,
+        state: UpstreamState,
+        incarnation: Incarnation,
+        weight: float,
+    ) -> None:
+        """Take over what health knows about an upstream."""
+        known = self.slots_by_endpoint.get(endpoint)
+        if known is None:
+            return
+        if not known.usable or known.incarnation != incarnation:
+            known.dispatched = self._most_dispatched()
+            known.limit = known.upstream.slots
+        known.state = state
+        known.incarnation = incarnation
+        known.weight = weight
+
+    def choose(self, now_ms: int) -> UpstreamSlots | None:
+        """Return the upstream for the next request; None if no slot is free."""
+        tier, most = self._tier()
+        free = [
+            one
+            for one in tier
+            if one.in_flight < min(one.capacity, most) and now_ms >= one.paused_until_ms
+        ]
+        if not free:
+            return None
+        return min(
+            free,
+            key=lambda one: (
+                one.load_with_one_more(),
+                one.dispatched,
+                self._rng.random(),
+            ),
+        )
+
+    def occupy(self, chosen: UpstreamSlots) -> None:
+        """Count a dispatch."""
+        chosen.in_flight += 1
+        chosen.dispatched += 1
+        least = min(one.dispatched for one in self.slots_by_endpoint.values())
+        chosen.dispatched = min(chosen.dispatched, least + _CATCH_UP)
+
+    def total(self) -> int:
+        """Return the number of slots that may be used now."""
+        tier, most = self._tier()
+        return sum(min(one.capacity, most) for one in tier)
+
+    def hopeless(self) -> bool:
+        """Tell whether no upstream is usable or may soon turn out to be."""
+        return not any(
+            one.configured
+            and not one.upstream.drained
+            and one.state in _UNDECIDED
+            and self._in_reach(one)
+            for one in self.slots_by_endpoint.values()
+        )
+
+    def _configure(self, upstream: Upstream) -> None:
+        known = self.slots_by_endpoint.get(upstream.endpoint)
+        if known is None:
+            known = UpstreamSlots(upstream, limit=upstream.slots)
+            known.dispatched = self._most_dispatched()
+            self.slots_by_endpoint[upstream.endpoint] = known
+        elif known.upstream.slots != upstream.slots:
+            known.limit = upstream.slots
+        known.upstream = upstream
+        known.configured = True
+
+    def _tier(self) -> tuple[list[UpstreamSlots], int]:
+        usable = [one for one in self.slots_by_endpoint.values() if one.usable]
+        own = [one for one in usable if one.upstream.zone == self._zone]
+        if own:
+            return own, max(one.upstream.slots for one in own)
+        return [one for one in usable if self._in_reach(one)], 1
+
+    def _in_reach(self, one: UpstreamSlots) -> bool:
+        return one.upstream.zone == self._zone or self._spill is SpillRule.WHEN_DOWN
+
+    def _most_dispatched(self) -> int:
+        counts = (one.dispatched for one in self.slots_by_endpoint.values())
+        return max(counts, default=0)
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -123,6 +123,19 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class QueueMeasured:
+    """Requests measured the queue of a service for which this host owns work.
+
+    ``saturated`` holds the kinds for which new flows must wait; ``drain_ms``
+    is the expected time to serve all that waits.
+    """
+
+    service: ServiceNumber
+    saturated: frozenset[KindId]
+    drain_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeRequested:
     """An operator asks for a change; answered by one ``ChangeDecided``."""
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -30,6 +30,7 @@
     | internal.OwnerReady
     | internal.FlowOpened
     | internal.FlowClosed
+    | internal.QueueMeasured
     | internal.RequestFinished
     | internal.Refused
     | internal.StopStarted
