Add the requests plug-in

Cause: each request must run at most once, and every verdict must hold. Change: plug-in requests with records, assembly, dispatch, retries, cancellation and relay. The upstream pool computes its capacities when something changes instead of at each request.

--- a/src/lycheedeal/admission/_load.py
+++ b/src/lycheedeal/admission/_load.py
@@ -27,11 +27,11 @@
 
     def places(self) -> int:
         """Return the largest number of waiting requests."""
-        return max(_FEWEST_PLACES, _PLACES_PER_SLOT * self._pool.total())
+        return max(_FEWEST_PLACES, _PLACES_PER_SLOT * self._pool.total)
 
     def lifo_depth(self) -> int:
         """Return the length above which a line serves its newest request."""
-        return _LIFO_DEPTH_PER_SLOT * max(1, self._pool.total())
+        return _LIFO_DEPTH_PER_SLOT * max(1, self._pool.total)
 
     def start_wait_ms(self, line: KindLine) -> float:
         """Return the expected wait of a new request of this line."""
@@ -54,7 +54,7 @@
         """Return the expected time to serve all that waits."""
         lines = self._lines_by_kind.values()
         work = sum(line.count * line.service_ms for line in lines)
-        return round(work / max(1, self._pool.total()))
+        return round(work / max(1, self._pool.total))
 
     def victim(self, line: KindLine) -> KindLine:
         """Return the line that gives up its oldest request for one of ``line``.
@@ -81,7 +81,7 @@
 
     def _wait_ms(self, line: KindLine, own: int) -> float:
         """Return the wait behind ``own`` requests and all more urgent ones."""
-        total = max(1, self._pool.total())
+        total = max(1, self._pool.total)
         urgent_work = sum(
             other.count * other.service_ms for other in self._more_urgent(line)
         )
--- a/src/lycheedeal/admission/_queue.py
+++ b/src/lycheedeal/admission/_queue.py
@@ -61,6 +61,7 @@
 
     def push(self, request: QueuedRequest, now_ms: int) -> Iterator[Shed]:
         """Queue a request; yield what is refused for it, perhaps itself."""
+        self._accrue(now_ms)
         line = self._lines_by_kind[request.kind_id]
         if self.pool.hopeless():
             yield Shed(request, ErrorKind.NO_UPSTREAM)
@@ -105,10 +106,14 @@
 
     def observe_answer(self, assignment: Assignment, now_ms: int) -> None:
         """Learn from an answer; call besides ``release``."""
-        assignment.slots.answered()
+        self.pool.answered(assignment.slots)
         line = self._lines_by_kind[assignment.request.kind_id]
         line.observe_service(now_ms - assignment.sent_ms)
 
+    def observe_refusal(self, assignment: Assignment, now_ms: int) -> None:
+        """Learn from a refusal before the start; call besides ``release``."""
+        self.pool.refused(assignment.slots, now_ms)
+
     def service_ms(self, kind_id: KindId) -> float:
         """Return the mean time that upstreams need for a kind of work."""
         return self._lines_by_kind[kind_id].service_ms
@@ -135,7 +140,7 @@
     def _accrue(self, now_ms: int) -> None:
         elapsed = max(0, now_ms - self._accrued_ms) if self._accrued_ms else 0
         self._accrued_ms = max(now_ms, self._accrued_ms)
-        total = self.pool.total()
+        total = self.pool.total
         for line in self._lines_by_kind.values():
             if line.kind.floor:
                 line.account.accrue(elapsed, total, line.count > 0)
--- a/src/lycheedeal/admission/_slots.py
+++ b/src/lycheedeal/admission/_slots.py
@@ -32,6 +32,7 @@
 
     ``limit`` is the number of slots that this owner takes for its own; it
     falls below the configured number when another owner uses some of them.
+    ``capacity`` is what follows for requests in flight.
     """
 
     upstream: Upstream
@@ -39,6 +40,7 @@
     state: UpstreamState = UpstreamState.UNKNOWN
     incarnation: Incarnation = Incarnation(0)
     weight: float = 0
+    capacity: int = 0
     in_flight: int = 0
     dispatched: int = 0
     refusals: int = 0
@@ -56,50 +58,45 @@
             and self.upstream.slots > 0
         )
 
-    @property
-    def capacity(self) -> int:
-        """Number of own requests that may be in flight; a ramp lowers it."""
+    def ramped_limit(self) -> int:
+        """Return the number of own requests that may be in flight."""
         return max(1, min(int(self.limit), ceil(self.upstream.slots * self.weight)))
 
     def load_with_one_more(self) -> float:
         """Return the requests in flight after a dispatch, relative to weight."""
         return (self.in_flight + 1) / (self.upstream.slots * self.weight)
 
-    def answered(self) -> None:
-        """Raise the own limit by a step, up to the configured slots."""
-        self.refusals = 0
-        self.limit = min(self.limit + _LIMIT_STEP, self.upstream.slots)
-
-    def refused(self, now_ms: int, rng: random.Random) -> None:
-        """Lower the own limit and pause; the pause is spread over owners."""
-        self.limit = max(1, self.limit * _LIMIT_FACTOR)
-        pause = min(_PAUSE_MS << min(self.refusals, 8), _LONGEST_PAUSE_MS)
-        self.refusals += 1
-        self.paused_until_ms = now_ms + round(pause * rng.uniform(0.5, 1.5))
-
 
 class UpstreamPool:
-    """Chooses the upstream for the next request of a service."""
+    """Chooses the upstream for the next request of a service.
+
+    ``total`` is the number of slots that may be used now. The upstreams in
+    reach and their capacities are computed when something changes, not at
+    each request.
+    """
 
     def __init__(self, zone: Zone, rng: random.Random) -> None:
         """Start without upstreams."""
-        self.slots_by_endpoint: dict[Endpoint, UpstreamSlots] = {}
+        self.total = 0
+        self._slots_by_endpoint: dict[Endpoint, UpstreamSlots] = {}
         self._zone = zone
         self._rng = rng
         self._spill = SpillRule.NEVER
+        self._tier: list[UpstreamSlots] = []
 
     def reconfigure(self, upstreams: Iterable[Upstream], spill: SpillRule) -> None:
         """Take over configured upstreams; removed ones only finish their work."""
         self._spill = spill
-        for previous in self.slots_by_endpoint.values():
+        for previous in self._slots_by_endpoint.values():
             previous.configured = False
         for upstream in upstreams:
             self._configure(upstream)
-        self.slots_by_endpoint = {
+        self._slots_by_endpoint = {
             endpoint: one
-            for endpoint, one in self.slots_by_endpoint.items()
+            for endpoint, one in self._slots_by_endpoint.items()
             if one.configured or one.in_flight
         }
+        self._refresh()
 
     def change(
         self,
@@ -109,7 +106,7 @@
         weight: float,
     ) -> None:
         """Take over what health knows about an upstream."""
-        known = self.slots_by_endpoint.get(endpoint)
+        known = self._slots_by_endpoint.get(endpoint)
         if known is None:
             return
         if not known.usable or known.incarnation != incarnation:
@@ -118,14 +115,14 @@
         known.state = state
         known.incarnation = incarnation
         known.weight = weight
+        self._refresh()
 
     def choose(self, now_ms: int) -> UpstreamSlots | None:
         """Return the upstream for the next request; None if no slot is free."""
-        tier, most = self._tier()
         free = [
             one
-            for one in tier
-            if one.in_flight < min(one.capacity, most) and now_ms >= one.paused_until_ms
+            for one in self._tier
+            if one.in_flight < one.capacity and now_ms >= one.paused_until_ms
         ]
         if not free:
             return None
@@ -141,46 +138,59 @@
     def occupy(self, chosen: UpstreamSlots) -> None:
         """Count a dispatch."""
         chosen.in_flight += 1
-        chosen.dispatched += 1
-        least = min(one.dispatched for one in self.slots_by_endpoint.values())
-        chosen.dispatched = min(chosen.dispatched, least + _CATCH_UP)
+        least = min(one.dispatched for one in self._tier)
+        chosen.dispatched = min(chosen.dispatched + 1, least + _CATCH_UP)
 
-    def total(self) -> int:
-        """Return the number of slots that may be used now."""
-        tier, most = self._tier()
-        return sum(min(one.capacity, most) for one in tier)
+    def answered(self, slots: UpstreamSlots) -> None:
+        """Raise the own limit by a step, up to the configured slots."""
+        slots.refusals = 0
+        if slots.limit < slots.upstream.slots:
+            slots.limit = min(slots.limit + _LIMIT_STEP, slots.upstream.slots)
+            self._refresh()
+
+    def refused(self, slots: UpstreamSlots, now_ms: int) -> None:
+        """Lower the own limit and pause; the pause is spread over owners."""
+        slots.limit = max(1, slots.limit * _LIMIT_FACTOR)
+        pause = min(_PAUSE_MS << min(slots.refusals, 8), _LONGEST_PAUSE_MS)
+        slots.refusals += 1
+        slots.paused_until_ms = now_ms + round(pause * self._rng.uniform(0.5, 1.5))
+        self._refresh()
 
     def hopeless(self) -> bool:
         """Tell whether no upstream is usable or may soon turn out to be."""
+        if self._tier:
+            return False
         return not any(
             one.configured
             and not one.upstream.drained
             and one.state in _UNDECIDED
             and self._in_reach(one)
-            for one in self.slots_by_endpoint.values()
+            for one in self._slots_by_endpoint.values()
         )
 
     def _configure(self, upstream: Upstream) -> None:
-        known = self.slots_by_endpoint.get(upstream.endpoint)
+        known = self._slots_by_endpoint.get(upstream.endpoint)
         if known is None:
             known = UpstreamSlots(upstream, limit=upstream.slots)
             known.dispatched = self._most_dispatched()
-            self.slots_by_endpoint[upstream.endpoint] = known
+            self._slots_by_endpoint[upstream.endpoint] = known
         elif known.upstream.slots != upstream.slots:
             known.limit = upstream.slots
         known.upstream = upstream
         known.configured = True
 
-    def _tier(self) -> tuple[list[UpstreamSlots], int]:
-        usable = [one for one in self.slots_by_endpoint.values() if one.usable]
+    def _refresh(self) -> None:
+        """Find the upstreams in reach; those of other zones take one request."""
+        usable = [one for one in self._slots_by_endpoint.values() if one.usable]
         own = [one for one in usable if one.upstream.zone == self._zone]
-        if own:
-            return own, max(one.upstream.slots for one in own)
-        return [one for one in usable if self._in_reach(one)], 1
+        self._tier = own or [one for one in usable if self._in_reach(one)]
+        for one in self._tier:
+            one.capacity = one.ramped_limit() if own else 1
+        self.total = sum(slots.capacity for slots in self._tier)
 
     def _in_reach(self, one: UpstreamSlots) -> bool:
         return one.upstream.zone == self._zone or self._spill is SpillRule.WHEN_DOWN
 
     def _most_dispatched(self) -> int:
-        counts = (one.dispatched for one in self.slots_by_endpoint.values())
+        counts = (one.dispatched for one in self._slots_by_endpoint.values())
         return max(counts, default=0)
--- /dev/null
+++ b/src/lycheedeal/requests/__init__.py
@@ -0,0 +1,38 @@
+"""Plug-in ``requests``: at-most-once ownership of requests."""
+
+from lycheedeal.kernel import (
+    CallerMessage,
+    MembersChanged,
+    PeerMessage,
+    PluginSpec,
+    Resumed,
+    StopStarted,
+    Tick,
+    UpstreamChanged,
+    UpstreamMessage,
+    ViewChanged,
+    register,
+)
+from lycheedeal.requests._plugin import Requests
+
+__all__ = ('Requests',)
+
+register(
+    PluginSpec(
+        name='requests',
+        factory=Requests,
+        events=frozenset(
+            (
+                CallerMessage,
+                PeerMessage,
+                UpstreamMessage,
+                UpstreamChanged,
+                ViewChanged,
+                MembersChanged,
+                StopStarted,
+                Tick,
+                Resumed,
+            ),
+        ),
+    ),
+)
--- /dev/null
+++ b/src/lycheedeal/requests/_owner.py
@@ -0,0 +1,236 @@
+"""Owns requests: deduplicates, assembles, queues and ends them."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.admission import RequestKey
+from lycheedeal.errors import ErrorKind
+from lycheedeal.kernel import Context, Effect
+from lycheedeal.messages import CancelRequest, Request
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    FlowFields,
+    Service,
+    WorkKind,
+)
+from lycheedeal.requests._attempts import has_open
+from lycheedeal.requests._dispatcher import Dispatcher
+from lycheedeal.requests._ledger import Ledger
+from lycheedeal.requests._parts import MAX_PARTS, MAX_REQUEST_BYTES, PartBuffer
+from lycheedeal.requests._records import GRACE_MS, Record
+from lycheedeal.requests._replies import ReplyHandler
+from lycheedeal.requests._states import ACTIVE, RequestState
+from lycheedeal.requests._timers import (
+    DeadlineDue,
+    OverdueDue,
+    RetryDue,
+    SlotDue,
+    Timer,
+    Timers,
+)
+
+_LONGEST_DEADLINE_MS: Final = 60_000
+
+
+class RequestOwner:
+    """All requests that this process incarnation owns."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without requests and without a configuration."""
+        self.view: ConfigurationView | None = None
+        self.stopping = False
+        self.ledger = Ledger(context)
+        self._timers = Timers()
+        self.dispatcher = Dispatcher(self.ledger, self._timers)
+        self.replies = ReplyHandler(self.ledger, self.dispatcher, self._timers)
+
+    def request(
+        self,
+        caller: Endpoint,
+        message: Request,
+        fields: FlowFields,
+    ) -> Iterator[Effect]:
+        """Take one part of a request of an own flow."""
+        key = (message.flow_id, message.number)
+        record = self.ledger.table.find(key)
+        if record is not None:
+            yield from self._again(record, caller, message)
+            return
+        error = self.ledger.table.find_refusal(key)
+        if error is not None:
+            yield self.ledger.outcome(caller, key, error)
+            return
+        yield from self._arrived(caller, message, fields)
+
+    def cancel(self, caller: Endpoint, message: CancelRequest) -> Iterator[Effect]:
+        """Cancel a request if it has not been sent; else ask the upstream."""
+        key = (message.flow_id, message.number)
+        record = self.ledger.table.find(key)
+        if record is None:
+            error = self.ledger.table.find_refusal(key)
+            if error is not None:
+                yield self.ledger.outcome(caller, key, error)
+            return
+        if record.state not in ACTIVE:
+            yield from self.ledger.repeat(record, caller)
+            return
+        record.cancelled = True
+        self.dispatcher.withdraw(record)
+        yield from self.dispatcher.cancel_runs(record)
+        if record.state is not RequestState.SENT:
+            yield from self.dispatcher.not_run(record, ErrorKind.CANCELLED)
+
+    def advance(self) -> Iterator[Effect]:
+        """Run what is due: deadlines, retries, slots; then dispatch."""
+        now_ms = self.ledger.now_ms()
+        for timer in self._timers.due(now_ms):
+            yield from self._run_timer(timer)
+        for record in self.ledger.table.expire(now_ms):
+            yield from self._expire(record)
+        yield from self.dispatcher.pump_all()
+
+    def _again(
+        self,
+        record: Record,
+        caller: Endpoint,
+        message: Request,
+    ) -> Iterator[Effect]:
+        if record.state is RequestState.ASSEMBLING:
+            record.caller = caller
+            yield from self._add_part(record, message)
+        elif message.part == 0:
+            # One repetition for each retransmission, not one for each part.
+            yield from self.ledger.repeat(record, caller)
+
+    def _arrived(
+        self,
+        caller: Endpoint,
+        message: Request,
+        fields: FlowFields,
+    ) -> Iterator[Effect]:
+        key = (message.flow_id, message.number)
+        now_ms = self.ledger.now_ms()
+        late_ms = now_ms - message.deadline_ms
+        if late_ms > GRACE_MS:
+            yield self.ledger.outcome(caller, key, ErrorKind.RECORD_EXPIRED)
+        elif late_ms >= 0:
+            yield self.ledger.outcome(caller, key, ErrorKind.DEADLINE_PASSED)
+        elif -late_ms > _LONGEST_DEADLINE_MS:
+            until_ms = now_ms + _LONGEST_DEADLINE_MS
+            yield from self._refuse(caller, key, until_ms, ErrorKind.MALFORMED)
+        else:
+            yield from self._accept(caller, message, fields)
+
+    def _accept(
+        self,
+        caller: Endpoint,
+        message: Request,
+        fields: FlowFields,
+    ) -> Iterator[Effect]:
+        key = (message.flow_id, message.number)
+        service = self._service(fields)
+        kind = None if service is None else service.kind(fields.kind_id)
+        error = self._fault(message, service, kind)
+        if error is not None or service is None or kind is None:
+            error = error or ErrorKind.UNKNOWN_KIND
+            yield from self._refuse(caller, key, message.deadline_ms, error)
+            return
+        record = Record(
+            key=key,
+            caller=caller,
+            service=service,
+            kind=kind,
+            arrived_ms=self.ledger.now_ms(),
+            deadline_ms=message.deadline_ms,
+            buffer=PartBuffer(message.parts),
+        )
+        if self.ledger.table.add(record):
+            yield from self._add_part(record, message)
+            if record.state in ACTIVE:
+                self._timers.set(record.deadline_ms, DeadlineDue(key))
+
+    def _service(self, fields: FlowFields) -> Service | None:
+        if self.view is None:
+            return None
+        return self.view.services_by_number.get(fields.service)
+
+    def _fault(
+        self,
+        message: Request,
+        service: Service | None,
+        kind: WorkKind | None,
+    ) -> ErrorKind | None:
+        if message.parts > MAX_PARTS or len(message.body) > MAX_REQUEST_BYTES:
+            return ErrorKind.OVERSIZED
+        if not 0 <= message.part < message.parts:
+            return ErrorKind.MALFORMED
+        if self.stopping:
+            return ErrorKind.OWNER_LEAVING
+        if self.view is None:
+            return ErrorKind.NOT_READY
+        if service is None:
+            return ErrorKind.UNKNOWN_SERVICE
+        return None if kind else ErrorKind.UNKNOWN_KIND
+
+    def _add_part(self, record: Record, message: Request) -> Iterator[Effect]:
+        buffer = record.buffer
+        fits = message.parts == buffer.parts and 0 <= message.part < buffer.parts
+        if not fits or message.deadline_ms != record.deadline_ms:
+            return
+        if buffer.has(message.part):
+            return
+        size = len(message.body)
+        if buffer.size + size > MAX_REQUEST_BYTES:
+            yield from self.ledger.refuse(record, ErrorKind.OVERSIZED)
+        elif self.ledger.reserve(record, size):
+            buffer.add(message.part, message.body)
+            if buffer.whole:
+                yield from self._whole(record)
+        else:
+            yield from self.ledger.refuse(record, ErrorKind.QUEUE_FULL)
+
+    def _whole(self, record: Record) -> Iterator[Effect]:
+        record.body = record.buffer.join()
+        record.buffer = PartBuffer(0)
+        self.ledger.table.move(record, RequestState.QUEUED)
+        yield from self.dispatcher.enqueue(record)
+
+    def _refuse(
+        self,
+        caller: Endpoint,
+        key: RequestKey,
+        until_ms: int,
+        error: ErrorKind,
+    ) -> Iterator[Effect]:
+        yield from self.ledger.refuse_arrival(caller, key, until_ms, error)
+
+    def _run_timer(self, timer: Timer) -> Iterator[Effect]:
+        match timer:
+            case DeadlineDue(key):
+                record = self.ledger.table.find(key)
+                if record is not None and record.state in ACTIVE:
+                    yield from self._deadline_passed(record)
+            case OverdueDue(attempt):
+                yield from self.replies.overdue(attempt)
+            case RetryDue(record):
+                if record.state is RequestState.QUEUED and record.queued is None:
+                    yield from self.dispatcher.enqueue(record)
+            case SlotDue(attempt):
+                yield from self.dispatcher.free_slot(attempt)
+
+    def _deadline_passed(self, record: Record) -> Iterator[Effect]:
+        self.dispatcher.withdraw(record)
+        if has_open(record):
+            yield from self.dispatcher.cancel_runs(record)
+            upstream = record.attempts[-1].upstream
+            error = ErrorKind.NO_ANSWER
+            yield from self.ledger.leave_unknown(record, upstream, error)
+        else:
+            yield from self.dispatcher.not_run(record, ErrorKind.DEADLINE_PASSED)
+
+    def _expire(self, record: Record) -> Iterator[Effect]:
+        self.ledger.forget(record)
+        for attempt in tuple(record.attempts):
+            self.dispatcher.attempts.remove(attempt)
+            yield from self.dispatcher.free_slot(attempt)
--- /dev/null
+++ b/src/lycheedeal/requests/_records.py
@@ -0,0 +1,141 @@
+"""Records of the requests that this process owns.
+
+Every verdict is remembered until the deadline plus a grace period, so that a
+late duplicate neither runs nor gets another verdict.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from lycheedeal.admission import QueuedRequest, RequestKey
+from lycheedeal.errors import ErrorKind
+from lycheedeal.model import Endpoint, Service, WorkKind
+from lycheedeal.requests._parts import PartBuffer
+from lycheedeal.requests._states import ACTIVE, TRANSITIONS, RequestState
+
+if TYPE_CHECKING:
+    from lycheedeal.requests._attempts import Attempt
+
+GRACE_MS: Final = 10_000
+_SECOND_MS: Final = 1000
+# About 1 KB each without the body, and 0.2 KB for a remembered refusal.
+_MOST_RECORDS: Final = 30_000
+_MOST_REFUSALS: Final = 200_000
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """One request; times are Unix milliseconds.
+
+    ``attempts`` are those with an unknown result. ``unresolved`` is set when
+    one of them was given up although it may have run.
+    """
+
+    key: RequestKey
+    caller: Endpoint
+    service: Service
+    kind: WorkKind
+    arrived_ms: int
+    deadline_ms: int
+    buffer: PartBuffer
+    state: RequestState = RequestState.ASSEMBLING
+    body: bytes = b''
+    answer: bytes | None = None
+    error: ErrorKind | None = None
+    queued: QueuedRequest | None = None
+    attempts: 'list[Attempt]' = field(default_factory=list)
+    unresolved: ErrorKind | None = None
+    cancelled: bool = False
+    sends: int = 0
+    retries: int = 0
+    reserved: int = 0
+
+
+class RecordTable:
+    """Bounded table of records and of compactly remembered refusals."""
+
+    def __init__(
+        self,
+        most_records: int = _MOST_RECORDS,
+        most_refusals: int = _MOST_REFUSALS,
+    ) -> None:
+        """Start empty."""
+        self.active = 0
+        self._most_records = most_records
+        self._most_refusals = most_refusals
+        self._records_by_key: dict[RequestKey, Record] = {}
+        self._refusals_by_digest: dict[int, ErrorKind] = {}
+        self._keys_by_second: dict[int, list[RequestKey | int]] = {}
+
+    def find(self, key: RequestKey) -> Record | None:
+        """Return the record of a request, if it is kept."""
+        return self._records_by_key.get(key)
+
+    def find_refusal(self, key: RequestKey) -> ErrorKind | None:
+        """Return the error of a refusal that is remembered compactly."""
+        return self._refusals_by_digest.get(_digest(key))
+
+    def add(self, record: Record) -> bool:
+        """Keep a new record; False if the table is full."""
+        if len(self._records_by_key) >= self._most_records:
+            return False
+        self._records_by_key[record.key] = record
+        self._expire_after(record.deadline_ms, record.key)
+        self.active += 1
+        return True
+
+    def move(self, record: Record, state: RequestState) -> bool:
+        """Change the state; False and no effect if that is not allowed."""
+        if state not in TRANSITIONS[record.state]:
+            return False
+        if record.state in ACTIVE and state not in ACTIVE:
+            self.active -= 1
+        record.state = state
+        return True
+
+    def remember_refusal(
+        self,
+        key: RequestKey,
+        deadline_ms: int,
+        error: ErrorKind,
+    ) -> bool:
+        """Remember a refusal compactly; False if there is no room."""
+        if len(self._refusals_by_digest) >= self._most_refusals:
+            return False
+        digest = _digest(key)
+        self._refusals_by_digest[digest] = error
+        self._expire_after(deadline_ms, digest)
+        return True
+
+    def compact(self, record: Record, error: ErrorKind) -> None:
+        """Replace the record of a refused request by a compact one."""
+        if self.remember_refusal(record.key, record.deadline_ms, error):
+            self._records_by_key.pop(record.key)
+
+    def expire(self, now_ms: int) -> Iterator[Record]:
+        """Forget what is past its deadline and grace; yield such records."""
+        this_second = now_ms // _SECOND_MS
+        past = tuple(one for one in self._keys_by_second if one < this_second)
+        for second in past:
+            for key in self._keys_by_second.pop(second):
+                record = self._forget(key)
+                if record is not None:
+                    yield record
+
+    def _forget(self, key: RequestKey | int) -> Record | None:
+        if isinstance(key, int):
+            self._refusals_by_digest.pop(key, None)
+            return None
+        return self._records_by_key.pop(key, None)
+
+    def _expire_after(self, deadline_ms: int, key: RequestKey | int) -> None:
+        second = (deadline_ms + GRACE_MS) // _SECOND_MS
+        self._keys_by_second.setdefault(second, []).append(key)
+
+
+def _digest(key: RequestKey) -> int:
+    flow_id, number = key
+    return xxhash.xxh3_128_intdigest(flow_id + str(number).encode())
