Add the membership plug-in

Cause: services need one owner per zone, and hosts crash, pause and leave.

A host is declared dead only after own unanswered probes, so one faulty accuser cannot remove others. Hosts of a zone share the probe order, so each member is probed once a period. A virtual-time network in bench/ carries the tests.

--- /dev/null
+++ b/bench/zone_network.py
@@ -0,0 +1,253 @@
+"""Virtual-time network of membership plug-ins in one process.
+
+Used by the tests and by ``bench/membership.py``: no sockets, no sleeping, and
+the same seed gives the same run.
+"""
+
+import heapq
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lycheedeal import wire
+from lycheedeal.kernel import (
+    CallApi,
+    Context,
+    Event,
+    Exit,
+    Kernel,
+    Log,
+    MembersChanged,
+    Observe,
+    PeerMessage,
+    PluginSpec,
+    Resumed,
+    SendToPeer,
+    Started,
+    StopStarted,
+    Tick,
+    load_plugins,
+)
+from lycheedeal.model import Endpoint, HostId, HostSettings, Incarnation, Region, Zone
+
+TICK = 0.1
+# A socket buffer of 200 KB holds about this many probes.
+MAX_QUEUED = 400
+
+
+@dataclass
+class VirtualClock:
+    """Clock that the network moves."""
+
+    now: float = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 1_700_000_000 + self.now
+
+
+class _Recorder:
+    """Plug-in that keeps what membership publishes."""
+
+    def __init__(self, host: 'VirtualHost') -> None:
+        self._host = host
+
+    def handle(self, event: Event) -> Iterable[Any]:
+        match event:
+            case MembersChanged(members):
+                self._host.lists.append(members)
+            case StopStarted(deadline):
+                self._host.stop_deadline = deadline
+        return ()
+
+
+@dataclass
+class VirtualHost:
+    """One daemon with the plug-in under test."""
+
+    name: str
+    endpoint: Endpoint
+    incarnation: Incarnation
+    kernel: Kernel = field(init=False)
+    lists: list[Any] = field(default_factory=list)
+    effects: list[Any] = field(default_factory=list)
+    alive: bool = True
+    paused_since: float | None = None
+    queued: list[Event] = field(default_factory=list)
+    stop_deadline: float | None = None
+    exit_time: float | None = None
+    exit_status: int | None = None
+    messages: int = 0
+    bytes: int = 0
+    cpu: float = 0
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Host ids of the list published last."""
+        return tuple(one.host_id for one in self.lists[-1]) if self.lists else ()
+
+    @property
+    def deaths(self) -> float:
+        """Hosts that this host itself declared dead."""
+        return sum(
+            one.amount
+            for one in self.effects
+            if isinstance(one, Observe) and one.metric == 'membership_deaths'
+        )
+
+
+class ZoneNetwork:
+    """Hosts of one zone and the datagrams between them."""
+
+    def __init__(self, seed: int, *, count_bytes: bool = False) -> None:
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.hosts: dict[str, VirtualHost] = {}
+        self.loss = 0.0
+        self.delay: Callable[[str, str], float] = lambda source, target: 0.0015
+        self.is_cut: Callable[[str, str], bool] = lambda source, target: False
+        self.count_bytes = count_bytes
+        self._names: dict[Endpoint, str] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+
+    def start(self, name: str, endpoint: Endpoint, seeds: tuple[Endpoint, ...]) -> None:
+        """Start a process; a running one at the same endpoint is replaced."""
+        old = self.hosts.get(self._names.get(endpoint, ''))
+        if old is not None:
+            old.alive = False
+        incarnation = Incarnation(int(self.clock.wall() * 1000))
+        host = VirtualHost(name, endpoint, incarnation)
+        settings = HostSettings(
+            host_id=HostId(name),
+            region=Region('south'),
+            zone=Zone('tortel'),
+            data=endpoint,
+            peer=endpoint,
+            gossip=endpoint,
+            admin=endpoint,
+            platform_url='',
+            flow_key=b'key',
+            peer_seeds=tuple(one for one in seeds if one != endpoint),
+        )
+        rng = random.Random(self.rng.getrandbits(64))
+        context = Context(settings, self.clock, rng, incarnation)
+        recorder = PluginSpec(
+            'recorder',
+            lambda _: _Recorder(host),
+            frozenset((MembersChanged, StopStarted)),
+        )
+        host.kernel = Kernel(context, (*load_plugins(('membership',)), recorder))
+        self.hosts[name] = host
+        self._names[endpoint] = name
+        self.dispatch(host, Started())
+        self._at(self.rng.random() * TICK, lambda: self._tick(host))
+
+    def start_zone(self, count: int) -> None:
+        """Start hosts that have the first three as seeds."""
+        seeds = tuple(endpoint_of(one) for one in range(min(count, 3)))
+        for number in range(count):
+            self.start(f'h{number:03}', endpoint_of(number), seeds)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.clock.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.clock.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.clock.now = end
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Stop a process for a while; datagrams wait in its socket buffer."""
+        host = self.hosts[name]
+        host.paused_since = self.clock.now
+        self._at(seconds, lambda: self._resume(host))
+
+    def kill(self, name: str) -> None:
+        """End a process without notice."""
+        self.hosts[name].alive = False
+
+    def dispatch(self, host: VirtualHost, event: Event) -> None:
+        """Hand an event to a host and carry out its effects."""
+        started = time.perf_counter()
+        effects = host.kernel.dispatch(event)
+        host.cpu += time.perf_counter() - started
+        for effect in effects:
+            match effect:
+                case SendToPeer(peer, message):
+                    self._send(host, peer, message)
+                case Exit(status):
+                    host.alive = False
+                    host.exit_time = self.clock.now
+                    host.exit_status = status
+                case CallApi() | Log() | Observe():
+                    host.effects.append(effect)
+                case _:
+                    raise AssertionError(f'unexpected effect {effect}')
+
+    def live(self) -> list[VirtualHost]:
+        """Hosts whose process runs."""
+        return [one for one in self.hosts.values() if one.alive]
+
+    def agree(self, names: Iterable[str]) -> bool:
+        """Tell whether every live host lists exactly these hosts."""
+        wanted = tuple(sorted(names))
+        return all(one.members == wanted for one in self.live())
+
+    def seconds_until(self, condition: Callable[[], bool], limit: float) -> float:
+        """Run until a condition holds; infinity if it never does."""
+        begin = self.clock.now
+        while self.clock.now < begin + limit:
+            if condition():
+                return self.clock.now - begin
+            self.run(TICK)
+        return float('inf')
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        self._number += 1
+        heapq.heappush(self._queue, (self.clock.now + delay, self._number, action))
+
+    def _tick(self, host: VirtualHost) -> None:
+        if not host.alive:
+            return
+        if host.paused_since is None:
+            self.dispatch(host, Tick(self.clock.now))
+        self._at(TICK, lambda: self._tick(host))
+
+    def _resume(self, host: VirtualHost) -> None:
+        gap = self.clock.now - (host.paused_since or 0)
+        host.paused_since = None
+        queued, host.queued = host.queued, []
+        self.dispatch(host, Resumed(gap))
+        for event in queued:
+            self.dispatch(host, event)
+
+    def _send(self, source: VirtualHost, peer: Endpoint, message: Any) -> None:
+        source.messages += 1
+        if self.count_bytes:
+            source.bytes += len(wire.encode(message))
+        target = self._names.get(peer)
+        if target is None or self.rng.random() < self.loss:
+            return
+        if not self.is_cut(source.name, target):
+            event = PeerMessage(source.endpoint, message)
+            delay = self.delay(source.name, target) * (0.5 + self.rng.random())
+            self._at(delay, lambda: self._deliver(target, peer, event))
+
+    def _deliver(self, name: str, endpoint: Endpoint, event: Event) -> None:
+        host = self.hosts[name]
+        if not host.alive or host.endpoint != endpoint:
+            return
+        if host.paused_since is None:
+            self.dispatch(host, event)
+        elif len(host.queued) < MAX_QUEUED:
+            host.queued.append(event)
+
+
+def endpoint_of(number: int) -> Endpoint:
+    """Return the peer endpoint of the host of this number."""
+    return Endpoint(f'127.0.{number // 250}.{number % 250 + 1}', 7000)
--- /dev/null
+++ b/src/lycheedeal/membership/_candidates.py
@@ -0,0 +1,68 @@
+"""Endpoints that may be hosts of this zone: seeds and the platform's list."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from lycheedeal.model import Endpoint, HostId, Zone
+
+_MAX_CANDIDATES: Final = 2048
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """Entry of the platform's host list; endpoints are ``ip:port``."""
+
+    host_id: HostId
+    zone: Zone
+    peer: str
+
+
+_decoder: Final = msgspec.json.Decoder(list[ListedHost])
+
+
+class Candidates:
+    """Round robin of endpoints; entries are added and never removed by a list."""
+
+    def __init__(self, seeds: Iterable[Endpoint]) -> None:
+        """Start with the seeds of the settings."""
+        self._waiting: deque[Endpoint] = deque()
+        self.add(seeds)
+
+    def __len__(self) -> int:
+        """Return the number of endpoints to try."""
+        return len(self._waiting)
+
+    def add(self, endpoints: Iterable[Endpoint]) -> None:
+        """Add endpoints; the oldest are dropped above the bound."""
+        known = set(self._waiting)
+        for endpoint in endpoints:
+            if endpoint not in known:
+                known.add(endpoint)
+                self._waiting.appendleft(endpoint)
+        while len(self._waiting) > _MAX_CANDIDATES:
+            self._waiting.pop()
+
+    def next(self) -> Endpoint | None:
+        """Return the endpoint that was not tried for the longest time."""
+        if not self._waiting:
+            return None
+        self._waiting.rotate(-1)
+        return self._waiting[-1]
+
+
+def parse_host_list(body: bytes, zone: Zone) -> list[Endpoint] | None:
+    """Return the peer endpoints of a zone; None if the list is malformed."""
+    try:
+        hosts = _decoder.decode(body)
+        return [_endpoint(host.peer) for host in hosts if host.zone == zone]
+    except (msgspec.MsgspecError, ValueError):
+        return None
+
+
+def _endpoint(text: str) -> Endpoint:
+    ip, _, port = text.rpartition(':')
+    return Endpoint(ip, int(port))
--- /dev/null
+++ b/src/lycheedeal/membership/_plugin.py
@@ -0,0 +1,220 @@
+"""Plug-in ``membership``: timers, published members and the stop sequence."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from lycheedeal.kernel import (
+    ApiCall,
+    ApiReplied,
+    ApiStatus,
+    CallApi,
+    Context,
+    Effect,
+    Event,
+    Exit,
+    Log,
+    LogLevel,
+    MembersChanged,
+    PeerMessage,
+    Publish,
+    Resumed,
+    Started,
+    StopRequested,
+    StopStarted,
+    Tick,
+    WorkRemaining,
+)
+from lycheedeal.membership._candidates import Candidates, parse_host_list
+from lycheedeal.membership._detector import Detector
+from lycheedeal.membership._ring import ProbeRing
+from lycheedeal.membership._stopping import StopSequence
+from lycheedeal.messages import IndirectProbe, Probe, ProbeAck
+from lycheedeal.model import Endpoint, HostId, Incarnation, Member, MemberState
+
+_PERIOD: Final = 1.0
+# Ticks come every 0.1 s; a gap above this is a fault of this process.
+_LATE_TICK: Final = 0.5
+_HOSTS_SECONDS: Final = 60.0
+_DEAD_PROBE_SECONDS: Final = 5.0
+# After a dead host came back, others of a healed partition do so too.
+_HEALING_PROBE_SECONDS: Final = 0.3
+_HEALING_SECONDS: Final = 10.0
+_CANDIDATE_SECONDS: Final = 1.0
+_JOIN_QUIET_SECONDS: Final = 2.0
+_JOIN_MAX_SECONDS: Final = 30.0
+_FIRST_LIST_SECONDS: Final = 1.0
+_ANNOUNCEMENTS: Final = 8
+_CANDIDATE_TRIES: Final = 8
+_CALL_ID_BITS: Final = 63
+_JITTER: Final = 0.2
+
+_Key = tuple[HostId, Incarnation, Endpoint]
+
+
+@dataclass(slots=True)
+class _Timers:
+    """Times at which something is due next."""
+
+    probe: float
+    dead: float
+    candidate: float
+    hosts: float
+    expiry: float
+
+
+class Membership:
+    """Decides which hosts of the zone may own services."""
+
+    def __init__(self, context: Context) -> None:
+        """Start knowing only this host and the seeds."""
+        self._context = context
+        self._rng = context.rng
+        self._detector = Detector(context)
+        self._candidates = Candidates(context.settings.peer_seeds)
+        self._stop = StopSequence(context.settings.drain_seconds)
+        self._started = context.clock.monotonic()
+        self._last_tick = self._started
+        first = self._started + self._rng.random() * _PERIOD
+        self._timers = _Timers(first, first, self._started, first, first)
+        self._ring = ProbeRing(context.settings.host_id)
+        self._is_stale = True
+        self._published: tuple[_Key, ...] | None = None
+        self._hosts_call = 0
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event and yield the effects it calls for."""
+        now = self._context.clock.monotonic()
+        match event:
+            case Started():
+                if not self._candidates:
+                    yield from self._publish()
+            case Tick():
+                yield from self._tick(now)
+            case PeerMessage(peer, Probe() | ProbeAck() | IndirectProbe() as message):
+                yield from self._detector.receive(peer, message, now)
+                yield from self._changes(now)
+            case ApiReplied(call_id, status, _, _, body):
+                yield from self._take_hosts(call_id, status, body)
+            case Resumed():
+                self._last_tick = now
+                self._detector.resume(now)
+                yield from self._detector.announce(now, _ANNOUNCEMENTS)
+            case StopRequested():
+                yield from self._begin_stop(now)
+            case WorkRemaining(plugin, count):
+                self._stop.report(plugin, count)
+
+    def _tick(self, now: float) -> Iterator[Effect]:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > _LATE_TICK:
+            # Answers may wait unread; an accusation would not be fair.
+            self._detector.health.worse()
+            self._detector.prober.clear()
+        yield from self._detector.tick(now)
+        yield from self._probe_next(now)
+        yield from self._probe_more(now)
+        yield from self._ask_hosts(now)
+        if now >= self._timers.expiry:
+            self._timers.expiry = now + _PERIOD
+            self._detector.expire(now)
+        yield from self._changes(now)
+        if self._stop.is_finished(now):
+            yield Exit(0)
+
+    def _changes(self, now: float) -> Iterator[Effect]:
+        roster = self._detector.roster
+        if roster.is_changed:
+            roster.is_changed = False
+            self._ring.update(member.host_id for member in roster.active())
+            self._is_stale = True
+        if not self._candidates or now - self._started >= _FIRST_LIST_SECONDS:
+            yield from self._publish()
+
+    def _publish(self) -> Iterator[Effect]:
+        if not self._is_stale:
+            return
+        self._is_stale = False
+        members = self._members()
+        key = tuple((one.host_id, one.incarnation, one.peer) for one in members)
+        if key != self._published:
+            self._published = key
+            yield Publish(MembersChanged(members))
+
+    def _members(self) -> tuple[Member, ...]:
+        members = list(self._detector.roster.active())
+        if self._stop.is_serving:
+            members.append(self._detector.roster.own)
+        return tuple(sorted(members, key=lambda member: member.host_id))
+
+    def _probe_next(self, now: float) -> Iterator[Effect]:
+        if now < self._timers.probe:
+            return
+        self._timers.probe = max(self._timers.probe + _PERIOD, now)
+        target = self._ring.target(int(self._context.clock.wall() / _PERIOD))
+        if target is not None:
+            yield from self._detector.start_probe(target, now)
+
+    def _probe_more(self, now: float) -> Iterator[Effect]:
+        detector = self._detector
+        if self._is_joining(now) or detector.pushes:
+            detector.pushes = max(detector.pushes - 1, 0)
+            yield from detector.announce(now, 1)
+        if now >= self._timers.dead:
+            healing = now - detector.last_revived < _HEALING_SECONDS
+            pause = _HEALING_PROBE_SECONDS if healing else _DEAD_PROBE_SECONDS
+            self._timers.dead = now + self._jittered(pause)
+            dead = detector.roster.sample_dead()
+            if dead is not None:
+                yield self._single_probe(dead.peer, now)
+        if now >= self._timers.candidate:
+            joining = self._is_joining(now)
+            self._timers.candidate = now if joining else now + _CANDIDATE_SECONDS
+            yield from self._probe_candidate(now)
+
+    def _probe_candidate(self, now: float) -> Iterator[Effect]:
+        for _ in range(min(len(self._candidates), _CANDIDATE_TRIES)):
+            candidate = self._candidates.next()
+            if candidate and not self._detector.roster.knows_endpoint(candidate):
+                yield self._single_probe(candidate, now)
+                return
+
+    def _single_probe(self, target: Endpoint, now: float) -> Effect:
+        return self._detector.probe(target, self._detector.prober.next_sequence(), now)
+
+    def _is_joining(self, now: float) -> bool:
+        quiet = now - self._detector.last_joined > _JOIN_QUIET_SECONDS
+        return now - self._started < _JOIN_MAX_SECONDS and not quiet
+
+    def _ask_hosts(self, now: float) -> Iterator[Effect]:
+        if now >= self._timers.hosts:
+            self._timers.hosts = now + self._jittered(_HOSTS_SECONDS)
+            self._hosts_call = self._rng.getrandbits(_CALL_ID_BITS)
+            zone = self._context.settings.zone
+            yield CallApi(self._hosts_call, ApiCall.HOSTS, zone)
+
+    def _take_hosts(
+        self,
+        call_id: int,
+        status: ApiStatus,
+        body: bytes,
+    ) -> Iterator[Effect]:
+        if call_id != self._hosts_call or status is not ApiStatus.OK:
+            return
+        endpoints = parse_host_list(body, self._context.settings.zone)
+        if endpoints is None:
+            yield Log('membership', LogLevel.WARNING, 'malformed host list ignored')
+        else:
+            self._candidates.add(endpoints)
+
+    def _begin_stop(self, now: float) -> Iterator[Effect]:
+        if self._stop.begin_stop(now):
+            self._detector.raise_revision(state=MemberState.LEAVING)
+            yield from self._detector.announce(now, _ANNOUNCEMENTS)
+            self._is_stale = True
+            yield from self._publish()
+            yield Publish(StopStarted(self._stop.deadline))
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * (1 + _JITTER * (self._rng.random() - 0.5))
--- /dev/null
+++ b/src/lycheedeal/membership/_roster.py
@@ -0,0 +1,169 @@
+"""Records of the hosts of one zone."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from types import MappingProxyType
+from typing import Final
+
+from lycheedeal.model import Endpoint, HostId, Member, MemberState
+
+# A dead host is remembered for longer than any old update or lagging host
+# list is expected to name it.
+_DEAD_SECONDS: Final = 600.0
+# A leaving host is taken for gone when the longest drain is surely over.
+_LEAVING_SECONDS: Final = 120.0
+_MAX_DEAD: Final = 1024
+
+_RANKS: Final = MappingProxyType(
+    {
+        MemberState.ALIVE: 0,
+        MemberState.SUSPECT: 1,
+        MemberState.LEAVING: 2,
+        MemberState.DEAD: 3,
+    },
+)
+ACTIVE: Final = frozenset((MemberState.ALIVE, MemberState.SUSPECT))
+
+
+def precedence(member: Member) -> tuple[int, int, int]:
+    """Return the order in which records of one host replace each other."""
+    return member.incarnation, member.revision, _RANKS[member.state]
+
+
+@dataclass(slots=True)
+class Entry:
+    """Record of one host with the times of its last change and first sight."""
+
+    member: Member
+    changed: float
+    first_seen: float
+
+
+class Roster:
+    """Newest known record of each other host, and the own record."""
+
+    def __init__(self, own: Member, rng: random.Random) -> None:
+        """Take the own record."""
+        self.own = own
+        self.active_count = 0
+        self.is_changed = True
+        self._rng = rng
+        self._entries_by_id: dict[HostId, Entry] = {}
+        self._ids_by_peer: dict[Endpoint, HostId] = {}
+        self._known: list[HostId] = []
+        self._dead: list[HostId] = []
+        self._sampled = False
+
+    def __len__(self) -> int:
+        """Return the number of active members, this host included."""
+        return self.active_count + 1
+
+    def find(self, host_id: HostId) -> Entry | None:
+        """Return the entry of another host."""
+        return self._entries_by_id.get(host_id)
+
+    def knows_endpoint(self, peer: Endpoint) -> bool:
+        """Tell whether a host at this endpoint is known, dead or alive."""
+        return peer in self._ids_by_peer or peer == self.own.peer
+
+    def owner_of(self, peer: Endpoint) -> Entry | None:
+        """Return the entry of the host at this endpoint."""
+        host_id = self._ids_by_peer.get(peer)
+        return None if host_id is None else self._entries_by_id[host_id]
+
+    def is_news(self, record: Member) -> bool:
+        """Tell whether a record replaces what is known."""
+        occupant = self.owner_of(record.peer)
+        if occupant is not None and occupant.member.host_id != record.host_id:
+            if record.incarnation <= occupant.member.incarnation:
+                return False
+        entry = self._entries_by_id.get(record.host_id)
+        return entry is None or precedence(record) > precedence(entry.member)
+
+    def store(self, record: Member, now: float) -> Member | None:
+        """Put a record in place and return the one it replaced."""
+        entry = self._entries_by_id.get(record.host_id)
+        before = None if entry is None else entry.member
+        first_seen = now if before is None else self._first_seen(record, now)
+        self.is_changed |= before is None or _identity(before) != _identity(record)
+        self._discard(record.host_id)
+        self._entries_by_id[record.host_id] = Entry(record, now, first_seen)
+        self._ids_by_peer[record.peer] = record.host_id
+        self.active_count += record.state in ACTIVE
+        self._sampled = False
+        return before
+
+    def active(self) -> Iterator[Member]:
+        """Yield the records of other hosts that are alive or suspect."""
+        for entry in self._entries_by_id.values():
+            if entry.member.state in ACTIVE:
+                yield entry.member
+
+    def sample_active(self, count: int, excluded: HostId | None = None) -> list[Member]:
+        """Return up to ``count`` random active members."""
+        self._refresh_samples()
+        ids = self._known
+        if len(ids) > count:
+            ids = self._rng.sample(ids, min(count + 1, len(ids)))
+        chosen = [self._entries_by_id[one].member for one in ids if one != excluded]
+        return chosen[:count]
+
+    def sample_dead(self) -> Member | None:
+        """Return a random dead member."""
+        self._refresh_samples()
+        if not self._dead:
+            return None
+        return self._entries_by_id[self._rng.choice(self._dead)].member
+
+    def expire(self, now: float) -> list[Member]:
+        """Forget hosts that are dead for long; return those that left."""
+        gone: list[Member] = []
+        for entry in tuple(self._entries_by_id.values()):
+            age = now - entry.changed
+            if entry.member.state is MemberState.DEAD and age > _DEAD_SECONDS:
+                self._discard(entry.member.host_id)
+            elif entry.member.state is MemberState.LEAVING and age > _LEAVING_SECONDS:
+                gone.append(replace(entry.member, state=MemberState.DEAD))
+        self._drop_oldest_dead()
+        return gone
+
+    def _first_seen(self, record: Member, now: float) -> float:
+        entry = self._entries_by_id[record.host_id]
+        restarted = record.incarnation > entry.member.incarnation
+        return now if restarted else entry.first_seen
+
+    def _discard(self, host_id: HostId) -> None:
+        entry = self._entries_by_id.pop(host_id, None)
+        if entry is None:
+            return
+        self.active_count -= entry.member.state in ACTIVE
+        if self._ids_by_peer.get(entry.member.peer) == host_id:
+            self._ids_by_peer.pop(entry.member.peer)
+        self._sampled = False
+
+    def _drop_oldest_dead(self) -> None:
+        self._refresh_samples()
+        excess = len(self._dead) - _MAX_DEAD
+        if excess > 0:
+            oldest = sorted(
+                self._dead, key=lambda one: self._entries_by_id[one].changed
+            )
+            for host_id in oldest[:excess]:
+                self._discard(host_id)
+
+    def _refresh_samples(self) -> None:
+        if self._sampled:
+            return
+        self._known = []
+        self._dead = []
+        for host_id, entry in self._entries_by_id.items():
+            if entry.member.state in ACTIVE:
+                self._known.append(host_id)
+            elif entry.member.state is MemberState.DEAD:
+                self._dead.append(host_id)
+        self._sampled = True
+
+
+def _identity(member: Member) -> tuple[bool, int, Endpoint]:
+    return member.state in ACTIVE, member.incarnation, member.peer
