Add stand-ins for upstreams, fabric and callers

Cause: the daemon needs systems around it that check what it does, and the demo must count from what callers and upstreams saw. Change: upstream, fabric and caller programs with parts that register themselves, request and answer bodies that can be checked end to end, and counting from log files as pure functions.

--- /dev/null
+++ b/standins/_client.py
@@ -0,0 +1,575 @@
+"""Caller library: long feeds and requests through a service address.
+
+A client is one UDP socket with any number of flows. Its parts are
+registered like those of the other stand-ins and run without a socket in
+tests.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Final
+
+from lycheedeal import messages
+from lycheedeal.errors import ErrorKind, Verdict, answer_for
+from lycheedeal.model import Endpoint, FlowId, KindId, RequestNumber, ServiceName
+from standins import _bodies
+from standins._core import (
+    After,
+    Clock,
+    Effect,
+    MessageReceived,
+    PacketReceived,
+    PartSpec,
+    Record,
+    Send,
+    SendPacket,
+    Stopping,
+    register,
+)
+
+PROGRAM: Final = 'client'
+_MS: Final = 1000
+_NONCE_BITS: Final = 64
+_FIRST_RETRY: Final = 0.25
+_BACKOFF: Final = 1.5
+_LONGEST_OPEN_RETRY: Final = 2.0
+_LONGEST_REQUEST_RETRY: Final = 1.0
+_KEEPALIVE_SECONDS: Final = 1.0
+# Keepalives are answered, so a flow that hears nothing for so long is stalled.
+_STALL_SECONDS: Final = 10.0
+# The owner reports at the deadline; its answer may still be on the way.
+_OUTCOME_GRACE: Final = 0.5
+_STALLED: Final = 'STALLED'
+_NO_OUTCOME: Final = 'NO_OUTCOME'
+_BAD_ANSWER: Final = 'BAD_ANSWER'
+
+
+@unique
+class RequestOutcome(Enum):
+    """What became of one submitted request."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+    FOREIGN_OR_TORN = 'foreign_or_torn'
+    NOT_SENT = 'not_sent'
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """What one client talks to; ``name`` makes its tokens distinct."""
+
+    name: str
+    service: ServiceName
+    address: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class WorkSettings:
+    """How requests of one kind are sent; durations in seconds."""
+
+    kind_id: KindId
+    idempotent: bool
+    body_size: int
+    patience: float
+    resubmissions: int = 3
+
+
+@dataclass(slots=True)
+class Context:
+    """What the parts of one client share."""
+
+    settings: ClientSettings
+    clock: Clock
+    open_feeds: int = 0
+    pending: int = 0
+
+    def nonce(self) -> int:
+        """Return a number that no other flow uses."""
+        return self.clock.rng.getrandbits(_NONCE_BITS)
+
+    def jitter(self, seconds: float) -> float:
+        """Return a delay spread by a quarter either way."""
+        return seconds * (0.75 + self.clock.rng.random() / 2)
+
+
+@dataclass(frozen=True, slots=True)
+class OpenFeed:
+    """Opens a long feed and keeps it open."""
+
+    kind_id: KindId
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """Submits one request; ``submission`` counts earlier tries."""
+
+    work: WorkSettings
+    submission: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OpenDue:
+    """An ``Open`` may have to be sent (again)."""
+
+    nonce: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeepaliveDue:
+    """The next keepalive of a feed is due."""
+
+    flow_id: FlowId
+
+
+@dataclass(frozen=True, slots=True)
+class RequestDue:
+    """A request may have to be sent again."""
+
+    token: str
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestExpired:
+    """The caller gives up on a request."""
+
+    token: str
+
+
+class Opening:
+    """Flows that wait for the answer to their ``Open``."""
+
+    def __init__(self, context: Context) -> None:
+        """Take the state shared by the parts."""
+        self._context = context
+        self._kinds_by_nonce: dict[int, KindId] = {}
+
+    def start(self, kind_id: KindId, delay: float = 0) -> Iterator[Effect]:
+        """Open a flow, now or after a delay."""
+        nonce = self._context.nonce()
+        self._kinds_by_nonce[nonce] = kind_id
+        if delay:
+            yield After(delay, OpenDue(nonce, 0))
+        else:
+            yield from self.retry(nonce, 0)
+
+    def retry(self, nonce: int, attempt: int) -> Iterator[Effect]:
+        """Send the ``Open`` unless it was answered meanwhile."""
+        kind_id = self._kinds_by_nonce.get(nonce)
+        if kind_id is None:
+            return
+        message = messages.Open(nonce, kind_id, attempt)
+        yield Send(self._context.settings.address, message)
+        delay = min(_FIRST_RETRY * _BACKOFF**attempt, _LONGEST_OPEN_RETRY)
+        yield After(self._context.jitter(delay), OpenDue(nonce, attempt + 1))
+
+    def finish(self, nonce: int) -> KindId | None:
+        """Return the kind of a flow that was waiting; it no longer waits."""
+        return self._kinds_by_nonce.pop(nonce, None)
+
+    def refuse(self, message: messages.OpenRefused) -> Iterator[Effect]:
+        """Open anew after the delay that the refusal asks for."""
+        kind_id = self.finish(message.nonce)
+        if kind_id is None:
+            return
+        yield Record('open_refused', {'kind': kind_id, 'error': message.error.name})
+        delay = max(message.retry_after_ms / _MS, _FIRST_RETRY)
+        yield from self.start(kind_id, self._context.jitter(delay))
+
+
+@dataclass(slots=True)
+class Feed:
+    """An open feed; ``last_number`` has no gap before it."""
+
+    kind_id: KindId
+    opened_at: float
+    heard_at: float
+    entry_at: float
+    last_number: int = 0
+    received: int = 0
+    longest_gap: float = 0
+    ahead: set[int] = field(default_factory=set)
+
+    def take(self, number: int, now: float) -> None:
+        """Count an entry; resent ones only once."""
+        if number <= self.last_number or number in self.ahead:
+            return
+        self.received += 1
+        self.longest_gap = max(self.longest_gap, now - self.entry_at)
+        self.entry_at = now
+        self.ahead.add(number)
+        while self.last_number + 1 in self.ahead:
+            self.last_number += 1
+            self.ahead.remove(self.last_number)
+
+    def missing(self) -> int:
+        """Return how many entries were skipped and not resent."""
+        highest = max(self.ahead, default=self.last_number)
+        return highest - self.last_number - len(self.ahead)
+
+
+class FeedsPart:
+    """Keeps long feeds open and counts their entries."""
+
+    def __init__(self, context: Context) -> None:
+        """Take the state shared by the parts."""
+        self._context = context
+        self._opening = Opening(context)
+        self._feeds_by_flow: dict[FlowId, Feed] = {}
+
+    def handle(
+        self,
+        event: OpenFeed
+        | OpenDue
+        | KeepaliveDue
+        | MessageReceived
+        | PacketReceived
+        | Stopping,
+    ) -> Iterator[Effect]:
+        """Open feeds, send keepalives, take entries."""
+        match event:
+            case OpenFeed(kind_id):
+                yield from self._opening.start(kind_id)
+            case OpenDue(nonce, attempt):
+                yield from self._opening.retry(nonce, attempt)
+            case KeepaliveDue(flow_id):
+                yield from self._keep_alive(flow_id)
+            case MessageReceived(_, messages.Opened(nonce, flow_id)):
+                yield from self._opened(nonce, flow_id)
+            case MessageReceived(_, messages.OpenRefused() as refusal):
+                yield from self._opening.refuse(refusal)
+            case MessageReceived(_, messages.FlowBroken(flow_id, error)):
+                yield from self._break(flow_id, error.name)
+            case PacketReceived(_, flow_id, payload):
+                self._take_packet(flow_id, payload)
+            case Stopping():
+                yield from self._stop()
+        self._context.open_feeds = len(self._feeds_by_flow)
+
+    def _opened(self, nonce: int, flow_id: FlowId) -> Iterator[Effect]:
+        kind_id = self._opening.finish(nonce)
+        if kind_id is None:
+            return
+        now = self._context.clock.monotonic()
+        self._feeds_by_flow[flow_id] = Feed(kind_id, now, now, now)
+        yield Record('flow_opened', {'flow_id': flow_id.hex(), 'kind': kind_id})
+        yield from self._keep_alive(flow_id)
+
+    def _keep_alive(self, flow_id: FlowId) -> Iterator[Effect]:
+        feed = self._feeds_by_flow.get(flow_id)
+        if feed is None:
+            return
+        if self._context.clock.monotonic() - feed.heard_at > _STALL_SECONDS:
+            yield from self._break(flow_id, _STALLED)
+            return
+        settings = self._context.settings
+        keepalive = _bodies.Keepalive(feed.last_number, settings.service)
+        payload = _bodies.build_keepalive(keepalive)
+        yield SendPacket(settings.address, flow_id, payload)
+        delay = self._context.jitter(_KEEPALIVE_SECONDS)
+        yield After(delay, KeepaliveDue(flow_id))
+
+    def _take_packet(self, flow_id: FlowId, payload: bytes) -> None:
+        feed = self._feeds_by_flow.get(flow_id)
+        entry = _bodies.read_entry(payload)
+        if feed is None or entry is None:
+            return
+        now = self._context.clock.monotonic()
+        feed.heard_at = now
+        if entry.text:
+            feed.take(entry.number, now)
+
+    def _break(self, flow_id: FlowId, cause: str) -> Iterator[Effect]:
+        feed = self._feeds_by_flow.pop(flow_id, None)
+        if feed is None:
+            return
+        yield self._ended(flow_id, feed, cause)
+        yield from self._opening.start(feed.kind_id)
+
+    def _stop(self) -> Iterator[Effect]:
+        for flow_id, feed in self._feeds_by_flow.items():
+            yield self._ended(flow_id, feed, '')
+            yield Send(self._context.settings.address, messages.CloseFlow(flow_id))
+        self._feeds_by_flow.clear()
+
+    def _ended(self, flow_id: FlowId, feed: Feed, cause: str) -> Record:
+        now = self._context.clock.monotonic()
+        return Record(
+            'flow_ended',
+            {
+                'flow_id': flow_id.hex(),
+                'kind': feed.kind_id,
+                'cause': cause,
+                'received': feed.received,
+                'missing': feed.missing(),
+                'silent_seconds': now - feed.heard_at,
+                'longest_gap': max(feed.longest_gap, now - feed.entry_at),
+            },
+        )
+
+
+@dataclass(slots=True)
+class PendingRequest:
+    """A request without an outcome; ``number`` is 0 until it is sent."""
+
+    token: str
+    work: WorkSettings
+    submission: int
+    body: bytes
+    submitted_at: float
+    deadline_ms: int
+    flow_id: FlowId | None = None
+    number: RequestNumber = RequestNumber(0)
+    answer_parts: dict[int, bytes] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class RequestFlow:
+    """A flow for requests of one kind; ``flow_id`` None while it opens."""
+
+    flow_id: FlowId | None = None
+    next_number: int = 1
+    waiting: list[str] = field(default_factory=list)
+
+
+class RequestsPart:
+    """Submits requests until each has an answer or an outcome."""
+
+    def __init__(self, context: Context) -> None:
+        """Take the state shared by the parts."""
+        self._context = context
+        self._opening = Opening(context)
+        self._flows_by_kind: dict[KindId, RequestFlow] = {}
+        self._requests_by_token: dict[str, PendingRequest] = {}
+        self._tokens_by_place: dict[tuple[FlowId, RequestNumber], str] = {}
+        # Kept after a flow is given up: its answers may be late.
+        self._known_flows: set[FlowId] = set()
+        self._submitted = 0
+
+    def handle(
+        self,
+        event: Submit | OpenDue | RequestDue | RequestExpired | MessageReceived,
+    ) -> Iterator[Effect]:
+        """Submit, send again, take answers and outcomes, give up."""
+        match event:
+            case Submit(work, submission):
+                yield from self._submit(work, submission)
+            case OpenDue(nonce, attempt):
+                yield from self._opening.retry(nonce, attempt)
+            case RequestDue(token, delay):
+                yield from self._send_again(token, delay)
+            case RequestExpired(token):
+                yield from self._expire(token)
+            case MessageReceived(_, message):
+                yield from self._take_message(message)
+        self._context.pending = len(self._requests_by_token)
+
+    def _take_message(self, message: object) -> Iterator[Effect]:
+        match message:
+            case messages.Opened(nonce, flow_id):
+                yield from self._opened(nonce, flow_id)
+            case messages.OpenRefused() as refusal:
+                yield from self._opening.refuse(refusal)
+            case messages.Answer() as answer:
+                yield from self._take_answer(answer)
+            case messages.Outcome() as outcome:
+                yield from self._take_outcome(outcome)
+            case messages.FlowBroken(flow_id, error):
+                yield from self._break(flow_id, error)
+
+    def _submit(self, work: WorkSettings, submission: int) -> Iterator[Effect]:
+        self._submitted += 1
+        settings = self._context.settings
+        clock = self._context.clock
+        token = f'{settings.name}-{self._submitted}'
+        head = _bodies.RequestHead(token, settings.service)
+        request = PendingRequest(
+            token=token,
+            work=work,
+            submission=submission,
+            body=_bodies.build_request(head, work.body_size),
+            submitted_at=clock.monotonic(),
+            deadline_ms=int((clock.wall() + work.patience) * _MS),
+        )
+        self._requests_by_token[token] = request
+        yield Record(
+            'request_submitted',
+            {'token': token, 'kind': work.kind_id, 'idempotent': work.idempotent},
+        )
+        yield After(work.patience + _OUTCOME_GRACE, RequestExpired(token))
+        flow = self._flows_by_kind.get(work.kind_id)
+        if flow is None:
+            flow = RequestFlow()
+            self._flows_by_kind[work.kind_id] = flow
+            yield from self._opening.start(work.kind_id)
+        if flow.flow_id is None:
+            flow.waiting.append(token)
+        else:
+            yield from self._place(flow, flow.flow_id, request)
+
+    def _opened(self, nonce: int, flow_id: FlowId) -> Iterator[Effect]:
+        kind_id = self._opening.finish(nonce)
+        if kind_id is None:
+            return
+        flow = self._flows_by_kind[kind_id]
+        flow.flow_id = flow_id
+        self._known_flows.add(flow_id)
+        waiting, flow.waiting = flow.waiting, []
+        for token in waiting:
+            request = self._requests_by_token.get(token)
+            if request is not None:
+                yield from self._place(flow, flow_id, request)
+
+    def _place(
+        self,
+        flow: RequestFlow,
+        flow_id: FlowId,
+        request: PendingRequest,
+    ) -> Iterator[Effect]:
+        request.flow_id = flow_id
+        request.number = RequestNumber(flow.next_number)
+        flow.next_number += 1
+        self._tokens_by_place[flow_id, request.number] = request.token
+        yield from self._send_again(request.token, _FIRST_RETRY)
+
+    def _send_again(self, token: str, delay: float) -> Iterator[Effect]:
+        request = self._requests_by_token.get(token)
+        if request is None or request.flow_id is None:
+            return
+        parts = _bodies.split_parts(request.body)
+        for part, body in enumerate(parts):
+            message = messages.Request(
+                flow_id=request.flow_id,
+                number=request.number,
+                deadline_ms=request.deadline_ms,
+                part=part,
+                parts=len(parts),
+                body=body,
+            )
+            yield Send(self._context.settings.address, message)
+        longer = min(delay * _BACKOFF, _LONGEST_REQUEST_RETRY)
+        yield After(self._context.jitter(delay), RequestDue(token, longer))
+
+    def _take_answer(self, answer: messages.Answer) -> Iterator[Effect]:
+        if answer.flow_id not in self._known_flows:
+            yield Record('foreign_answer', {'flow_id': answer.flow_id.hex()})
+            return
+        request = self._find(answer.flow_id, answer.number)
+        if request is None:
+            return
+        request.answer_parts[answer.part] = answer.body
+        if len(request.answer_parts) < answer.parts:
+            return
+        whole = b''.join(body for _, body in sorted(request.answer_parts.items()))
+        if _bodies.is_whole_answer(request.body, whole):
+            yield from self._finish(request, RequestOutcome.ANSWERED, '')
+        else:
+            yield from self._finish(
+                request,
+                RequestOutcome.FOREIGN_OR_TORN,
+                _BAD_ANSWER,
+            )
+
+    def _take_outcome(self, message: messages.Outcome) -> Iterator[Effect]:
+        request = self._find(message.flow_id, message.number)
+        if request is None:
+            return
+        outcome = _outcome_of(message.error)
+        yield from self._finish(request, outcome, message.error.name)
+        if message.error is ErrorKind.OWNER_LEAVING:
+            self._forget_flow(message.flow_id)
+        if outcome is RequestOutcome.NOT_RUN or request.work.idempotent:
+            yield from self._resubmit(request, message.retry_after_ms / _MS)
+
+    def _resubmit(self, request: PendingRequest, delay: float) -> Iterator[Effect]:
+        if request.submission < request.work.resubmissions:
+            again = Submit(request.work, request.submission + 1)
+            yield After(self._context.jitter(max(delay, _FIRST_RETRY)), again)
+
+    def _break(self, flow_id: FlowId, error: ErrorKind) -> Iterator[Effect]:
+        self._forget_flow(flow_id)
+        outcome = _outcome_of(error)
+        for request in tuple(self._requests_by_token.values()):
+            if request.flow_id == flow_id:
+                yield from self._finish(request, outcome, error.name)
+
+    def _expire(self, token: str) -> Iterator[Effect]:
+        request = self._requests_by_token.get(token)
+        if request is None:
+            return
+        if request.flow_id is None:
+            yield from self._finish(request, RequestOutcome.NOT_SENT, _NO_OUTCOME)
+            return
+        yield from self._finish(request, RequestOutcome.UNKNOWN, _NO_OUTCOME)
+        # The owner said nothing although its deadline is over, so it is gone.
+        self._forget_flow(request.flow_id)
+
+    def _find(
+        self,
+        flow_id: FlowId,
+        number: RequestNumber,
+    ) -> PendingRequest | None:
+        token = self._tokens_by_place.get((flow_id, number))
+        return None if token is None else self._requests_by_token.get(token)
+
+    def _forget_flow(self, flow_id: FlowId) -> None:
+        for kind_id, flow in tuple(self._flows_by_kind.items()):
+            if flow.flow_id == flow_id:
+                self._flows_by_kind.pop(kind_id)
+
+    def _finish(
+        self,
+        request: PendingRequest,
+        outcome: RequestOutcome,
+        error: str,
+    ) -> Iterator[Effect]:
+        self._requests_by_token.pop(request.token)
+        if request.flow_id is not None:
+            self._tokens_by_place.pop((request.flow_id, request.number))
+        yield Record(
+            'request_ended',
+            {
+                'token': request.token,
+                'kind': request.work.kind_id,
+                'idempotent': request.work.idempotent,
+                'outcome': outcome.value,
+                'error': error,
+                'seconds': self._context.clock.monotonic() - request.submitted_at,
+            },
+        )
+
+
+def _outcome_of(error: ErrorKind) -> RequestOutcome:
+    if answer_for(error).verdict is Verdict.NOT_RUN:
+        return RequestOutcome.NOT_RUN
+    return RequestOutcome.UNKNOWN
+
+
+register(
+    PartSpec(
+        PROGRAM,
+        'feeds',
+        FeedsPart,
+        frozenset(
+            (
+                OpenFeed,
+                OpenDue,
+                KeepaliveDue,
+                MessageReceived,
+                PacketReceived,
+                Stopping,
+            ),
+        ),
+    ),
+)
+register(
+    PartSpec(
+        PROGRAM,
+        'requests',
+        RequestsPart,
+        frozenset((Submit, OpenDue, RequestDue, RequestExpired, MessageReceived)),
+    ),
+)
--- /dev/null
+++ b/standins/_records.py
@@ -0,0 +1,235 @@
+"""Counting from the log files of callers and upstreams, as pure functions.
+
+Nothing here asks a host: what a host claims is compared with what the
+upstreams did and what the callers got.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+
+from standins._client import RequestOutcome
+
+# A flow that heard nothing for so long when its caller stopped is broken,
+# although nobody told the caller: keepalives are answered every second.
+_SILENT_SECONDS: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunStarted:
+    """An upstream began to run a request."""
+
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Misrouted:
+    """An upstream got something that names another service."""
+
+    what: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSubmitted:
+    """A caller submitted a request."""
+
+    token: str
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """A caller knows the outcome of a request."""
+
+    token: str
+    outcome: RequestOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignAnswer:
+    """A caller got an answer on a flow that is not its own."""
+
+
+@dataclass(frozen=True, slots=True)
+class FlowOpened:
+    """A caller has a long flow."""
+
+    flow_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class FlowEnded:
+    """A long flow ended; an empty cause means that the caller closed it."""
+
+    flow_id: str
+    cause: str
+    at: float
+    missing: int
+    silent_seconds: float
+    longest_gap: float
+
+    def is_broken(self) -> bool:
+        """Tell whether the caller lost the flow."""
+        return bool(self.cause) or self.silent_seconds > _SILENT_SECONDS
+
+
+CallerRecord = RequestSubmitted | RequestEnded | ForeignAnswer | FlowOpened | FlowEnded
+UpstreamRecord = RunStarted | Misrouted
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """Span of time in which a flow may break because a host crashed."""
+
+    start: float
+    end: float
+
+    def covers(self, moment: float) -> bool:
+        """Tell whether a moment lies in the window."""
+        return self.start <= moment <= self.end
+
+
+@dataclass(slots=True)
+class Counts:
+    """What callers and upstreams saw."""
+
+    flows_opened: int = 0
+    flows_broken_planned: int = 0
+    flows_broken_crash: int = 0
+    requests: int = 0
+    whole_answers: int = 0
+    foreign_or_torn_answers: int = 0
+    ran_twice: int = 0
+    idempotent_reruns: int = 0
+    refused_not_run: int = 0
+    refused_but_ran: int = 0
+    outcome_unknown: int = 0
+    not_sent: int = 0
+    misrouted: int = 0
+    entries_missing: int = 0
+    longest_gap_seconds: float = 0
+    causes: dict[str, int] = field(default_factory=dict)
+
+
+def read_lines(text: bytes) -> Iterator[dict[str, Any]]:
+    """Yield the lines of a log; a last line that is cut off is left out."""
+    for line in text.splitlines():
+        try:
+            yield msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            return
+
+
+def read_caller_log(lines: Iterable[Mapping[str, Any]]) -> Iterator[CallerRecord]:
+    """Yield what the log of a caller says about requests and flows."""
+    for line in lines:
+        match line:
+            case {'event': 'request_submitted', 'token': token, 'idempotent': flag}:
+                yield RequestSubmitted(token, flag)
+            case {'event': 'request_ended', 'token': token, 'outcome': outcome}:
+                yield RequestEnded(token, RequestOutcome(outcome))
+            case {'event': 'foreign_answer'}:
+                yield ForeignAnswer()
+            case {'event': 'flow_opened', 'flow_id': flow_id}:
+                yield FlowOpened(flow_id)
+            case {'event': 'flow_ended', 'flow_id': flow_id, 'cause': cause}:
+                yield FlowEnded(
+                    flow_id,
+                    cause,
+                    line['at'],
+                    line['missing'],
+                    line['silent_seconds'],
+                    line['longest_gap'],
+                )
+
+
+def read_upstream_log(lines: Iterable[Mapping[str, Any]]) -> Iterator[UpstreamRecord]:
+    """Yield what the log of an upstream says about runs and misrouting."""
+    for line in lines:
+        match line:
+            case {'event': 'run_started', 'token': token}:
+                yield RunStarted(token)
+            case {'event': 'misrouted', 'what': what}:
+                yield Misrouted(what)
+
+
+def count(
+    callers: Iterable[CallerRecord],
+    upstreams: Iterable[UpstreamRecord],
+    crashes: Iterable[Window] = (),
+) -> Counts:
+    """Return the counts; ``crashes`` tells planned breaks from others."""
+    counts = Counts()
+    crash_windows = tuple(crashes)
+    idempotent_by_token: dict[str, bool] = {}
+    outcomes_by_token: dict[str, RequestOutcome] = {}
+    open_flows: set[str] = set()
+    for record in callers:
+        match record:
+            case RequestSubmitted(token, idempotent):
+                idempotent_by_token[token] = idempotent
+            case RequestEnded(token, outcome):
+                outcomes_by_token[token] = outcome
+            case ForeignAnswer():
+                counts.foreign_or_torn_answers += 1
+            case FlowOpened(flow_id):
+                counts.flows_opened += 1
+                open_flows.add(flow_id)
+            case FlowEnded() as ended:
+                open_flows.discard(ended.flow_id)
+                _count_flow(counts, ended, crash_windows)
+    # A caller that ended without a word about its flow lost track of it.
+    counts.flows_broken_planned += len(open_flows)
+    runs_by_token: Counter[str] = Counter()
+    for entry in upstreams:
+        match entry:
+            case RunStarted(token):
+                runs_by_token[token] += 1
+            case Misrouted():
+                counts.misrouted += 1
+    counts.requests = len(idempotent_by_token)
+    for token, idempotent in idempotent_by_token.items():
+        outcome = outcomes_by_token.get(token, RequestOutcome.UNKNOWN)
+        _count_request(counts, outcome, idempotent, runs_by_token[token])
+    return counts
+
+
+def _count_flow(counts: Counts, ended: FlowEnded, crashes: tuple[Window, ...]) -> None:
+    counts.entries_missing += ended.missing
+    counts.longest_gap_seconds = max(counts.longest_gap_seconds, ended.longest_gap)
+    if not ended.is_broken():
+        return
+    cause = ended.cause or 'SILENT'
+    counts.causes[cause] = counts.causes.get(cause, 0) + 1
+    if any(window.covers(ended.at) for window in crashes):
+        counts.flows_broken_crash += 1
+    else:
+        counts.flows_broken_planned += 1
+
+
+def _count_request(
+    counts: Counts,
+    outcome: RequestOutcome,
+    idempotent: bool,
+    runs: int,
+) -> None:
+    if runs > 1 and idempotent:
+        counts.idempotent_reruns += 1
+    elif runs > 1:
+        counts.ran_twice += 1
+    match outcome:
+        case RequestOutcome.ANSWERED:
+            counts.whole_answers += 1
+        case RequestOutcome.FOREIGN_OR_TORN:
+            counts.foreign_or_torn_answers += 1
+        case RequestOutcome.NOT_RUN:
+            counts.refused_not_run += 1
+            counts.refused_but_ran += runs > 0
+        case RequestOutcome.NOT_SENT:
+            counts.not_sent += 1
+            counts.refused_but_ran += runs > 0
+        case RequestOutcome.UNKNOWN:
+            counts.outcome_unknown += 1
--- /dev/null
+++ b/standins/_upstream/_flows.py
@@ -0,0 +1,192 @@
+"""Long flows: feeds of numbered entries."""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from lycheedeal import messages, wire
+from lycheedeal.errors import ErrorKind
+from lycheedeal.model import Endpoint, FlowId, Incarnation
+from standins import _bodies
+from standins._core import (
+    After,
+    Effect,
+    MessageReceived,
+    PacketReceived,
+    PartSpec,
+    Record,
+    Send,
+    SendPacket,
+    register,
+)
+from standins._upstream._state import PROGRAM, Context
+
+# Place of the upstream incarnation in the layout of a flow id. Upstreams do
+# not have the key of the hosts, so they read the field without the tag.
+_INCARNATION: Final = struct.Struct('!28xQ')
+_ENDPOINT_SIZE: Final = 6
+# Entries resent for one keepalive; the rest follows the next one.
+_RESEND_LIMIT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class EntryDue:
+    """The next entry of a feed is due."""
+
+    flow_id: FlowId
+
+
+@dataclass(slots=True)
+class Feed:
+    """A flow that the upstream holds; ``host`` sent its last packet."""
+
+    host: Endpoint
+    caller: Endpoint
+    last_number: int = 0
+
+
+class FlowsPart:
+    """Holds long flows and pushes entries to their callers."""
+
+    def __init__(self, context: Context) -> None:
+        """Take the state shared by the parts."""
+        self._context = context
+        self._feeds_by_flow: dict[FlowId, Feed] = {}
+
+    def handle(
+        self,
+        event: MessageReceived | PacketReceived | EntryDue,
+    ) -> Iterator[Effect]:
+        """Open, close and feed flows."""
+        match event:
+            case MessageReceived(source, messages.FlowOpen() as message):
+                yield from self._open(source, message)
+            case MessageReceived(_, messages.UpstreamClose(flow_id)):
+                yield from self._close(flow_id)
+            case PacketReceived(source, flow_id, rest):
+                yield from self._take_packet(source, flow_id, rest)
+            case EntryDue(flow_id):
+                yield from self._push(flow_id)
+        self._context.flows = len(self._feeds_by_flow)
+
+    def _open(
+        self,
+        source: Endpoint,
+        message: messages.FlowOpen,
+    ) -> Iterator[Effect]:
+        flow_id = message.flow_id
+        if message.service != self._context.settings.service:
+            yield Record('misrouted', _misrouted('flow', message.service, flow_id))
+        error = self._refusal(message)
+        if error is not None:
+            yield Send(source, messages.FlowRejected(flow_id, error, message.caller))
+            return
+        if flow_id not in self._feeds_by_flow:
+            self._feeds_by_flow[flow_id] = Feed(source, message.caller)
+            yield Record(
+                'flow_opened',
+                {'flow_id': flow_id.hex(), 'draining': self._context.draining},
+            )
+            # The first entry comes at a random moment of the interval, so that
+            # feeds opened together do not push together.
+            interval = self._context.settings.entry_interval
+            yield After(self._context.clock.rng.random() * interval, EntryDue(flow_id))
+        yield Send(source, messages.FlowAccepted(flow_id))
+
+    def _refusal(self, message: messages.FlowOpen) -> ErrorKind | None:
+        context = self._context
+        if not context.is_for_me(message.service, message.incarnation):
+            return ErrorKind.UPSTREAM_REPLACED
+        if message.flow_id in self._feeds_by_flow:
+            return None
+        if context.draining or context.failing:
+            return ErrorKind.UPSTREAM_REFUSED
+        if len(self._feeds_by_flow) >= context.settings.connections:
+            return ErrorKind.FLOW_LIMIT
+        return None
+
+    def _close(self, flow_id: FlowId) -> Iterator[Effect]:
+        if self._feeds_by_flow.pop(flow_id, None) is not None:
+            yield Record('flow_closed', {'flow_id': flow_id.hex()})
+
+    def _take_packet(
+        self,
+        source: Endpoint,
+        flow_id: FlowId,
+        rest: bytes,
+    ) -> Iterator[Effect]:
+        if len(rest) < _ENDPOINT_SIZE:
+            yield Record('undecodable', {'detail': 'packet without caller'})
+            return
+        caller = wire.unpack_endpoint(rest[:_ENDPOINT_SIZE])
+        keepalive = _bodies.read_keepalive(rest[_ENDPOINT_SIZE:])
+        feed = self._feeds_by_flow.get(flow_id)
+        if keepalive is not None and self._names_another(keepalive):
+            yield Record(
+                'misrouted',
+                _misrouted('packet', keepalive.service, flow_id),
+            )
+        if feed is None:
+            error = self._unknown(flow_id)
+            yield Record(
+                'packet_rejected',
+                {'flow_id': flow_id.hex(), 'error': error.name},
+            )
+            yield Send(source, messages.FlowRejected(flow_id, error, caller))
+            return
+        feed.host = source
+        feed.caller = caller
+        if keepalive is not None:
+            yield from self._resend(flow_id, feed, keepalive.last_number)
+
+    def _names_another(self, keepalive: _bodies.Keepalive) -> bool:
+        mine = self._context.settings.service
+        return bool(keepalive.service) and keepalive.service != mine
+
+    def _unknown(self, flow_id: FlowId) -> ErrorKind:
+        (named,) = _INCARNATION.unpack_from(flow_id)
+        if Incarnation(named) != self._context.settings.incarnation:
+            return ErrorKind.UPSTREAM_REPLACED
+        return ErrorKind.UNKNOWN_FLOW
+
+    def _push(self, flow_id: FlowId) -> Iterator[Effect]:
+        feed = self._feeds_by_flow.get(flow_id)
+        if feed is None:
+            return
+        feed.last_number += 1
+        yield _entry(flow_id, feed, feed.last_number)
+        yield After(self._context.settings.entry_interval, EntryDue(flow_id))
+
+    def _resend(
+        self,
+        flow_id: FlowId,
+        feed: Feed,
+        last_number: int,
+    ) -> Iterator[Effect]:
+        last_due = min(feed.last_number, last_number + _RESEND_LIMIT)
+        for number in range(last_number + 1, last_due + 1):
+            yield _entry(flow_id, feed, number)
+        if last_due <= last_number:
+            echo = _bodies.build_entry(_bodies.Entry(feed.last_number, b''))
+            yield SendPacket(feed.host, flow_id, echo, feed.caller)
+
+
+def _entry(flow_id: FlowId, feed: Feed, number: int) -> SendPacket:
+    text = f'entry {number}'.encode()
+    payload = _bodies.build_entry(_bodies.Entry(number, text))
+    return SendPacket(feed.host, flow_id, payload, feed.caller)
+
+
+def _misrouted(what: str, named: str, flow_id: FlowId) -> dict[str, str]:
+    return {'what': what, 'named': named, 'flow_id': flow_id.hex()}
+
+
+register(
+    PartSpec(
+        PROGRAM,
+        'flows',
+        FlowsPart,
+        frozenset((MessageReceived, PacketReceived, EntryDue)),
+    ),
+)
--- /dev/null
+++ b/standins/_upstream/_health.py
@@ -0,0 +1,39 @@
+"""Answers to health probes."""
+
+from collections.abc import Iterator
+
+from lycheedeal import messages
+from standins._core import Effect, MessageReceived, PartSpec, Send, register
+from standins._upstream._state import PROGRAM, Context
+
+
+class HealthPart:
+    """Reports state and load, true or not."""
+
+    def __init__(self, context: Context) -> None:
+        """Take the state shared by the parts."""
+        self._context = context
+
+    def handle(self, event: MessageReceived) -> Iterator[Effect]:
+        """Answer a probe."""
+        match event:
+            case MessageReceived(source, messages.Hello(nonce)):
+                if not self._context.silent_hello:
+                    yield Send(source, self._welcome(nonce))
+
+    def _welcome(self, nonce: int) -> messages.Welcome:
+        context = self._context
+        settings = context.settings
+        load = context.lie or context
+        return messages.Welcome(
+            nonce=nonce,
+            service=settings.service,
+            incarnation=settings.incarnation,
+            state=context.state(),
+            slots=settings.slots,
+            running=load.running,
+            flows=load.flows,
+        )
+
+
+register(PartSpec(PROGRAM, 'health', HealthPart, frozenset((MessageReceived,))))
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,134 @@
+"""Caller stand-in: many callers of one service (``python -m``)."""
+
+import argparse
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Final
+
+import uvloop
+
+from lycheedeal.model import Endpoint, KindId, ServiceName
+from standins import _client
+from standins._core import Dispatcher, Stopping
+from standins._runtime import Node, RecordLog, parse_endpoint, stop_event, system_clock
+
+_LOCAL: Final = '127.0.0.1'
+_IDLE_POLL: Final = 0.1
+_MS: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """One socket with its flows."""
+
+    node: Node
+    context: _client.Context
+
+
+async def _start_callers(
+    arguments: argparse.Namespace,
+    records: RecordLog,
+) -> list[Caller]:
+    callers: list[Caller] = []
+    for place in range(arguments.callers):
+        settings = _client.ClientSettings(
+            name=f'{arguments.name}-{place}',
+            service=ServiceName(arguments.service),
+            address=arguments.address,
+        )
+        seed = None if arguments.seed is None else arguments.seed + place
+        context = _client.Context(settings, system_clock(seed))
+        node = Node(Dispatcher(_client.PROGRAM, context), records)
+        await node.start(Endpoint(_LOCAL, 0))
+        callers.append(Caller(node, context))
+    return callers
+
+
+async def _open_feeds(arguments: argparse.Namespace, callers: list[Caller]) -> None:
+    for place in range(arguments.feeds):
+        caller = callers[place % len(callers)]
+        caller.node.dispatch(_client.OpenFeed(KindId(arguments.kind)))
+        if arguments.open_rate:
+            await asyncio.sleep(1 / arguments.open_rate)
+
+
+async def _submit_all(arguments: argparse.Namespace, callers: list[Caller]) -> None:
+    work = _client.WorkSettings(
+        kind_id=KindId(arguments.kind),
+        idempotent=arguments.idempotent,
+        body_size=arguments.body_size,
+        patience=arguments.deadline_ms / _MS,
+        resubmissions=arguments.resubmissions,
+    )
+    rng = random.Random(arguments.seed)
+    rate = arguments.rate * arguments.multiple
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    for _ in range(arguments.requests):
+        rng.choice(callers).node.dispatch(_client.Submit(work))
+        due += rng.expovariate(rate)
+        if due > loop.time():
+            await asyncio.sleep(due - loop.time())
+
+
+async def _wait_until_idle(callers: list[Caller]) -> None:
+    # A resubmission is due within a few seconds and leaves no trace before.
+    quiet = 0.0
+    while quiet < 3:
+        await asyncio.sleep(_IDLE_POLL)
+        busy = any(caller.context.pending for caller in callers)
+        quiet = 0 if busy else quiet + _IDLE_POLL
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Run all callers until their requests ended or they are told to stop."""
+    stopped = stop_event()
+    records = RecordLog(arguments.log_file, {'service': arguments.service})
+    callers = await _start_callers(arguments, records)
+    records.write('caller_started', {'callers': len(callers)})
+    work = [asyncio.ensure_future(_open_feeds(arguments, callers))]
+    if arguments.requests:
+        work.append(asyncio.ensure_future(_submit_all(arguments, callers)))
+    finished = asyncio.gather(*work)
+    waiting = asyncio.ensure_future(stopped.wait())
+    await asyncio.wait((finished, waiting), return_when=asyncio.FIRST_COMPLETED)
+    if not arguments.feeds and not stopped.is_set():
+        idle = asyncio.ensure_future(_wait_until_idle(callers))
+        await asyncio.wait((idle, waiting), return_when=asyncio.FIRST_COMPLETED)
+        idle.cancel()
+    elif not stopped.is_set():
+        await waiting
+    finished.cancel()
+    waiting.cancel()
+    for caller in callers:
+        caller.node.dispatch(Stopping())
+        caller.node.close()
+    records.write('caller_stopped', {})
+    records.close()
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--name', required=True, help='prefix of request tokens')
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--address', type=parse_endpoint, required=True)
+    parser.add_argument('--log-file', required=True)
+    parser.add_argument('--kind', type=int, required=True, help='id of the kind')
+    parser.add_argument('--callers', type=int, default=10, help='number of sockets')
+    parser.add_argument('--feeds', type=int, default=0)
+    parser.add_argument('--open-rate', type=float, default=0, help='feeds per second')
+    parser.add_argument('--requests', type=int, default=0)
+    parser.add_argument('--rate', type=float, default=100, help='requests per second')
+    parser.add_argument('--multiple', type=float, default=1, help='factor of the rate')
+    parser.add_argument('--idempotent', action='store_true')
+    parser.add_argument('--body-size', type=int, default=200)
+    parser.add_argument('--deadline-ms', type=float, default=4000)
+    parser.add_argument('--resubmissions', type=int, default=3)
+    parser.add_argument('--seed', type=int)
+    return parser.parse_args()
+
+
+if __name__ == '__main__':
+    uvloop.run(serve(parse_arguments()))
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,146 @@
+"""Fabric stand-in: sprays datagrams over the live hosts (``python -m``)."""
+
+import argparse
+import asyncio
+import json
+import random
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+import uvloop
+
+from lycheedeal import wire
+from lycheedeal.model import Endpoint
+from standins._runtime import bind_udp, parse_endpoint, stop_event, write_whole
+
+_POLL_SECONDS: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """Probabilities of faults of single datagrams."""
+
+    loss: float
+    duplicate: float
+
+
+class HostList:
+    """Data endpoints of live hosts, read from a file when it changes."""
+
+    def __init__(self, path: str) -> None:
+        """Take the path of a JSON list of ``ip:port`` texts."""
+        self._path = Path(path)
+        self._text = ''
+        self.hosts: tuple[Endpoint, ...] = ()
+
+    def refresh(self) -> None:
+        """Read the file again; a file that is missing or partial changes nothing."""
+        try:
+            text = self._path.read_text()
+            if text != self._text:
+                self.hosts = tuple(parse_endpoint(one) for one in json.loads(text))
+                self._text = text
+        except (OSError, ValueError):
+            return
+
+
+class ServicePort(asyncio.DatagramProtocol):
+    """Socket of one service address."""
+
+    def __init__(
+        self,
+        service: Endpoint,
+        host_list: HostList,
+        output: asyncio.DatagramTransport,
+        faults: Faults,
+        rng: random.Random,
+    ) -> None:
+        """Take the address to announce in front of each datagram."""
+        self._packed_service = wire.pack_endpoint(service)
+        self._host_list = host_list
+        self._output = output
+        self._faults = faults
+        self._rng = rng
+
+    def datagram_received(self, datagram: bytes, source: tuple[Any, ...]) -> None:
+        """Pass a datagram of a caller to a random host."""
+        if not self._host_list.hosts or self._rng.random() < self._faults.loss:
+            return
+        caller = wire.pack_endpoint(Endpoint(source[0], source[1]))
+        framed = caller + self._packed_service + datagram
+        copies = 1 + (self._rng.random() < self._faults.duplicate)
+        for _ in range(copies):
+            self._output.sendto(framed, self._rng.choice(self._host_list.hosts))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore ports of callers that are closed."""
+
+
+class Output(asyncio.DatagramProtocol):
+    """Socket that sends to hosts; hosts never answer through it."""
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore ports of hosts that are gone."""
+
+
+def _same(port: ServicePort) -> ServicePort:
+    return port
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Spray datagrams until told to stop."""
+    stopped = stop_event()
+    loop = asyncio.get_running_loop()
+    host_list = HostList(arguments.host_file)
+    host_list.refresh()
+    rng = random.Random(arguments.seed)
+    faults = Faults(arguments.loss, arguments.duplicate)
+    output, _ = await loop.create_datagram_endpoint(
+        Output,
+        sock=bind_udp(Endpoint('127.0.0.1', 0)),
+    )
+    ports: list[asyncio.DatagramTransport] = []
+    for service in arguments.service:
+        udp = bind_udp(service)
+        port = ServicePort(Endpoint(*udp.getsockname()), host_list, output, faults, rng)
+        transport, _ = await loop.create_datagram_endpoint(
+            partial(_same, port), sock=udp
+        )
+        ports.append(transport)
+    if arguments.port_file:
+        write_whole(
+            arguments.port_file,
+            {'ports': [port.get_extra_info('sockname')[1] for port in ports]},
+        )
+    while not stopped.is_set():
+        host_list.refresh()
+        try:
+            await asyncio.wait_for(stopped.wait(), _POLL_SECONDS)
+        except TimeoutError:
+            continue
+    for transport in (*ports, output):
+        transport.close()
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--service',
+        action='append',
+        type=parse_endpoint,
+        required=True,
+        help='service address as IP:PORT; may be given several times',
+    )
+    parser.add_argument('--host-file', required=True, help='JSON list of IP:PORT')
+    parser.add_argument('--port-file')
+    parser.add_argument('--loss', type=float, default=0)
+    parser.add_argument('--duplicate', type=float, default=0)
+    parser.add_argument('--seed', type=int)
+    return parser.parse_args()
+
+
+if __name__ == '__main__':
+    uvloop.run(serve(parse_arguments()))
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,136 @@
+"""Upstream stand-in: runs requests and pushes feeds (``python -m``)."""
+
+import argparse
+import time
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Final
+
+import uvloop
+from aiohttp import web
+
+from lycheedeal.model import Endpoint, Incarnation, ServiceName
+from standins import _upstream
+from standins._core import Dispatcher, Started
+from standins._runtime import Node, RecordLog, stop_event, system_clock, write_whole
+
+_LOCAL: Final = '127.0.0.1'
+_MS: Final = 1000
+
+_Query = Callable[[str, int], int]
+
+
+def _lie(query: _Query) -> _upstream.Control:
+    return _upstream.LieAboutLoad(query('running', 0), query('flows', 0))
+
+
+_CONTROLS: Final[Mapping[str, Callable[[_Query], _upstream.Control]]] = (
+    MappingProxyType(
+        {
+            'drain': lambda _: _upstream.Drain(),
+            'undrain': lambda _: _upstream.Undrain(),
+            'lie': _lie,
+            'fail': lambda query: _upstream.FailAtOnce(bool(query('enabled', 1))),
+            'silence': lambda query: _upstream.SilencePort(query('port', 0)),
+            'stop-hello': lambda query: _upstream.StopHello(bool(query('enabled', 1))),
+        },
+    )
+)
+
+
+def _control_app(context: _upstream.Context) -> web.Application:
+    async def control(request: web.Request) -> web.Response:
+        build = _CONTROLS.get(request.match_info['command'])
+        if build is None:
+            raise web.HTTPNotFound
+        command = build(lambda name, usual: int(request.query.get(name, usual)))
+        _upstream.apply_control(context, command)
+        return web.json_response({'applied': type(command).__name__})
+
+    async def stats(_: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'state': context.state().value,
+                'running': context.running,
+                'flows': context.flows,
+            },
+        )
+
+    app = web.Application()
+    app.router.add_post('/control/{command}', control)
+    app.router.add_get('/stats', stats)
+    return app
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Run the upstream until it is told to stop."""
+    stopped = stop_event()
+    incarnation = Incarnation(time.time_ns() // 1_000_000)
+    service = ServiceName(arguments.service)
+    clock = system_clock(arguments.seed)
+    settings = _upstream.UpstreamSettings(
+        service=service,
+        incarnation=incarnation,
+        slots=arguments.slots,
+        connections=arguments.connections,
+        service_time=arguments.service_ms / _MS,
+        cold_start=arguments.cold_start,
+        entry_interval=arguments.entry_interval,
+        answer_size=arguments.answer_size,
+        answer_order=_upstream.AnswerOrder(arguments.answer_order),
+        answer_delay=arguments.answer_delay_ms / _MS,
+    )
+    context = _upstream.Context(settings, clock, clock.monotonic())
+    records = RecordLog(
+        arguments.log_file,
+        {'service': service, 'incarnation': incarnation},
+    )
+    node = Node(Dispatcher(_upstream.PROGRAM, context), records, context.accepts)
+    bound = await node.start(Endpoint(_LOCAL, arguments.port))
+    runner = web.AppRunner(_control_app(context), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, _LOCAL, arguments.control_port)
+    await site.start()
+    node.dispatch(Started())
+    records.write('upstream_started', {'port': bound.port})
+    write_whole(
+        arguments.port_file,
+        {
+            'port': bound.port,
+            'control_port': runner.addresses[0][1],
+            'incarnation': incarnation,
+        },
+    )
+    await stopped.wait()
+    records.write('upstream_stopped', {})
+    await runner.cleanup()
+    node.close()
+    records.close()
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--control-port', type=int, default=0)
+    parser.add_argument('--port-file', required=True)
+    parser.add_argument('--log-file', required=True)
+    parser.add_argument('--slots', type=int, default=2)
+    parser.add_argument('--connections', type=int, default=4000)
+    parser.add_argument('--service-ms', type=float, default=20)
+    parser.add_argument('--cold-start', type=float, default=0, help='seconds')
+    parser.add_argument('--entry-interval', type=float, default=0.5, help='seconds')
+    parser.add_argument('--answer-size', type=int, default=2000)
+    parser.add_argument(
+        '--answer-order',
+        choices=[order.value for order in _upstream.AnswerOrder],
+        default=_upstream.AnswerOrder.IN_ORDER.value,
+    )
+    parser.add_argument('--answer-delay-ms', type=float, default=0)
+    parser.add_argument('--seed', type=int)
+    return parser.parse_args()
+
+
+if __name__ == '__main__':
+    uvloop.run(serve(parse_arguments()))
--- /dev/null
+++ b/tests/unit/test_records.py
@@ -0,0 +1,129 @@
+"""Counts must show each fault that the logs of callers and upstreams hold."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from standins import _records
+
+SUBMITTED = {'event': 'request_submitted', 'token': 'a', 'idempotent': False}
+FLOW = {'event': 'flow_opened', 'flow_id': 'f'}
+RUN = {'event': 'run_started', 'token': 'a'}
+
+
+def _ended(outcome: str) -> dict[str, Any]:
+    return {'event': 'request_ended', 'token': 'a', 'outcome': outcome}
+
+
+def _flow_ended(cause: str, at: float = 10, silent: float = 0.2) -> dict[str, Any]:
+    return {
+        'event': 'flow_ended',
+        'flow_id': 'f',
+        'cause': cause,
+        'at': at,
+        'missing': 0,
+        'silent_seconds': silent,
+        'longest_gap': 0.5,
+    }
+
+
+def _count(
+    caller: list[dict[str, Any]],
+    upstream: list[dict[str, Any]] | None = None,
+    crashes: tuple[_records.Window, ...] = (),
+) -> _records.Counts:
+    return _records.count(
+        _records.read_caller_log(caller),
+        _records.read_upstream_log(upstream or []),
+        crashes,
+    )
+
+
+def test_faultless_logs_give_only_good_counts() -> None:
+    """Guards against a count that rises without a fault."""
+    counts = _count(
+        [FLOW, SUBMITTED, _ended('answered'), _flow_ended('')],
+        [RUN],
+    )
+    assert counts == _records.Counts(
+        flows_opened=1,
+        requests=1,
+        whole_answers=1,
+        longest_gap_seconds=0.5,
+    )
+
+
+def test_request_run_twice_is_counted() -> None:
+    """Guards against a second run that hides behind a good answer."""
+    counts = _count([SUBMITTED, _ended('answered')], [RUN, RUN])
+    assert counts.ran_twice == 1
+
+
+def test_idempotent_rerun_is_counted_apart() -> None:
+    """Guards against taking an allowed retry for a fault."""
+    counts = _count(
+        [SUBMITTED | {'idempotent': True}, _ended('answered')],
+        [RUN, RUN],
+    )
+    assert (counts.ran_twice, counts.idempotent_reruns) == (0, 1)
+
+
+@pytest.mark.parametrize('outcome', ['not_run', 'not_sent'])
+def test_refused_request_that_ran_is_counted(outcome: str) -> None:
+    """Guards against a refusal that is believed without asking the upstreams."""
+    assert _count([SUBMITTED, _ended(outcome)], [RUN]).refused_but_ran == 1
+    assert _count([SUBMITTED, _ended(outcome)]).refused_but_ran == 0
+
+
+def test_torn_answer_is_counted() -> None:
+    """Guards against counting an incomplete answer as whole."""
+    counts = _count([SUBMITTED, _ended('foreign_or_torn')], [RUN])
+    assert (counts.foreign_or_torn_answers, counts.whole_answers) == (1, 0)
+
+
+def test_answer_on_another_flow_is_counted() -> None:
+    """Guards against overlooking an answer meant for another caller."""
+    counts = _count([{'event': 'foreign_answer', 'flow_id': 'other'}])
+    assert counts.foreign_or_torn_answers == 1
+
+
+@pytest.mark.parametrize('what', ['packet', 'run', 'flow'])
+def test_misrouted_work_is_counted(what: str) -> None:
+    """Guards against a packet of one service that reaches another."""
+    upstream = [{'event': 'misrouted', 'what': what, 'named': 'other'}]
+    assert _count([], upstream).misrouted == 1
+
+
+def test_request_without_an_end_is_unknown() -> None:
+    """Guards against losing a request whose caller never heard of it."""
+    counts = _count([SUBMITTED], [RUN])
+    assert (counts.outcome_unknown, counts.requests) == (1, 1)
+
+
+def test_broken_flow_is_planned_outside_a_crash() -> None:
+    """Guards against blaming a crash for a break that a plan caused."""
+    caller = [FLOW, _flow_ended('UNKNOWN_FLOW', at=10)]
+    crash = (_records.Window(9, 11),)
+    later = (_records.Window(11, 12),)
+    assert _count(caller).flows_broken_planned == 1
+    assert _count(caller, crashes=crash).flows_broken_crash == 1
+    assert _count(caller, crashes=later).flows_broken_planned == 1
+
+
+def test_silent_flow_is_broken() -> None:
+    """Guards against a flow that stalls without any message about it."""
+    counts = _count([FLOW, _flow_ended('', silent=8)])
+    assert counts.flows_broken_planned == 1
+    assert counts.causes == {'SILENT': 1}
+
+
+def test_flow_without_an_end_is_broken() -> None:
+    """Guards against a flow that vanishes from the log."""
+    assert _count([FLOW]).flows_broken_planned == 1
+
+
+def test_cut_off_last_line_is_left_out() -> None:
+    """Guards against losing a whole log because its writer was killed."""
+    text = msgspec.json.encode(RUN) + b'\n{"event": "run_sta'
+    assert list(_records.read_lines(text)) == [RUN]
