Add the demonstration with real processes

Cause: the whole path must be run with real processes and counted from the logs of callers and upstreams. Change: a plan of steps as data classes, carried out by modules that register themselves; the closing line is counted from log files. Work that a drained upstream gets after 3 s is counted too.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,163 @@
+"""Runs everything with real processes; ends with one JSON line."""
+
+import asyncio
+import json
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import uvloop
+
+# These modules register what carries out the steps.
+from demo import _faults, _operator, _plan, _systems, _traffic
+from demo._fleet import DemoError, Fleet, Processes
+from lycheedeal.model import HostId, UpstreamId
+from standins import _records
+
+_HTTP_SECONDS: Final = 10
+_LEAST_FLOWS: Final = 200
+_LEAST_REQUESTS: Final = 2000
+_MUST_BE_ZERO: Final = (
+    'flows_broken_planned',
+    'foreign_or_torn_answers',
+    'ran_twice',
+    'refused_but_ran',
+    'misrouted',
+    'work_after_drain',
+)
+_MODULES: Final = (_faults, _operator, _systems, _traffic)
+PLAN: Final[tuple[_plan.Step, ...]] = (
+    _plan.StartPlatform(),
+    _plan.StartUpstreams(),
+    _plan.StartHosts(),
+    _plan.StartFabric(),
+    _plan.CreateServices(),
+    _plan.MeasurePropagation(),
+    _plan.StartCallers(),
+    _plan.Wait(2),
+    _plan.DrainOneUpstream(
+        _systems.SERVICES[0],
+        UpstreamId(f'{_systems.SERVICES[0]}-{_systems.ZONES[0]}-0'),
+    ),
+    _plan.StopHost(HostId(f'{_systems.ZONES[0]}-1')),
+    _plan.TakePlatformAway(5),
+    _plan.Wait(5),
+    _plan.KillHost(HostId(f'{_systems.ZONES[1]}-1')),
+    _plan.Wait(3),
+    _plan.ReadControlCost(),
+    _plan.FinishCallers(),
+)
+
+
+async def run_plan(fleet: Fleet) -> None:
+    """Carry out all steps; the first that fails ends the plan."""
+    started = time.monotonic()
+    for step in PLAN:
+        elapsed = time.monotonic() - started
+        print(f'{elapsed:5.1f} s  {step}', file=sys.stderr, flush=True)
+        try:
+            await _plan.carry_out(step, fleet)
+        except (DemoError, TimeoutError, aiohttp.ClientError, KeyError) as error:
+            fleet.failures.append(f'{step}: {error!r}')
+            return
+
+
+def count_logs(directory: Path, fleet: Fleet) -> _records.Counts:
+    """Return the counts from the logs of callers and upstreams."""
+    caller_lines = _lines(directory, '*.caller.log')
+    upstream_lines = _lines(directory, '*.upstream.log')
+    return _records.count(
+        _records.read_caller_log(caller_lines),
+        _records.read_upstream_log(upstream_lines),
+        fleet.crashes,
+    )
+
+
+def _lines(directory: Path, pattern: str) -> list[dict[str, Any]]:
+    return [
+        line
+        for path in sorted(directory.glob(pattern))
+        for line in _records.read_lines(path.read_bytes())
+    ]
+
+
+def _work_after_drain(fleet: Fleet) -> int:
+    late = 0
+    for upstream_id, drained_at in fleet.drained_at_by_upstream.items():
+        lines = _lines(fleet.directory, f'{upstream_id}.upstream.log')
+        records = _records.read_upstream_log(lines)
+        late += _records.count_work_after_drain(records, drained_at)
+    return late
+
+
+def build_report(counts: _records.Counts, fleet: Fleet) -> dict[str, Any]:
+    """Return the closing line; adds to the failures what must not be."""
+    report = {
+        'flows_opened': counts.flows_opened,
+        'flows_broken_planned': counts.flows_broken_planned,
+        'flows_broken_crash': counts.flows_broken_crash,
+        'requests': counts.requests,
+        'whole_answers': counts.whole_answers,
+        'foreign_or_torn_answers': counts.foreign_or_torn_answers,
+        'ran_twice': counts.ran_twice,
+        'refused_not_run': counts.refused_not_run,
+        'refused_but_ran': counts.refused_but_ran,
+        'outcome_unknown': counts.outcome_unknown,
+        'not_sent': counts.not_sent,
+        'misrouted': counts.misrouted,
+        'work_after_drain': _work_after_drain(fleet),
+        'longest_gap_seconds': round(counts.longest_gap_seconds, 2),
+        'entries_missing': counts.entries_missing,
+        'causes': counts.causes,
+        'control_bytes_per_second_per_host': None,
+        'api_calls_per_second': None,
+        'config_in_force_seconds': None,
+        **fleet.measures,
+    }
+    fleet.failures.extend(f'{name} is not 0' for name in _MUST_BE_ZERO if report[name])
+    if counts.flows_opened < _LEAST_FLOWS:
+        fleet.failures.append(f'fewer than {_LEAST_FLOWS} flows were opened')
+    if counts.requests < _LEAST_REQUESTS:
+        fleet.failures.append(f'fewer than {_LEAST_REQUESTS} requests were sent')
+    return report
+
+
+async def demonstrate(directory: Path) -> int:
+    """Run the plan and report; return the exit status."""
+    started = time.monotonic()
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    timeout = aiohttp.ClientTimeout(total=_HTTP_SECONDS)
+    processes = Processes(directory)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        fleet = Fleet(directory, processes, http)
+        try:
+            await run_plan(fleet)
+        finally:
+            await processes.close()
+    report = build_report(count_logs(directory, fleet), fleet)
+    report['seconds'] = round(time.monotonic() - started, 1)
+    if fleet.failures:
+        print(f'failed; logs are in {directory}', file=sys.stderr)
+        report['failures'] = fleet.failures
+    print(json.dumps(report), flush=True)
+    return 1 if fleet.failures else 0
+
+
+def main() -> int:
+    """Run the demonstration in a directory of its own."""
+    directory = Path(tempfile.mkdtemp(prefix='lycheedeal-demo-'))
+    status = uvloop.run(demonstrate(directory))
+    if status == 0:
+        shutil.rmtree(directory)
+    return status
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/demo/_faults.py
@@ -0,0 +1,66 @@
+"""Stops and kills hosts and takes the platform away."""
+
+import asyncio
+import signal
+import time
+from typing import Final
+
+from demo import _plan
+from demo._fleet import Fleet, Host
+from lycheedeal.model import HostId
+from standins._records import Window
+
+# Time until the fabric leaves out a host that stops or crashed.
+_FABRIC_LAG: Final = 1.0
+# A broken flow is noticed at the next keepalive, a silent one after 10 s.
+_CRASH_EFFECT_SECONDS: Final = 12.0
+_EXIT_SECONDS: Final = 12.0
+
+
+async def _disturb(step: _plan.Step, fleet: Fleet) -> None:
+    match step:
+        case _plan.Wait(seconds):
+            await asyncio.sleep(seconds)
+        case _plan.StopHost(host_id):
+            await _stop_host(fleet, host_id)
+        case _plan.KillHost(host_id):
+            await _kill_host(fleet, host_id)
+        case _plan.TakePlatformAway(seconds):
+            url = f'{fleet.platform_url}/control/outage?seconds={seconds}'
+            async with fleet.http.post(url) as answer:
+                answer.raise_for_status()
+
+
+async def _stop_host(fleet: Fleet, host_id: HostId) -> None:
+    host = await _end(fleet, host_id, signal.SIGTERM)
+    try:
+        async with asyncio.timeout(_EXIT_SECONDS):
+            status = await host.process.wait()
+    except TimeoutError:
+        fleet.failures.append(f'{host_id} did not exit after SIGTERM')
+        return
+    if status:
+        fleet.failures.append(f'{host_id} exited with {status} after SIGTERM')
+
+
+async def _kill_host(fleet: Fleet, host_id: HostId) -> None:
+    now = time.time()
+    fleet.crashes.append(Window(now, now + _CRASH_EFFECT_SECONDS))
+    await _end(fleet, host_id, signal.SIGKILL)
+
+
+async def _end(fleet: Fleet, host_id: HostId, number: signal.Signals) -> Host:
+    host = fleet.hosts_by_id.pop(host_id)
+    host.process.send_signal(number)
+    await asyncio.sleep(_FABRIC_LAG)
+    fleet.write_host_file()
+    return host
+
+
+_plan.register(
+    _disturb,
+    _plan.Wait,
+    _plan.StopHost,
+    _plan.KillHost,
+    _plan.TakePlatformAway,
+)
--- /dev/null
+++ b/demo/_fleet.py
@@ -0,0 +1,184 @@
+"""Processes of the demonstration and what is known about them."""
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from lycheedeal.model import Endpoint, HostId, ServiceName, UpstreamId, Zone
+from standins._records import Window
+from standins._runtime import write_whole
+
+LOCAL: Final = '127.0.0.1'
+_POLL: Final = 0.05
+_START_SECONDS: Final = 15.0
+_STOP_SECONDS: Final = 3.0
+_FLOW_KEY_SIZE: Final = 32
+
+
+class DemoError(Exception):
+    """A step of the demonstration failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One daemon."""
+
+    host_id: HostId
+    zone: Zone
+    data: Endpoint
+    peer: Endpoint
+    gossip: Endpoint
+    admin: Endpoint
+    process: asyncio.subprocess.Process
+
+    def statement_url(self) -> str:
+        """Return where the daemon takes statements."""
+        return f'http://{self.admin}/v1/statement'
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamProcess:
+    """One upstream stand-in."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+    zone: Zone
+    endpoint: Endpoint
+
+
+class Processes:
+    """Child processes; ``close`` ends those that still run."""
+
+    def __init__(self, directory: Path) -> None:
+        """Take the directory for the output of the processes."""
+        self._directory = directory
+        self._running: list[asyncio.subprocess.Process] = []
+        self._environment = {
+            **os.environ,
+            'LYCHEEDEAL_FLOW_KEY': secrets.token_hex(_FLOW_KEY_SIZE),
+        }
+
+    async def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: object,
+    ) -> asyncio.subprocess.Process:
+        """Start a Python module; its output goes to a file of this name."""
+        with (self._directory / f'{name}.out').open('wb') as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *(str(one) for one in arguments),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=self._environment,
+            )
+        self._running.append(process)
+        return process
+
+    async def run(self, module: str, *arguments: str) -> tuple[int, str]:
+        """Run a Python module to its end; return its status and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env=self._environment,
+        )
+        self._running.append(process)
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    async def close(self) -> None:
+        """End all processes, with force if they take too long."""
+        running = [one for one in self._running if one.returncode is None]
+        for process in running:
+            _send_signal(process, signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_STOP_SECONDS):
+                for process in running:
+                    await process.wait()
+        for process in running:
+            if process.returncode is None:
+                _send_signal(process, signal.SIGKILL)
+                await process.wait()
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Everything that the steps share."""
+
+    directory: Path
+    processes: Processes
+    http: aiohttp.ClientSession
+    platform_url: str = ''
+    hosts_by_id: dict[HostId, Host] = field(default_factory=dict)
+    upstreams: list[UpstreamProcess] = field(default_factory=list)
+    addresses_by_service: dict[ServiceName, Endpoint] = field(default_factory=dict)
+    callers: list[asyncio.subprocess.Process] = field(default_factory=list)
+    feeders: list[asyncio.subprocess.Process] = field(default_factory=list)
+    crashes: list[Window] = field(default_factory=list)
+    drained_at_by_upstream: dict[UpstreamId, float] = field(default_factory=dict)
+    failures: list[str] = field(default_factory=list)
+    measures: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def host_file(self) -> Path:
+        """Return the file from which the fabric reads the live hosts."""
+        return self.directory / 'hosts.json'
+
+    def path(self, name: str) -> str:
+        """Return the path of a file of the demonstration."""
+        return str(self.directory / name)
+
+    def write_host_file(self) -> None:
+        """Tell the fabric which hosts are live."""
+        live = [str(host.data) for host in self.hosts_by_id.values()]
+        write_whole(str(self.host_file), live)
+
+    async def read_port_file(
+        self,
+        name: str,
+        process: asyncio.subprocess.Process,
+    ) -> dict[str, Any]:
+        """Wait for the file in which a process notes its ports."""
+        path = self.directory / name
+        async with asyncio.timeout(_START_SECONDS):
+            while not path.exists():
+                if process.returncode is not None:
+                    raise DemoError(f'{name}: process ended with {process.returncode}')
+                await asyncio.sleep(_POLL)
+        content: dict[str, Any] = json.loads(path.read_text())
+        return content
+
+
+def choose_ports(kind: socket.SocketKind, count: int) -> list[Endpoint]:
+    """Return free ports; all are bound together, so that they differ."""
+    with contextlib.ExitStack() as stack:
+        endpoints: list[Endpoint] = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket(socket.AF_INET, kind))
+            one.bind((LOCAL, 0))
+            endpoints.append(Endpoint(*one.getsockname()))
+        return endpoints
+
+
+def _send_signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        process.send_signal(number)
--- /dev/null
+++ b/demo/_operator.py
@@ -0,0 +1,120 @@
+"""What the operator does, through lycheectl, and what it shows him."""
+
+import asyncio
+import json
+import time
+from typing import Any, Final
+
+import aiohttp
+
+from demo import _plan
+from demo._fleet import DemoError, Fleet, Host
+from demo._systems import SERVICES
+from lycheedeal.model import ServiceName
+
+_POLL: Final = 0.02
+_IN_FORCE_SECONDS: Final = 10.0
+_KINDS_BY_SERVICE: Final = {
+    SERVICES[0]: ('feed of {} priority 0 long', 'check-in of {} priority 0'),
+    SERVICES[1]: ('photos of {} priority 5 idempotent',),
+}
+
+
+async def _operate(step: _plan.Step, fleet: Fleet) -> None:
+    match step:
+        case _plan.CreateServices():
+            await asyncio.gather(*(_create(fleet, service) for service in SERVICES))
+        case _plan.MeasurePropagation():
+            await _measure_propagation(fleet)
+        case _plan.DrainOneUpstream(service, upstream_id):
+            await control(fleet, f'drain upstream {upstream_id} of {service}')
+            fleet.drained_at_by_upstream[upstream_id] = time.time()
+
+
+async def _create(fleet: Fleet, service: ServiceName) -> None:
+    address = fleet.addresses_by_service[service]
+    await control(fleet, f'create service {service} at {address}')
+    for kind in _KINDS_BY_SERVICE[service]:
+        await control(fleet, f'create kind {kind.format(service)}')
+    for upstream in fleet.upstreams:
+        if upstream.service == service:
+            await control(
+                fleet,
+                f'create upstream {upstream.upstream_id} of {service} '
+                f'at {upstream.endpoint} in {upstream.zone}',
+            )
+
+
+async def _measure_propagation(fleet: Fleet) -> None:
+    # Sent over HTTP, because the end of a lycheectl process comes noticeably
+    # later than the acceptance of the change.
+    hosts = tuple(fleet.hosts_by_id.values())
+    change = f'create kind spare of {SERVICES[0]} priority 9'
+    content = await _post_statement(fleet, hosts[0], change)
+    accepted_at = time.monotonic()
+    generation = content['generation']
+    async with asyncio.timeout(_IN_FORCE_SECONDS):
+        await asyncio.gather(*(_wait_for(fleet, host, generation) for host in hosts))
+    elapsed = time.monotonic() - accepted_at
+    fleet.measures['config_in_force_seconds'] = round(elapsed, 3)
+
+
+async def _wait_for(fleet: Fleet, host: Host, generation: int) -> None:
+    while generation not in await _generations(fleet, host):
+        await asyncio.sleep(_POLL)
+
+
+async def _generations(fleet: Fleet, host: Host) -> list[int]:
+    content = await _post_statement(fleet, host, 'show config')
+    return [shard['generation'] for shard in content['shards']]
+
+
+async def _post_statement(fleet: Fleet, host: Host, text: str) -> dict[str, Any]:
+    async with fleet.http.post(host.statement_url(), json={'text': text}) as answer:
+        document = await answer.json()
+    if document['exit_code']:
+        raise DemoError(f'{text}: {document}')
+    content: dict[str, Any] = document['content']
+    return content
+
+
+async def control(fleet: Fleet, statement: str) -> dict[str, Any]:
+    """Send a statement with lycheectl; return its answer."""
+    admins = ','.join(str(host.admin) for host in fleet.hosts_by_id.values())
+    status, output = await fleet.processes.run(
+        'lycheedeal.cli.ctl',
+        *('--host', admins, '--output', 'json', statement),
+    )
+    if status:
+        raise DemoError(f'{statement}: status {status}: {output}')
+    answer: dict[str, Any] = json.loads(output)
+    return answer
+
+
+async def kind_ids(fleet: Fleet, service: ServiceName) -> dict[str, int]:
+    """Return the ids of the kinds of a service by name."""
+    answer = await control(fleet, f'show service {service}')
+    return {kind['name']: kind['kind_id'] for kind in answer['service']['kinds']}
+
+
+async def metric(fleet: Fleet, host: Host, name: str) -> float | None:
+    """Return the sum of a metric over its labels, None if it is not there."""
+    try:
+        async with fleet.http.get(f'http://{host.admin}/metrics') as answer:
+            text = await answer.text()
+    except aiohttp.ClientError:
+        return None
+    found = [
+        float(line.rpartition(' ')[2])
+        for line in text.splitlines()
+        if line.startswith((f'{name} ', f'{name}{{'))
+    ]
+    return sum(found) if found else None
+
+
+_plan.register(
+    _operate,
+    _plan.CreateServices,
+    _plan.MeasurePropagation,
+    _plan.DrainOneUpstream,
+)
--- /dev/null
+++ b/demo/_plan.py
@@ -0,0 +1,123 @@
+"""Steps of the demonstration; modules register what carries them out."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from demo._fleet import Fleet
+from lycheedeal.model import HostId, ServiceName, UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class StartPlatform:
+    """Starts the object API."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartUpstreams:
+    """Starts the upstreams of all services."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartHosts:
+    """Starts the daemons and waits until they answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartFabric:
+    """Starts the fabric in front of the daemons."""
+
+
+@dataclass(frozen=True, slots=True)
+class CreateServices:
+    """Creates services, kinds and upstreams through lycheectl."""
+
+
+@dataclass(frozen=True, slots=True)
+class MeasurePropagation:
+    """Makes a change and waits until it is in force on every live host."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartCallers:
+    """Starts long flows and requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Lets time pass."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class DrainOneUpstream:
+    """Drains an upstream through lycheectl."""
+
+    service: ServiceName
+    upstream_id: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class StopHost:
+    """Stops a daemon gracefully; it must exit with status 0."""
+
+    host_id: HostId
+
+
+@dataclass(frozen=True, slots=True)
+class KillHost:
+    """Kills a daemon."""
+
+    host_id: HostId
+
+
+@dataclass(frozen=True, slots=True)
+class TakePlatformAway:
+    """Makes the object API fail for some seconds."""
+
+    seconds: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadControlCost:
+    """Reads what control traffic and calls to the object API cost."""
+
+
+@dataclass(frozen=True, slots=True)
+class FinishCallers:
+    """Waits for the requests, then stops the callers."""
+
+
+Step = (
+    StartPlatform
+    | StartUpstreams
+    | StartHosts
+    | StartFabric
+    | CreateServices
+    | MeasurePropagation
+    | StartCallers
+    | Wait
+    | DrainOneUpstream
+    | StopHost
+    | KillHost
+    | TakePlatformAway
+    | ReadControlCost
+    | FinishCallers
+)
+Handler = Callable[[Any, Fleet], Awaitable[None]]
+
+_handlers_by_step: Final[dict[type, Handler]] = {}
+
+
+def register(handler: Handler, *steps: type) -> None:
+    """Name the function that carries out steps of these types."""
+    for step in steps:
+        if step in _handlers_by_step:
+            raise ValueError(f'step {step.__name__} is registered twice')
+        _handlers_by_step[step] = handler
+
+
+async def carry_out(step: Step, fleet: Fleet) -> None:
+    """Carry out one step."""
+    await _handlers_by_step[type(step)](step, fleet)
--- /dev/null
+++ b/demo/_systems.py
@@ -0,0 +1,147 @@
+"""Starts the platform, upstreams, daemons and the fabric."""
+
+import asyncio
+import socket
+from typing import Final
+
+import aiohttp
+
+from demo import _plan
+from demo._fleet import LOCAL, DemoError, Fleet, Host, UpstreamProcess, choose_ports
+from lycheedeal.model import Endpoint, HostId, ServiceName, UpstreamId, Zone
+
+ZONES: Final = (Zone('coyhaique'), Zone('cochrane'))
+SERVICES: Final = (ServiceName('bitacora-api'), ServiceName('reparo'))
+_HOSTS_BY_ZONE: Final = 3
+_UPSTREAMS_BY_ZONE: Final = 2
+_REGION: Final = 'sur'
+_DRAIN_SECONDS: Final = 6
+_START_SECONDS: Final = 15.0
+_POLL: Final = 0.05
+
+
+async def _start(step: _plan.Step, fleet: Fleet) -> None:
+    match step:
+        case _plan.StartPlatform():
+            await _start_platform(fleet)
+        case _plan.StartUpstreams():
+            await _start_upstreams(fleet)
+        case _plan.StartHosts():
+            await _start_hosts(fleet)
+        case _plan.StartFabric():
+            await _start_fabric(fleet)
+
+
+async def _start_platform(fleet: Fleet) -> None:
+    name = 'platform.port'
+    process = await fleet.processes.start(
+        'platform',
+        'standins.platform',
+        *('--port', 0, '--port-file', fleet.path(name)),
+    )
+    ports = await fleet.read_port_file(name, process)
+    fleet.platform_url = f'http://{LOCAL}:{ports["port"]}'
+
+
+async def _start_upstreams(fleet: Fleet) -> None:
+    wanted = [
+        (service, zone, UpstreamId(f'{service}-{zone}-{place}'))
+        for service in SERVICES
+        for zone in ZONES
+        for place in range(_UPSTREAMS_BY_ZONE)
+    ]
+    started = [
+        await fleet.processes.start(
+            upstream_id,
+            'standins.upstream',
+            *('--service', service),
+            *('--port-file', fleet.path(f'{upstream_id}.port')),
+            *('--log-file', fleet.path(f'{upstream_id}.upstream.log')),
+            *('--answer-order', 'shuffled', '--answer-delay-ms', 20),
+            *('--answer-size', 80_000 if service == SERVICES[1] else 2000),
+        )
+        for service, _, upstream_id in wanted
+    ]
+    for process, (service, zone, upstream_id) in zip(started, wanted, strict=True):
+        ports = await fleet.read_port_file(f'{upstream_id}.port', process)
+        endpoint = Endpoint(LOCAL, ports['port'])
+        fleet.upstreams.append(UpstreamProcess(service, upstream_id, zone, endpoint))
+
+
+async def _start_hosts(fleet: Fleet) -> None:
+    for zone in ZONES:
+        peers = choose_ports(socket.SOCK_DGRAM, 2 * _HOSTS_BY_ZONE)
+        admins = choose_ports(socket.SOCK_STREAM, 2 * _HOSTS_BY_ZONE)
+        for place in range(_HOSTS_BY_ZONE):
+            host = await _start_host(
+                fleet,
+                HostId(f'{zone}-{place}'),
+                zone,
+                (peers[2 * place], peers[2 * place + 1]),
+                (admins[2 * place], admins[2 * place + 1]),
+                peers[1::2],
+            )
+            fleet.hosts_by_id[host.host_id] = host
+    await asyncio.gather(
+        *(_wait_for_host(fleet, host) for host in fleet.hosts_by_id.values()),
+    )
+    fleet.write_host_file()
+
+
+async def _start_host(
+    fleet: Fleet,
+    host_id: HostId,
+    zone: Zone,
+    udp: tuple[Endpoint, Endpoint],
+    tcp: tuple[Endpoint, Endpoint],
+    peers: list[Endpoint],
+) -> Host:
+    data, peer = udp
+    gossip, admin = tcp
+    seeds = ','.join(str(one) for one in peers if one != peer)
+    process = await fleet.processes.start(
+        host_id,
+        'lycheedeal.cli.daemon',
+        *('--host-id', host_id, '--region', _REGION, '--zone', zone),
+        *('--data', data, '--peer', peer, '--gossip', gossip, '--admin', admin),
+        *('--platform-url', fleet.platform_url, '--peer-seeds', seeds),
+        *('--drain-seconds', _DRAIN_SECONDS),
+    )
+    return Host(host_id, zone, data, peer, gossip, admin, process)
+
+
+async def _wait_for_host(fleet: Fleet, host: Host) -> None:
+    async with asyncio.timeout(_START_SECONDS):
+        while host.process.returncode is None:
+            try:
+                async with fleet.http.get(f'http://{host.admin}/healthz') as answer:
+                    if answer.ok:
+                        return
+            except aiohttp.ClientError:
+                # The port is not yet open.
+                await asyncio.sleep(_POLL)
+    raise DemoError(f'{host.host_id} ended with status {host.process.returncode}')
+
+
+async def _start_fabric(fleet: Fleet) -> None:
+    name = 'fabric.port'
+    services = [part for _ in SERVICES for part in ('--service', f'{LOCAL}:0')]
+    process = await fleet.processes.start(
+        'fabric',
+        'standins.fabric',
+        *services,
+        *('--host-file', fleet.host_file, '--port-file', fleet.path(name)),
+        *('--loss', 0.005, '--duplicate', 0.005),
+    )
+    ports = await fleet.read_port_file(name, process)
+    for service, port in zip(SERVICES, ports['ports'], strict=True):
+        fleet.addresses_by_service[service] = Endpoint(LOCAL, port)
+
+
+_plan.register(
+    _start,
+    _plan.StartPlatform,
+    _plan.StartUpstreams,
+    _plan.StartHosts,
+    _plan.StartFabric,
+)
--- a/standins/_records.py
+++ b/standins/_records.py
@@ -16,6 +16,8 @@
 # A flow that heard nothing for so long when its caller stopped is broken,
 # although nobody told the caller: keepalives are answered every second.
 _SILENT_SECONDS: Final = 5.0
+# Every host must know within this time that an upstream is drained.
+_DRAIN_BOUND: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +25,14 @@
     """An upstream began to run a request."""
 
     token: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class FlowTaken:
+    """An upstream accepted a long flow."""
+
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +87,7 @@
 
 
 CallerRecord = RequestSubmitted | RequestEnded | ForeignAnswer | FlowOpened | FlowEnded
-UpstreamRecord = RunStarted | Misrouted
+UpstreamRecord = RunStarted | FlowTaken | Misrouted
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +161,9 @@
     for line in lines:
         match line:
             case {'event': 'run_started', 'token': token}:
-                yield RunStarted(token)
+                yield RunStarted(token, line['at'])
+            case {'event': 'flow_opened', 'at': at}:
+                yield FlowTaken(at)
             case {'event': 'misrouted', 'what': what}:
                 yield Misrouted(what)
 
@@ -190,6 +202,9 @@
                 runs_by_token[token] += 1
             case Misrouted():
                 counts.misrouted += 1
+            case FlowTaken():
+                # Only of interest for an upstream that was drained.
+                continue
     counts.requests = len(idempotent_by_token)
     for token, idempotent in idempotent_by_token.items():
         outcome = outcomes_by_token.get(token, RequestOutcome.UNKNOWN)
@@ -197,6 +212,18 @@
     return counts
 
 
+def count_work_after_drain(
+    upstream: Iterable[UpstreamRecord],
+    drained_at: float,
+) -> int:
+    """Return how much new work one upstream got too long after its drain."""
+    return sum(
+        isinstance(record, RunStarted | FlowTaken)
+        and record.at > drained_at + _DRAIN_BOUND
+        for record in upstream
+    )
+
+
 def _count_flow(counts: Counts, ended: FlowEnded, crashes: tuple[Window, ...]) -> None:
     counts.entries_missing += ended.missing
     counts.longest_gap_seconds = max(counts.longest_gap_seconds, ended.longest_gap)
--- a/standins/_runtime.py
+++ b/standins/_runtime.py
@@ -52,7 +52,7 @@
     return udp
 
 
-def write_whole(path: str, content: dict[str, Any]) -> None:
+def write_whole(path: str, content: dict[str, Any] | list[str]) -> None:
     """Write a JSON file so that a reader never sees half of it."""
     partial = Path(f'{path}.partial')
     partial.write_text(json.dumps(content))
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -9,7 +9,7 @@
 
 SUBMITTED = {'event': 'request_submitted', 'token': 'a', 'idempotent': False}
 FLOW = {'event': 'flow_opened', 'flow_id': 'f'}
-RUN = {'event': 'run_started', 'token': 'a'}
+RUN = {'event': 'run_started', 'token': 'a', 'at': 10}
 
 
 def _ended(outcome: str) -> dict[str, Any]:
@@ -123,6 +123,15 @@
     assert _count([FLOW]).flows_broken_planned == 1
 
 
+def test_work_after_a_drain_is_counted() -> None:
+    """Guards against a drained upstream that still gets new work."""
+    taken = {'event': 'flow_opened', 'flow_id': 'f', 'at': 14}
+    records = list(_records.read_upstream_log([RUN, taken]))
+    assert _records.count_work_after_drain(records, drained_at=9) == 1
+    assert _records.count_work_after_drain(records, drained_at=6) == 2
+    assert _records.count_work_after_drain(records, drained_at=12) == 0
+
+
 def test_cut_off_last_line_is_left_out() -> None:
     """Guards against losing a whole log because its writer was killed."""
     text = msgspec.json.encode(RUN) + b'\n{"event": "run_sta'
