Add the spill rule balanced

Cause: zones of unequal size overloaded the upstreams of the small ones. Change: hosts compare their zone share of hosts and of slots; the list of hosts is published to the other plug-ins.

--- a/bench/zone_network.py
+++ b/bench/zone_network.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -56,7 +56,7 @@
     def __init__(self, host: 'VirtualHost') -> None:
         self._host = host
 
-    def handle(self, event: Event) -> Iterable[Any]:
+    def handle(self, event: Event) -> Iterator[Any]:
         match event:
             case MembersChanged(members):
                 self._host.lists.append(members)
--- a/experiments/steering.py
+++ b/experiments/steering.py
@@ -56,17 +56,20 @@
     control_bytes: int
     packet_bytes: int
 
-    def open(self, flow: int, host: int, now: float) -> int: ...
+    def open(self, flow: int, host: int, now: float) -> int:
+        """See the class."""
 
-    def packet(self, flow: int, host: int, now: float) -> int: ...
+    def packet(self, flow: int, host: int, now: float) -> int:
+        """See the class."""
 
-    def change(
-        self, now: float, upstreams: frozenset[int], lags: list[float]
-    ) -> None: ...
+    def change(self, now: float, upstreams: frozenset[int], lags: list[float]) -> None:
+        """See the class."""
 
-    def replace_host(self, host: int, now: float) -> None: ...
+    def replace_host(self, host: int, now: float) -> None:
+        """See the class."""
 
-    def state_entries(self) -> float: ...
+    def state_entries(self) -> float:
+        """See the class."""
 
 
 class SelfDescribing:
--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -28,7 +28,7 @@
   show flows [of NAME] | show hosts | show config
   show refusals [since DURATION]                     DURATION as in 30s, 5m, 1h
 
-  create service NAME at IP:PORT [spill never|when-down]
+  create service NAME at IP:PORT [spill never|when-down|balanced]
   create kind NAME of SERVICE priority N [floor P%] [idempotent] [long]
   create upstream NAME of SERVICE at IP:PORT in ZONE [slots N] [connections N]
   drain upstream NAME of SERVICE | undrain upstream NAME of SERVICE
--- a/src/lycheedeal/membership/_candidates.py
+++ b/src/lycheedeal/membership/_candidates.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lycheedeal.model import Endpoint, HostId, Zone
+from lycheedeal.model import Endpoint, HostId, Incarnation, Member, Zone
 
 _MAX_CANDIDATES: Final = 2048
 
@@ -19,6 +19,8 @@
     host_id: HostId
     zone: Zone
     peer: str
+    gossip: str
+    admin: str
 
 
 _decoder: Final = msgspec.json.Decoder(list[ListedHost])
@@ -54,15 +56,26 @@
         return self._waiting[-1]
 
 
-def parse_host_list(body: bytes, zone: Zone) -> list[Endpoint] | None:
-    """Return the peer endpoints of a zone; None if the list is malformed."""
+def parse_host_list(body: bytes) -> tuple[Member, ...] | None:
+    """Return the listed hosts of all zones; None if the list is malformed."""
     try:
-        hosts = _decoder.decode(body)
-        return [_endpoint(host.peer) for host in hosts if host.zone == zone]
+        return tuple(map(_member, _decoder.decode(body)))
     except (msgspec.MsgspecError, ValueError):
         return None
 
 
+def _member(listed: ListedHost) -> Member:
+    return Member(
+        host_id=listed.host_id,
+        zone=listed.zone,
+        peer=_endpoint(listed.peer),
+        gossip=_endpoint(listed.gossip),
+        admin=_endpoint(listed.admin),
+        # The list does not know which process runs on a host.
+        incarnation=Incarnation(0),
+    )
+
+
 def _endpoint(text: str) -> Endpoint:
     ip, _, port = text.rpartition(':')
     return Endpoint(ip, int(port))
--- a/src/lycheedeal/membership/_plugin.py
+++ b/src/lycheedeal/membership/_plugin.py
@@ -11,6 +11,7 @@
     CallApi,
     Context,
     Effect,
+    HostsListed,
     Event,
     Exit,
     Log,
@@ -202,11 +203,13 @@
     ) -> Iterator[Effect]:
         if call_id != self._hosts_call or status is not ApiStatus.OK:
             return
-        endpoints = parse_host_list(body, self._context.settings.zone)
-        if endpoints is None:
+        listed = parse_host_list(body)
+        if listed is None:
             yield Log('membership', LogLevel.WARNING, 'malformed host list ignored')
-        else:
-            self._candidates.add(endpoints)
+            return
+        zone = self._context.settings.zone
+        self._candidates.add(one.peer for one in listed if one.zone == zone)
+        yield Publish(HostsListed(listed))
 
     def _begin_stop(self, now: float) -> Iterator[Effect]:
         if self._stop.begin_stop(now):
--- a/src/lycheedeal/operators/_parser.py
+++ b/src/lycheedeal/operators/_parser.py
@@ -72,6 +72,9 @@
     def spill_when_down(self) -> model.SpillRule:
         return model.SpillRule.WHEN_DOWN
 
+    def spill_balanced(self) -> model.SpillRule:
+        return model.SpillRule.BALANCED
+
     def floor(self, percent: Token) -> float:
         share = float(percent.rstrip('%')) / _PERCENT
         if share > 1:
--- a/src/lycheedeal/runtime/_metrics.py
+++ b/src/lycheedeal/runtime/_metrics.py
@@ -82,6 +82,16 @@
         'Flows that ended, by error kind or "closed".',
         ('service', 'kind', 'result'),
     ),
+    CounterSpec(
+        'control_bytes_total',
+        'Bytes of control messages sent, by link.',
+        ('link',),
+    ),
+    CounterSpec(
+        'api_calls_total',
+        'Calls to the object API, by operation.',
+        ('operation',),
+    ),
     CounterSpec(
         'statements_total',
         'Operator statements answered, by exit code.',
--- a/src/lycheedeal/steering/_zones.py
+++ b/src/lycheedeal/steering/_zones.py
@@ -78,9 +78,9 @@
                 slots[upstream.zone] += upstream.slots
         total = max(slots.total(), 1)
         own_zone = self._state.context.settings.zone
+        zones = {own_zone, *self._remote_by_zone, *slots}
         return {
-            zone: self._host_share(zone) - slots[zone] / total
-            for zone in {own_zone, *self._remote_by_zone, *slots}
+            zone: self._host_share(zone) - slots[zone] / total for zone in sorted(zones)
         }
 
     def _host_share(self, zone: Zone) -> float:
