Test the queue of a service under floods

Cause: goodput, floors and balance are guarantees and need a check. Change: simulation on virtual time with 7 upstreams of 2 slots and 50 ms service time. A listed newer incarnation makes an older owner lost at once.

--- a/src/lycheedeal/requests/_ledger.py
+++ b/src/lycheedeal/requests/_ledger.py
@@ -35,7 +35,8 @@
     def now_ms(self) -> int:
         """Return Unix milliseconds that never go backwards.
 
-        A clock that is set back must not make an expired request current.
+        A clock that is set back must not make an expired request current;
+        until it catches up, new requests appear late and are refused.
         """
         self._latest_ms = max(self._latest_ms, self.context.wall_ms())
         return self._latest_ms
--- a/src/lycheedeal/requests/_routing.py
+++ b/src/lycheedeal/requests/_routing.py
@@ -66,6 +66,7 @@
         self._context = context
         self._codec = FlowIdCodec(context.settings.flow_key)
         self._listed: frozenset[_Process] = frozenset()
+        self._incarnations_by_peer: dict[Endpoint, Incarnation] = {}
         self._departed_at: dict[_Process, float] = {}
 
     def route(self, flow_id: FlowId) -> Route:
@@ -90,6 +91,7 @@
         for missing in self._listed - listed:
             self._departed_at[missing] = now
         self._listed = listed
+        self._incarnations_by_peer = dict(listed)
         self._departed_at = {
             process: since
             for process, since in self._departed_at.items()
@@ -99,6 +101,9 @@
             self._departed_at.pop(next(iter(self._departed_at)))
 
     def _is_lost(self, process: _Process) -> bool:
+        peer, incarnation = process
+        if self._incarnations_by_peer.get(peer, incarnation) > incarnation:
+            return True
         since = self._departed_at.get(process)
         if since is None:
             return False
--- /dev/null
+++ b/tests/unit/test_admission_queue.py
@@ -0,0 +1,261 @@
+"""Goodput, floors and balance of the queue of a service, on virtual time."""
+
+import heapq
+import random
+from dataclasses import replace
+
+import pytest
+
+from lycheedeal.admission import Assignment, QueuedRequest, ServiceQueue, Shed
+from lycheedeal.errors import ErrorKind
+from lycheedeal.model import (
+    Endpoint,
+    FlowId,
+    Incarnation,
+    KindId,
+    RequestNumber,
+    Service,
+    ServiceName,
+    ServiceNumber,
+    SpillRule,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    WorkKind,
+    Zone,
+)
+
+HOME = Zone('home')
+AWAY = Zone('away')
+URGENT = WorkKind(KindId(0), 'urgent', priority=0)
+BULK = WorkKind(KindId(1), 'bulk', priority=5)
+SERVICE_MS = 50
+DEADLINE_MS = 1000
+# 7 upstreams with 2 slots each, 50 ms a request.
+CAPACITY = 280
+
+
+def upstream(index: int, zone: Zone = HOME) -> Upstream:
+    return Upstream(UpstreamId(f'u{index}'), Endpoint('127.0.0.1', 100 + index), zone)
+
+
+UPSTREAMS = tuple(upstream(index) for index in range(7))
+SERVICE = Service(
+    ServiceNumber(1),
+    ServiceName('api'),
+    Endpoint('127.0.0.1', 50),
+    kinds=(URGENT, BULK),
+    upstreams=UPSTREAMS,
+)
+
+
+def change(
+    queue: ServiceQueue,
+    one: Upstream,
+    state: UpstreamState = UpstreamState.READY,
+    weight: float = 1,
+) -> None:
+    queue.pool.change(one.endpoint, state, Incarnation(1), weight)
+
+
+def ready_queue(service: Service = SERVICE, seed: int = 1) -> ServiceQueue:
+    queue = ServiceQueue(service, HOME, random.Random(seed))
+    for one in service.upstreams:
+        change(queue, one)
+    return queue
+
+
+def request(number: int, kind: WorkKind, now_ms: int) -> QueuedRequest:
+    key = (FlowId(b'flow'), RequestNumber(number))
+    return QueuedRequest(key, kind.kind_id, now_ms, now_ms + DEADLINE_MS)
+
+
+class Simulation:
+    """Poisson arrivals by kind; service times vary by half either way."""
+
+    def __init__(self, queue: ServiceQueue, rates: dict[WorkKind, float]) -> None:
+        self.queue = queue
+        self.rng = random.Random(7)
+        # Each kind has its own arrivals, the same with and without a flood.
+        self.arrivals = {kind: random.Random(kind.kind_id) for kind in rates}
+        self.now = 1_000_000.0
+        self.goodput = dict.fromkeys((kind.kind_id for kind in rates), 0)
+        self.slot_ms = dict.fromkeys((kind.kind_id for kind in rates), 0.0)
+        self.work_by_upstream: dict[Endpoint, int] = {}
+        self.late = 0
+        self._number = 0
+        self._events: list[tuple[float, int, WorkKind | Assignment]] = []
+        self._rates = rates
+        for kind in rates:
+            self._next_arrival(kind)
+
+    def run(self, seconds: float) -> 'Simulation':
+        end = self.now + seconds * 1000
+        while self._events[0][0] < end:
+            self.now, _, event = heapq.heappop(self._events)
+            now_ms = int(self.now)
+            if isinstance(event, Assignment):
+                self._finish(event, now_ms)
+            else:
+                arrived = request(self._number, event, now_ms)
+                list(self.queue.push(arrived, now_ms))
+                self._next_arrival(event)
+            self._dispatch(now_ms)
+        return self
+
+    def max_over_mean(self) -> float:
+        work = [self.work_by_upstream.get(one.endpoint, 0) for one in UPSTREAMS]
+        return max(work) / (sum(work) / len(work))
+
+    def _finish(self, done: Assignment, now_ms: int) -> None:
+        self.queue.observe_answer(done, now_ms)
+        self.queue.release(done, now_ms)
+        if now_ms <= done.request.deadline_ms:
+            self.goodput[done.request.kind_id] += 1
+        else:
+            self.late += 1
+
+    def _dispatch(self, now_ms: int) -> None:
+        while (step := self.queue.take(now_ms)) is not None:
+            if isinstance(step, Shed):
+                continue
+            endpoint = step.slots.upstream.endpoint
+            self.work_by_upstream[endpoint] = self.work_by_upstream.get(endpoint, 0) + 1
+            duration = SERVICE_MS * self.rng.uniform(0.5, 1.5)
+            self.slot_ms[step.request.kind_id] += duration
+            self._add(self.now + duration, step)
+
+    def _next_arrival(self, kind: WorkKind) -> None:
+        gap = self.arrivals[kind].expovariate(self._rates[kind]) * 1000
+        self._add(self.now + gap, kind)
+
+    def _add(self, when: float, event: WorkKind | Assignment) -> None:
+        self._number += 1
+        heapq.heappush(self._events, (when, self._number, event))
+
+
+@pytest.mark.parametrize('urgent_share', [0.5, 0.9])
+def test_urgent_goodput_survives_bulk_flood(urgent_share: float) -> None:
+    """Guards against a flood of the least urgent kind delaying urgent work."""
+    urgent = CAPACITY * urgent_share
+    calm = Simulation(ready_queue(), {URGENT: urgent}).run(4)
+    flooded = Simulation(ready_queue(), {URGENT: urgent, BULK: 100 * CAPACITY}).run(4)
+    assert flooded.goodput[URGENT.kind_id] >= 0.99 * calm.goodput[URGENT.kind_id]
+    assert sum(flooded.goodput.values()) >= 0.95 * CAPACITY * 4
+
+
+@pytest.mark.parametrize('floor', [0.05, 0.2])
+def test_floor_is_kept_under_urgent_flood(floor: float) -> None:
+    """Guards against starvation of a kind with a floor, and against its excess."""
+    bulk = replace(BULK, floor=floor)
+    service = replace(SERVICE, kinds=(URGENT, bulk))
+    rates = {URGENT: 10.0 * CAPACITY, bulk: 2.0 * CAPACITY}
+    flood = Simulation(ready_queue(service), rates).run(10)
+    share = flood.slot_ms[BULK.kind_id] / sum(flood.slot_ms.values())
+    assert 0.98 * floor <= share <= 1.2 * floor
+    assert sum(flood.goodput.values()) >= 0.95 * CAPACITY * 10
+    assert flood.late <= 0.01 * sum(flood.goodput.values())
+
+
+@pytest.mark.parametrize('load', [0.05, 0.5, 0.9, 3])
+def test_work_is_balanced(load: float) -> None:
+    """Guards against uneven work over upstreams at low and high load."""
+    rates = {URGENT: load * CAPACITY}
+    simulation = Simulation(ready_queue(), rates).run(20)
+    assert simulation.max_over_mean() <= 1.10
+
+
+def test_draining_ejected_and_gone_get_nothing() -> None:
+    """Guards against new work for an upstream that is leaving or broken."""
+    queue = ready_queue()
+    states = (UpstreamState.DRAINING, UpstreamState.EJECTED, UpstreamState.GONE)
+    for one, state in zip(UPSTREAMS, states, strict=False):
+        change(queue, one, state)
+    drained = replace(UPSTREAMS[3], drained=True)
+    others = (*UPSTREAMS[:3], drained, *UPSTREAMS[4:])
+    queue.reconfigure(replace(SERVICE, upstreams=others))
+    simulation = Simulation(queue, {URGENT: 2 * CAPACITY}).run(1)
+    assert set(simulation.work_by_upstream) == {one.endpoint for one in UPSTREAMS[4:]}
+
+
+def test_starting_upstream_is_ramped() -> None:
+    """Guards against a cold upstream getting a full share at once."""
+    queue = ready_queue()
+    change(queue, UPSTREAMS[0], UpstreamState.STARTING, 0.1)
+    simulation = Simulation(queue, {URGENT: 0.5 * CAPACITY}).run(4)
+    work = simulation.work_by_upstream
+    assert work.get(UPSTREAMS[0].endpoint, 0) < 0.3 * work[UPSTREAMS[1].endpoint]
+
+
+@pytest.mark.parametrize('spill', SpillRule)
+def test_spill_is_last_resort(spill: SpillRule) -> None:
+    """Guards against use of other zones while the own zone has an upstream."""
+    away = tuple(upstream(index, AWAY) for index in (7, 8))
+    service = replace(SERVICE, upstreams=(*UPSTREAMS[:1], *away), spill=spill)
+    queue = ready_queue(service)
+    for number in range(9):
+        list(queue.push(request(number, URGENT, 1000), 1000))
+    own = [queue.take(1000) for _ in range(3)]
+    assert [one.slots.upstream.zone for one in own if one] == [HOME, HOME]
+    change(queue, UPSTREAMS[0], UpstreamState.EJECTED)
+    spilled = [queue.take(1000) for _ in range(4)]
+    used = [one.slots.upstream.endpoint for one in spilled if one]
+    expected = {one.endpoint for one in away} if spill is SpillRule.WHEN_DOWN else set()
+    assert set(used) == expected
+    assert len(used) == len(expected)
+
+
+def test_refused_request_is_next_and_limit_recovers() -> None:
+    """Guards against loss of a refused request and a limit that stays low."""
+    queue = ready_queue(replace(SERVICE, upstreams=UPSTREAMS[:1]))
+    for number in range(3):
+        list(queue.push(request(number, URGENT, 1000), 1000))
+    first, second = queue.take(1000), queue.take(1000)
+    assert isinstance(first, Assignment)
+    assert isinstance(second, Assignment)
+    queue.observe_refusal(second, 1001)
+    queue.put_back(second)
+    queue.release(second, 1001)
+    queue.release(first, 1001)
+    assert queue.take(1001) is None
+    again = queue.take(1200)
+    assert isinstance(again, Assignment)
+    assert again.request is second.request
+    assert queue.take(1200) is None
+    for _ in range(10):
+        queue.observe_answer(again, 1200)
+    assert isinstance(queue.take(1200), Assignment)
+
+
+def test_overflow_drops_lowest_kind_first() -> None:
+    """Guards against urgent work refused while bulk work keeps its place."""
+    queue = ready_queue(replace(SERVICE, upstreams=UPSTREAMS[:1]))
+    shed = []
+    for number in range(2000):
+        kind = BULK if number < 1000 else URGENT
+        shed += queue.push(request(number, kind, 1000), 1000)
+        if number == 1000:
+            assert {one.request.kind_id for one in shed} == {BULK.kind_id}
+    assert queue.count <= 128
+    urgent = [one for one in shed if one.request.kind_id == URGENT.kind_id]
+    bulk_first = [one.request.kind_id for one in shed[-len(urgent) :]]
+    assert set(bulk_first) == {URGENT.kind_id}
+    assert queue.saturated() == {URGENT.kind_id, BULK.kind_id}
+
+
+def test_expired_request_is_never_dispatched() -> None:
+    """Guards against work for callers that have given up."""
+    queue = ready_queue()
+    list(queue.push(request(1, URGENT, 1000), 1000))
+    step = queue.take(1000 + DEADLINE_MS)
+    assert isinstance(step, Shed)
+    assert step.error is ErrorKind.DEADLINE_PASSED
+
+
+def test_no_usable_upstream_refuses_at_once() -> None:
+    """Guards against callers waiting for upstreams that are all gone."""
+    queue = ready_queue()
+    for one in UPSTREAMS:
+        change(queue, one, UpstreamState.GONE)
+    shed = list(queue.push(request(1, URGENT, 1000), 1000))
+    assert [one.error for one in shed] == [ErrorKind.NO_UPSTREAM]
