Add the health plug-in

Cause: owners need the state of their upstreams from own observation, since health and load endpoints lag or mislead; paths go silent without an error.

Change: Hellos with jitter, ramp of cold upstreams, ejection by own results with a limit of half the service, silent paths for upstreams in use.

--- /dev/null
+++ b/src/lycheedeal/health/__init__.py
@@ -0,0 +1,34 @@
+"""State of upstreams and paths from the observations of this host."""
+
+from lycheedeal.health._plugin import Health
+from lycheedeal.kernel import (
+    OwnerReady,
+    PluginSpec,
+    RequestFinished,
+    Resumed,
+    Tick,
+    UpstreamMessage,
+    UpstreamsInUse,
+    ViewChanged,
+    register,
+)
+
+__all__ = ('Health',)
+
+register(
+    PluginSpec(
+        name='health',
+        factory=Health,
+        events=frozenset(
+            (
+                Tick,
+                Resumed,
+                UpstreamMessage,
+                RequestFinished,
+                ViewChanged,
+                OwnerReady,
+                UpstreamsInUse,
+            ),
+        ),
+    ),
+)
--- /dev/null
+++ b/src/lycheedeal/health/_pool.py
@@ -0,0 +1,190 @@
+"""Upstreams of one owned service and the limit on how many may be out."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from lycheedeal.errors import ErrorKind
+from lycheedeal.health._record import UpstreamRecord
+from lycheedeal.health._results import Result
+from lycheedeal.kernel import (
+    Effect,
+    Log,
+    LogLevel,
+    Observe,
+    Publish,
+    Refused,
+    UpstreamChanged,
+)
+from lycheedeal.messages import FlowAccepted, RunAnswer, Welcome
+from lycheedeal.model import (
+    Endpoint,
+    Service,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+)
+
+# A new owner does not know how long the upstreams have been ready.
+_ADOPTION_SECONDS: Final = 3.0
+
+
+class Pool:
+    """Records of one service; at most half are taken out by observation."""
+
+    def __init__(self, service: Service, now: float) -> None:
+        """Start to own a service."""
+        self.service = service
+        self._adopted = now
+        self._records_by_id: dict[UpstreamId, UpstreamRecord] = {}
+        self._records_by_endpoint: dict[Endpoint, UpstreamRecord] = {}
+
+    @property
+    def endpoints(self) -> Iterable[Endpoint]:
+        """Endpoints of all upstreams in the pool."""
+        return self._records_by_endpoint.keys()
+
+    def find(self, endpoint: Endpoint) -> UpstreamRecord | None:
+        """Return the record of the upstream at an endpoint."""
+        return self._records_by_endpoint.get(endpoint)
+
+    def configure(
+        self,
+        service: Service,
+        upstreams: Iterable[Upstream],
+        now: float,
+    ) -> Iterator[Effect]:
+        """Take the upstreams to observe; the others are gone."""
+        self.service = service
+        wanted = {upstream.upstream_id: upstream for upstream in upstreams}
+        for upstream_id, old in tuple(self._records_by_id.items()):
+            upstream = wanted.get(upstream_id)
+            if upstream is None or upstream.endpoint != old.upstream.endpoint:
+                self._records_by_id.pop(upstream_id)
+                yield self._change(old, UpstreamState.GONE, 0)
+        for upstream_id, upstream in wanted.items():
+            known = self._records_by_id.get(upstream_id)
+            if known is None:
+                self._records_by_id[upstream_id] = UpstreamRecord(upstream, now)
+            else:
+                known.upstream = upstream
+        self._records_by_endpoint = {
+            record.upstream.endpoint: record for record in self._records_by_id.values()
+        }
+        yield from self.evaluate(now)
+
+    def receive(
+        self,
+        record: UpstreamRecord,
+        message: object,
+        now: float,
+    ) -> Iterator[Effect]:
+        """Take a message of an upstream; a Welcome must be an expected one."""
+        match message:
+            case Welcome():
+                yield from self._welcome(record, message, now)
+            case FlowAccepted() | RunAnswer():
+                record.succeeded(now)
+            case _:
+                record.heard(now)
+
+    def take_result(
+        self,
+        record: UpstreamRecord,
+        result: Result,
+        now: float,
+    ) -> Iterator[Effect]:
+        """Take the result of a request; eject an upstream that fails."""
+        record.results.add(result, now)
+        match result:
+            case Result.SUCCESS:
+                record.succeeded(now)
+            case Result.FAILURE if self._must_eject(record, now):
+                record.eject(now)
+                yield Observe('upstream_ejections')
+                text = f'upstream {record.upstream.upstream_id} ejected'
+                yield Log('health', LogLevel.WARNING, text)
+                yield from self.evaluate(now)
+
+    def evaluate(self, now: float) -> Iterator[Effect]:
+        """Publish what changed."""
+        for record in self._records_by_id.values():
+            record.update_timing(now)
+        out = self._choose_out(now)
+        for upstream_id, observed in self._records_by_id.items():
+            verdict = observed.decide(now, may_be_out=upstream_id in out)
+            if verdict != observed.verdict and verdict.state != UpstreamState.UNKNOWN:
+                observed.verdict = verdict
+                yield self._change(observed, verdict.state, verdict.weight)
+
+    def _welcome(
+        self,
+        record: UpstreamRecord,
+        message: Welcome,
+        now: float,
+    ) -> Iterator[Effect]:
+        is_first = not record.is_known
+        was_foreign = record.is_foreign
+        if record.welcome(message, self.service.name, now):
+            is_ready = record.reported is UpstreamState.READY
+            if is_first and is_ready and not self._is_cold(record, now):
+                record.ramp_started = None
+        elif not was_foreign:
+            endpoint = record.upstream.endpoint
+            detail = f'{endpoint} serves {message.service} now'
+            yield Publish(
+                Refused(ErrorKind.UPSTREAM_REPLACED, self.service.number, detail),
+            )
+        yield from self.evaluate(now)
+
+    def _is_cold(self, record: UpstreamRecord, now: float) -> bool:
+        if now - self._adopted < _ADOPTION_SECONDS:
+            return False
+        records = self._records_by_id.values()
+        return any(one.is_known for one in records if one is not record)
+
+    def _must_eject(self, record: UpstreamRecord, now: float) -> bool:
+        if record.ejection.is_active(now) or not record.results.is_failing(now):
+            return False
+        return len(self._choose_out(now)) < self._limit() and _is_counted(record)
+
+    def _limit(self) -> int:
+        return sum(_is_counted(one) for one in self._records_by_id.values()) // 2
+
+    def _choose_out(self, now: float) -> set[UpstreamId]:
+        wanting = [
+            (record.silent_since is None, _out_since(record), upstream_id)
+            for upstream_id, record in self._records_by_id.items()
+            if _is_counted(record) and _wants_out(record, now)
+        ]
+        return {upstream_id for _, _, upstream_id in sorted(wanting)[: self._limit()]}
+
+    def _change(
+        self,
+        record: UpstreamRecord,
+        state: UpstreamState,
+        weight: float,
+    ) -> Publish:
+        return Publish(
+            UpstreamChanged(
+                service=self.service.number,
+                upstream_id=record.upstream.upstream_id,
+                endpoint=record.upstream.endpoint,
+                state=state,
+                incarnation=record.incarnation,
+                weight=weight,
+            ),
+        )
+
+
+def _is_counted(record: UpstreamRecord) -> bool:
+    return record.is_known and not record.is_foreign and not record.is_draining
+
+
+def _wants_out(record: UpstreamRecord, now: float) -> bool:
+    return record.silent_since is not None or record.ejection.is_active(now)
+
+
+def _out_since(record: UpstreamRecord) -> float:
+    if record.silent_since is None:
+        return record.ejection.since
+    return record.silent_since
--- /dev/null
+++ b/src/lycheedeal/health/_pools.py
@@ -0,0 +1,114 @@
+"""Pools of all services that this host owns."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from lycheedeal.health._pool import Pool
+from lycheedeal.health._record import UpstreamRecord
+from lycheedeal.kernel import Effect
+from lycheedeal.model import (
+    ConfigurationView,
+    Endpoint,
+    Service,
+    ServiceNumber,
+    SpillRule,
+    Upstream,
+    UpstreamState,
+    Zone,
+)
+
+_LOCAL_SECONDS: Final = 1.0
+_REMOTE_SECONDS: Final = 5.0
+_UNSURE_STATES: Final = frozenset((UpstreamState.UNKNOWN, UpstreamState.STARTING))
+
+
+class Pools:
+    """Finds the records of an upstream by its service or endpoint.
+
+    Two services may name one endpoint while an address is reused.
+    """
+
+    def __init__(self, zone: Zone) -> None:
+        """Take the zone of this host."""
+        self._zone = zone
+        self._pools_by_service: dict[ServiceNumber, Pool] = {}
+        self._pools_by_endpoint: dict[Endpoint, list[Pool]] = {}
+
+    def configure(
+        self,
+        view: ConfigurationView,
+        owned: Iterable[ServiceNumber],
+        now: float,
+    ) -> Iterator[Effect]:
+        """Observe the upstreams of the owned services and no others."""
+        found = (view.services_by_number.get(number) for number in owned)
+        services = {one.number: one for one in found if one is not None}
+        for number in self._pools_by_service.keys() - services.keys():
+            pool = self._pools_by_service.pop(number)
+            if number not in view.services_by_number:
+                yield from pool.configure(pool.service, (), now)
+        for service in services.values():
+            yield from self._configure_one(service, now)
+        self._index()
+
+    def find(self, service: ServiceNumber) -> Pool | None:
+        """Return the pool of a service."""
+        return self._pools_by_service.get(service)
+
+    def at(self, endpoint: Endpoint) -> Iterator[tuple[Pool, UpstreamRecord]]:
+        """Yield the records of an endpoint with their pools."""
+        for pool in self._pools_by_endpoint.get(endpoint, ()):
+            record = pool.find(endpoint)
+            if record is not None:
+                yield pool, record
+
+    def intervals(self) -> dict[Endpoint, float]:
+        """Return the time between Hellos for each endpoint."""
+        return {endpoint: self._interval(endpoint) for endpoint in self.endpoints()}
+
+    def endpoints(self) -> Iterable[Endpoint]:
+        """Return the endpoints of all owned upstreams."""
+        return self._pools_by_endpoint.keys()
+
+    def unsure(self) -> Iterator[Endpoint]:
+        """Yield the endpoints that are probed fast."""
+        for endpoint in self.endpoints():
+            if any(_is_unsure(record) for _, record in self.at(endpoint)):
+                yield endpoint
+
+    def evaluate(self, now: float) -> Iterator[Effect]:
+        """Publish the changes that come with time."""
+        for pool in self._pools_by_service.values():
+            yield from pool.evaluate(now)
+
+    def forget_timing(self, now: float) -> None:
+        """Drop what a pause of this process makes doubtful."""
+        for endpoint in self.endpoints():
+            for _, record in self.at(endpoint):
+                record.forget_timing(now)
+
+    def _configure_one(self, service: Service, now: float) -> Iterator[Effect]:
+        pool = self._pools_by_service.get(service.number)
+        if pool is None:
+            pool = Pool(service, now)
+            self._pools_by_service[service.number] = pool
+        yield from pool.configure(service, self._observed(service), now)
+
+    def _observed(self, service: Service) -> Iterator[Upstream]:
+        for upstream in service.upstreams:
+            if upstream.zone == self._zone or service.spill is not SpillRule.NEVER:
+                yield upstream
+
+    def _index(self) -> None:
+        self._pools_by_endpoint = {}
+        for pool in self._pools_by_service.values():
+            for endpoint in pool.endpoints:
+                self._pools_by_endpoint.setdefault(endpoint, []).append(pool)
+
+    def _interval(self, endpoint: Endpoint) -> float:
+        zones = {record.upstream.zone for _, record in self.at(endpoint)}
+        return _LOCAL_SECONDS if self._zone in zones else _REMOTE_SECONDS
+
+
+def _is_unsure(record: UpstreamRecord) -> bool:
+    return record.verdict is None or record.verdict.state in _UNSURE_STATES
--- /dev/null
+++ b/src/lycheedeal/health/_record.py
@@ -0,0 +1,154 @@
+"""What this host knows about one upstream of a service it owns."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from lycheedeal.health._results import Ejection, ResultWindow
+from lycheedeal.messages import Welcome
+from lycheedeal.model import Incarnation, ServiceName, Upstream, UpstreamState
+
+_RAMP_SECONDS: Final = 10.0
+_FIRST_WEIGHT: Final = 0.1
+_WEIGHT_STEPS: Final = 10
+_SILENT_MISSES: Final = 3
+# Fast Hellos reach three misses in less than a second; with a fifth of the
+# datagrams lost that happens to healthy upstreams every few minutes.
+_SILENT_SECONDS: Final = 2.0
+# Successes after this time from the first missed Hello cannot be answers that
+# were already under way.
+_UNDER_WAY_SECONDS: Final = 0.5
+_SUCCESS_SECONDS: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Published part of a record."""
+
+    state: UpstreamState
+    incarnation: Incarnation
+    weight: float
+
+
+@dataclass(slots=True)
+class UpstreamRecord:
+    """Observations about one upstream."""
+
+    upstream: Upstream
+    last_heard: float
+    incarnation: Incarnation = Incarnation(0)
+    reported: UpstreamState = UpstreamState.UNKNOWN
+    is_foreign: bool = False
+    ramp_started: float | None = None
+    misses: int = 0
+    first_miss: float = 0
+    last_success: float = 0
+    silent_since: float | None = None
+    results: ResultWindow = field(default_factory=ResultWindow)
+    ejection: Ejection = field(default_factory=Ejection)
+    was_ejected: bool = False
+    verdict: Verdict | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether the upstream has ever answered for this service."""
+        return self.reported is not UpstreamState.UNKNOWN
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the operator or the upstream wants no new work."""
+        return self.upstream.drained or self.reported is UpstreamState.DRAINING
+
+    def welcome(self, message: Welcome, service: ServiceName, now: float) -> bool:
+        """Take an answer; False if the address belongs to another service now."""
+        self.heard(now)
+        was_foreign = self.is_foreign
+        self.is_foreign = message.service != service
+        self.misses = 0
+        self.reported = message.state
+        if message.state not in _REPORTABLE:
+            self.reported = UpstreamState.READY
+        if message.incarnation != self.incarnation or was_foreign:
+            self.incarnation = message.incarnation
+            self.results.clear()
+            self.ramp_started = now
+            self.ejection = Ejection()
+        return not self.is_foreign
+
+    def heard(self, now: float) -> None:
+        """Note that anything at all came in from the upstream."""
+        self.last_heard = now
+        self.silent_since = None
+
+    def missed(self, now: float) -> None:
+        """Note an unanswered Hello."""
+        self.misses += 1
+        if self.misses == 1:
+            self.first_miss = now
+
+    def succeeded(self, now: float) -> None:
+        """Note that the upstream did some work."""
+        self.heard(now)
+        self.last_success = now
+
+    def forget_timing(self, now: float) -> None:
+        """Drop what a pause of this process makes doubtful."""
+        self.misses = 0
+        self.last_heard = max(self.last_heard, now)
+        self.results.clear()
+
+    def eject(self, now: float) -> None:
+        """Give the upstream no new work for a while."""
+        self.ejection.begin(now)
+        self.was_ejected = True
+        self.results.clear()
+
+    def update_timing(self, now: float) -> None:
+        """Find out what changed by the passing of time."""
+        if self.was_ejected and not self.ejection.is_active(now):
+            # The upstream may still fail; it gets little work at first.
+            self.was_ejected = False
+            self.ramp_started = now
+        if self.silent_since is None and self._is_silent(now):
+            self.silent_since = now
+
+    def decide(self, now: float, *, may_be_out: bool) -> Verdict:
+        """Return the state to publish; ``may_be_out`` is the limit's decision."""
+        state = self._state(now, may_be_out=may_be_out)
+        weight = self._weight(now) if state in _USABLE else float(0)
+        return Verdict(state, self.incarnation, weight)
+
+    def _is_silent(self, now: float) -> bool:
+        if self.misses < _SILENT_MISSES or now - self.last_heard < _SILENT_SECONDS:
+            return False
+        if self.last_success <= self.first_miss + _UNDER_WAY_SECONDS:
+            return True
+        return now - self.last_success > _SUCCESS_SECONDS
+
+    def _state(self, now: float, *, may_be_out: bool) -> UpstreamState:
+        if self.is_foreign:
+            return UpstreamState.GONE
+        if self.silent_since is not None:
+            # The limit protects only upstreams that have work to lose.
+            if may_be_out or self.is_draining or not self.is_known:
+                return UpstreamState.GONE
+        if self.is_draining:
+            return UpstreamState.DRAINING
+        if not self.is_known:
+            return UpstreamState.UNKNOWN
+        if self.ejection.is_active(now) and may_be_out:
+            return UpstreamState.EJECTED
+        if self.ramp_started is not None:
+            if now - self.ramp_started < _RAMP_SECONDS:
+                return UpstreamState.STARTING
+        return UpstreamState.READY
+
+    def _weight(self, now: float) -> float:
+        if self.ramp_started is None:
+            return 1
+        share = min((now - self.ramp_started) / _RAMP_SECONDS, 1)
+        weight = _FIRST_WEIGHT + (1 - _FIRST_WEIGHT) * share
+        return int(weight * _WEIGHT_STEPS) / _WEIGHT_STEPS
+
+
+_REPORTABLE: Final = frozenset((UpstreamState.STARTING, UpstreamState.DRAINING))
+_USABLE: Final = frozenset((UpstreamState.STARTING, UpstreamState.READY))
--- a/src/lycheedeal/kernel/__init__.py
+++ b/src/lycheedeal/kernel/__init__.py
@@ -47,6 +47,7 @@
     RequestFinished,
     StopStarted,
     UpstreamChanged,
+    UpstreamsInUse,
     ViewChanged,
     WorkRemaining,
 )
@@ -101,6 +102,7 @@
     'Tick',
     'UpstreamChanged',
     'UpstreamMessage',
+    'UpstreamsInUse',
     'ViewChanged',
     'WorkRemaining',
     'load_plugins',
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -75,6 +75,16 @@
     services: tuple[ServiceNumber, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsInUse:
+    """Upstreams that this host forwards flows to, owned or not.
+
+    Published about every 5 s; bounded. Health watches their paths.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class FlowOpened:
     """A flow was opened by this host."""
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -28,6 +28,7 @@
     | internal.UpstreamChanged
     | internal.OpenAdmitted
     | internal.OwnerReady
+    | internal.UpstreamsInUse
     | internal.FlowOpened
     | internal.FlowClosed
     | internal.RequestFinished
