--- a/src/lycheedeal/kernel/__init__.py
+++ b/src/lycheedeal/kernel/__init__.py
@@ -54,6 +54,7 @@
     RequestFinished,
     StopStarted,
     UpstreamChanged,
+    UpstreamsInUse,
     ViewChanged,
     WorkRemaining,
 )
@@ -122,6 +123,7 @@
     'UpstreamInput',
     'UpstreamMessage',
     'UpstreamPacket',
+    'UpstreamsInUse',
     'ViewChanged',
     'WorkRemaining',
     'load_plugins',
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -30,6 +30,7 @@
     | internal.UpstreamChanged
     | internal.OpenAdmitted
     | internal.OwnerReady
+    | internal.UpstreamsInUse
     | internal.FlowOpened
     | internal.FlowClosed
     | internal.QueueMeasured
