--- a/bench/zone_network.py
+++ b/bench/zone_network.py
@@ -62,7 +62,7 @@
                 self._host.lists.append(members)
             case StopStarted(deadline):
                 self._host.stop_deadline = deadline
-        return ()
+        yield from ()
 
 
 @dataclass
