--- a/src/lycheedeal/membership/_plugin.py
+++ b/src/lycheedeal/membership/_plugin.py
@@ -36,7 +36,10 @@
 _PERIOD: Final = 1.0
 # Ticks come every 0.1 s; a gap above this is a fault of this process.
 _LATE_TICK: Final = 0.5
-_HOSTS_SECONDS: Final = 60.0
+# A booting host needs other hosts soon. Later the list only adds candidates,
+# and the calls of all hosts together count against the platform's limit.
+_HOSTS_FIRST_SECONDS: Final = 5.0
+_HOSTS_MAX_SECONDS: Final = 600.0
 _DEAD_PROBE_SECONDS: Final = 5.0
 # After a dead host came back, others of a healed partition do so too.
 _HEALING_PROBE_SECONDS: Final = 0.3
@@ -82,6 +85,7 @@
         self._is_stale = True
         self._published: tuple[_Key, ...] | None = None
         self._hosts_call = 0
+        self._hosts_pause = _HOSTS_FIRST_SECONDS
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Take one event and yield the effects it calls for."""
@@ -190,7 +194,8 @@
 
     def _ask_hosts(self, now: float) -> Iterator[Effect]:
         if now >= self._timers.hosts:
-            self._timers.hosts = now + self._jittered(_HOSTS_SECONDS)
+            self._timers.hosts = now + self._jittered(self._hosts_pause)
+            self._hosts_pause = min(self._hosts_pause * 2, _HOSTS_MAX_SECONDS)
             self._hosts_call = self._rng.getrandbits(_CALL_ID_BITS)
             zone = self._context.settings.zone
             yield CallApi(self._hosts_call, ApiCall.HOSTS, zone)
--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from lycheedeal.messages._caller import CancelRequest, Open, Request
-from lycheedeal.model import Endpoint, FlowId, Member, ServiceNumber
+from lycheedeal.model import Endpoint, FlowId, Member, ServiceNumber, Zone
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,9 +48,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowCounts:
-    """Open flows of a service that the sender opened while it was the owner."""
+    """Open flows of a service that the sender knows of.
+
+    Within a zone these are the flows that the sender opened while it was the
+    owner; to other zones, the owner reports all flows opened in its zone.
+    """
 
     service: ServiceNumber
+    zone: Zone
     counts: tuple[FlowCount, ...]
 
 
--- a/src/lycheedeal/steering/_choice.py
+++ b/src/lycheedeal/steering/_choice.py
@@ -2,11 +2,16 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
+from typing import Final
 
 from lycheedeal.kernel import UpstreamChanged
 from lycheedeal.model import Endpoint, Service, SpillRule, Upstream, Zone
 from lycheedeal.steering._state import SteeringState
 
+# A remote upstream must hold this much less before it takes local callers.
+_REMOTE_FACTOR: Final = 1.02
+
 
 def choose_upstream(
     state: SteeringState,
@@ -19,12 +24,12 @@
     it and none of the zone takes flows. None means that no upstream can.
     """
     counts = flow_counts(state, service)
-    best = min(
+    local = _in_zone(service, state.context.settings.zone).keys()
+    return min(
         _candidates(state, service, excluded, counts),
-        key=lambda one: _load(state, one, counts),
+        key=lambda one: _load(state, one, counts, local),
         default=None,
     )
-    return best
 
 
 def flow_counts(state: SteeringState, service: Service) -> Counter[Endpoint]:
@@ -59,6 +64,8 @@
     service: Service,
 ) -> dict[Endpoint, Upstream]:
     own_zone = state.context.settings.zone
+    if service.spill is SpillRule.BALANCED:
+        return {one.endpoint: one for one in service.upstreams if not one.drained}
     local = _in_zone(service, own_zone)
     open_endpoints = {one.endpoint for one in state.open_upstreams(service.number)}
     if service.spill is SpillRule.NEVER or open_endpoints & local.keys():
@@ -82,6 +89,10 @@
     state: SteeringState,
     upstream: UpstreamChanged,
     counts: Counter[Endpoint],
+    local: AbstractSet[Endpoint],
 ) -> tuple[float, float]:
     weight = max(upstream.weight, 0.01)
-    return (counts[upstream.endpoint] + 1) / weight, state.context.rng.random()
+    load = (counts[upstream.endpoint] + 1) / weight
+    if upstream.endpoint not in local:
+        load = load * _REMOTE_FACTOR + 0.5
+    return load, state.context.rng.random()
--- a/src/lycheedeal/steering/_counts.py
+++ b/src/lycheedeal/steering/_counts.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from lycheedeal.messages import FlowCount, FlowCounts
-from lycheedeal.model import Endpoint, FlowId, ServiceNumber
+from lycheedeal.model import Endpoint, FlowId, ServiceNumber, Zone
 
 # Reports of former owners come every 5 s; three may be lost.
 REPORT_LIFETIME_SECONDS: Final = 20
@@ -16,8 +16,9 @@
 class FlowCounter:
     """Counts flows opened by this process and those that peers report."""
 
-    def __init__(self) -> None:
-        """Create an empty counter."""
+    def __init__(self, zone: Zone) -> None:
+        """Create an empty counter for a host of this zone."""
+        self._zone = zone
         self._flows_by_service: dict[ServiceNumber, dict[FlowId, Endpoint]] = {}
         self._own_by_service: dict[ServiceNumber, Counter[Endpoint]] = {}
         self._reports_by_service: dict[ServiceNumber, _ReportsByPeer] = {}
@@ -65,16 +66,31 @@
         """Return own and reported flows of a service by upstream."""
         totals = Counter(self._own_by_service.get(service, {}))
         for _, report in self._reports_by_service.get(service, {}).values():
-            for one in report.counts:
-                totals[one.upstream] += one.flows
+            _add(totals, report)
         return totals
 
     def report(self, service: ServiceNumber) -> FlowCounts:
         """Return the message that tells the current owner about own flows."""
         own = self._own_by_service.get(service, Counter())
-        counts = (FlowCount(upstream, flows) for upstream, flows in own.items())
-        return FlowCounts(service, tuple(counts))
+        return self._message(service, own)
+
+    def zone_report(self, service: ServiceNumber) -> FlowCounts:
+        """Return the message that tells other zones about this zone's flows."""
+        totals = Counter(self._own_by_service.get(service, {}))
+        for _, report in self._reports_by_service.get(service, {}).values():
+            if report.zone == self._zone:
+                _add(totals, report)
+        return self._message(service, totals)
+
+    def _message(self, service: ServiceNumber, flows: Counter[Endpoint]) -> FlowCounts:
+        counts = (FlowCount(upstream, number) for upstream, number in flows.items())
+        return FlowCounts(service, self._zone, tuple(counts))
 
     def services(self) -> tuple[ServiceNumber, ...]:
         """Return the services that have flows opened here."""
         return tuple(self._flows_by_service)
+
+
+def _add(totals: Counter[Endpoint], report: FlowCounts) -> None:
+    for one in report.counts:
+        totals[one.upstream] += one.flows
--- a/src/lycheedeal/steering/_opening.py
+++ b/src/lycheedeal/steering/_opening.py
@@ -31,6 +31,7 @@
     FlowId,
     Incarnation,
     Member,
+    Service,
     ServiceNumber,
 )
 from lycheedeal.steering._choice import choose_upstream
@@ -75,6 +76,10 @@
         """Take the platform's list of hosts of all zones."""
         self._zones.hosts_listed(members)
 
+    def remote_owners(self, service: Service) -> list[Endpoint]:
+        """Return the owners of a service in other zones."""
+        return self._zones.remote_owners(service)
+
     @property
     def unfinished(self) -> int:
         """Return the number of flows that wait for an upstream."""
@@ -122,7 +127,12 @@
         if event.relayed_by is not None:
             return None
         attempt = event.message.attempt
-        ranked = self._zones.candidates(event.service, attempt)
+        kind = event.service.kind(event.message.kind_id)
+        if kind is not None and kind.long:
+            # The owner picks among all zones by counts of open flows.
+            ranked = self._state.ranked(event.service.number)
+        else:
+            ranked = self._zones.candidates(event.service, attempt)
         if not ranked:
             return None
         owner = ranked[attempt // ATTEMPTS_PER_OWNER % len(ranked)].peer
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -31,13 +31,16 @@
     FlowRejected,
     RelayedClose,
 )
-from lycheedeal.model import FlowIdCodec, ServiceNumber, UpstreamState
+from lycheedeal.model import FlowIdCodec, ServiceNumber, SpillRule, UpstreamState
+from lycheedeal.steering._counts import FlowCounter
 from lycheedeal.steering._forwarding import Forwarder
 from lycheedeal.steering._opening import FlowOpener
 from lycheedeal.steering._routes import ROTATION_SECONDS, RouteTable
 from lycheedeal.steering._state import SteeringState
 
 _REPORT_SECONDS: Final = 5
+# Zones that share a service open flows by each other's counts.
+_ZONE_REPORT_SECONDS: Final = 1
 # The second in the order stands ready to open flows when the first is gone.
 _OWNER_CANDIDATES: Final = 2
 
@@ -49,11 +52,13 @@
         """Create the plug-in with an empty route table."""
         self.routes = RouteTable(context.settings.max_flows)
         codec = FlowIdCodec(context.settings.flow_key)
-        self._state = SteeringState(context, codec, self.routes)
+        counter = FlowCounter(context.settings.zone)
+        self._state = SteeringState(context, codec, self.routes, counter)
         self._opener = FlowOpener(self._state)
         self._forwarder = Forwarder(self._state)
         self._owned: frozenset[ServiceNumber] = frozenset()
         self._next_report = 0.0
+        self._next_zone_report = 0.0
         self._next_rotation = context.clock.monotonic() + ROTATION_SECONDS
 
     def handle(self, event: Event) -> Iterator[Effect]:
@@ -121,6 +126,9 @@
             self._state.counter.expire(now)
             self._state.count_orphans()
             yield from self._report_counts()
+        if now >= self._next_zone_report:
+            self._next_zone_report = now + _ZONE_REPORT_SECONDS
+            yield from self._report_to_zones()
         if self._state.stopping:
             yield Publish(WorkRemaining('steering', self._opener.unfinished))
 
@@ -130,6 +138,18 @@
                 if member.peer != self._state.own:
                     yield SendToPeer(member.peer, self._state.counter.report(service))
 
+    def _report_to_zones(self) -> Iterator[Effect]:
+        for number in sorted(self._owned):
+            service = self._state.view.services_by_number[number]
+            first = next(iter(self._state.ranked(number)), None)
+            if service.spill is not SpillRule.BALANCED or first is None:
+                continue
+            if first.peer != self._state.own:
+                continue
+            report = self._state.counter.zone_report(number)
+            for owner in self._opener.remote_owners(service):
+                yield SendToPeer(owner, report)
+
     def _claim_services(self) -> Iterator[Effect]:
         owned = frozenset(
             filter(self._is_candidate, self._state.view.services_by_number)
--- a/src/lycheedeal/steering/_state.py
+++ b/src/lycheedeal/steering/_state.py
@@ -26,7 +26,7 @@
     context: Context
     codec: FlowIdCodec
     routes: RouteTable
-    counter: FlowCounter = field(default_factory=FlowCounter)
+    counter: FlowCounter
     view: ConfigurationView = field(default_factory=ConfigurationView)
     members: tuple[Member, ...] = ()
     stopping: bool = False
--- a/src/lycheedeal/steering/_zones.py
+++ b/src/lycheedeal/steering/_zones.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lycheedeal.membership import HostRanking
-from lycheedeal.model import Member, Service, SpillRule, Zone
+from lycheedeal.model import Endpoint, Member, Service, SpillRule, Zone
 from lycheedeal.steering._state import SteeringState
 
 # A caller's retransmissions try each candidate this often.
@@ -41,6 +41,16 @@
             remote.ranking.update(of_zone)
             self._remote_by_zone[zone] = remote
 
+    def remote_owners(self, service: Service) -> list[Endpoint]:
+        """Return the owner of a service in each other zone with upstreams."""
+        zones = {upstream.zone for upstream in service.upstreams}
+        owners = (
+            remote.ranking.owner(service.number)
+            for zone, remote in self._remote_by_zone.items()
+            if zone in zones
+        )
+        return [owner.peer for owner in owners if owner is not None]
+
     def candidates(self, service: Service, attempt: int) -> list[Member]:
         """Return possible owners of new work in the order of preference."""
         zone = self._choose(service, attempt)
