Count refused new flows towards the service level; show times as text

Cause: a refused Open has no RequestFinished, so an outage of live streams did not burn their budget.

--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Iterator
-from datetime import UTC, datetime
 from typing import Any, ClassVar, Final
 
 from cleo.commands.command import Command
@@ -14,6 +13,7 @@
 from lycheedeal.cli._exit_codes import ExitCode
 from lycheedeal.cli._output import (
     OutputForm,
+    format_time,
     json_lines,
     object_lines,
     table_lines,
@@ -112,17 +112,13 @@
     yield from object_lines(content.pop('object', {}))
     yield from object_lines(content)
     if as_of is not None:
-        yield f'as of {_time(as_of)}'
+        yield f'as of {format_time(as_of)}'
     for answer in answers:
         age = answer['age_seconds']
-        yield f'{answer["host"]}: as of {_time(answer["as_of"])}, {age} s ago'
+        yield f'{answer["host"]}: as of {format_time(answer["as_of"])}, {age} s ago'
     for missing in not_answered:
         yield f'{missing["address"]}: did not answer: {missing["reason"]}'
 
 
 def _document(outcome: Outcome) -> dict[str, Any]:
     return {'exit_code': int(outcome.exit_code), **outcome.content}
-
-
-def _time(seconds: float) -> str:
-    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec='milliseconds')
--- a/src/lycheedeal/cli/_merge.py
+++ b/src/lycheedeal/cli/_merge.py
@@ -26,7 +26,7 @@
         'answers': [_describe(answer, now) for answer in good],
         'not_answered': list(unanswered(attempts)),
     }
-    details = {str(answer.host): _details(answer) for answer in good}
+    details = {_host_name(answer): _details(answer) for answer in good}
     if any(details.values()):
         merged['details'] = details
     if good:
@@ -47,16 +47,15 @@
 
 def _merged_rows(answers: Iterable[Answered]) -> Iterator[dict[str, Any]]:
     for answer in answers:
-        content = _content(answer)
-        for row in content.get('rows', ()):
-            yield {'host': content.get('host', str(answer.host)), **row}
+        for row in _content(answer).get('rows', ()):
+            yield {'host': _host_name(answer), **row}
 
 
 def _describe(answer: Answered, now: float) -> dict[str, Any]:
     content = _content(answer)
     as_of = content.get('as_of', now)
     return {
-        'host': content.get('host'),
+        'host': _host_name(answer),
         'address': str(answer.host),
         'as_of': as_of,
         'age_seconds': round(max(now - as_of, 0), 3),
@@ -69,6 +68,10 @@
     }
 
 
+def _host_name(answer: Answered) -> str:
+    return str(_content(answer).get('host', answer.host))
+
+
 def _content(answer: Answered) -> dict[str, Any]:
     content = answer.document.get('content')
     return content if isinstance(content, dict) else {}
--- a/src/lycheedeal/cli/_output.py
+++ b/src/lycheedeal/cli/_output.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable, Iterator, Mapping, Sequence
+from datetime import UTC, datetime
 from enum import Enum, unique
 from typing import Any, Final
 
@@ -9,6 +10,8 @@
 from cleo.io.outputs.output import Type
 
 _GAP: Final = '  '
+# Fields of answers that hold Unix time.
+_TIME_FIELDS: Final = frozenset(('at', 'since'))
 _MILLION: Final = 1_000_000
 
 
@@ -37,7 +40,7 @@
         yield 'no rows'
         return
     columns = list(dict.fromkeys(key for row in rows for key in row))
-    cells = [[format_cell(row.get(column)) for column in columns] for row in rows]
+    cells = [[_named_cell(one, row.get(one)) for one in columns] for row in rows]
     lines = [[column.upper() for column in columns], *cells]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     for line in lines:
@@ -51,8 +54,16 @@
         if _is_table(content):
             yield f'{key}:'
             yield from (_GAP + line for line in table_lines(content))
+        elif isinstance(content, dict) and content:
+            yield f'{key}:'
+            yield from (_GAP + line for line in object_lines(content))
         else:
-            yield f'{key}: {format_cell(content)}'
+            yield f'{key}: {_named_cell(key, content)}'
+
+
+def format_time(seconds: float) -> str:
+    """Return Unix time as text, in UTC."""
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec='milliseconds')
 
 
 def format_cell(content: Any) -> str:
@@ -75,6 +86,12 @@
     return ''.join(letter if letter.isprintable() else '?' for letter in text)
 
 
+def _named_cell(name: str, content: Any) -> str:
+    if name in _TIME_FIELDS and isinstance(content, int | float):
+        return format_time(content)
+    return format_cell(content)
+
+
 def _is_table(content: Any) -> bool:
     return (
         isinstance(content, list)
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -109,11 +109,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Something was refused; counted by kind of error."""
+    """Something was refused; counted by kind of error.
+
+    ``kind_id`` is set only for a refused new flow. It then counts towards
+    the service level, since no other event reports that flow.
+    """
 
     error: ErrorKind
     service: ServiceNumber | None
     detail: str
+    kind_id: KindId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheedeal/runtime/_metrics.py
+++ b/src/lycheedeal/runtime/_metrics.py
@@ -87,6 +87,9 @@
         'Operator statements answered, by exit code.',
         ('exit_code',),
     ),
+    CounterSpec('membership_deaths', 'Hosts of the zone declared dead.'),
+    CounterSpec('upstream_ejections', 'Upstreams ejected after failures.'),
+    CounterSpec('path_switches', 'Silent paths to upstreams that were replaced.'),
 )
 
 
--- a/src/lycheedeal/telemetry/_plugin.py
+++ b/src/lycheedeal/telemetry/_plugin.py
@@ -57,12 +57,8 @@
                 self._view = view
             case RequestFinished():
                 yield from self._on_request(event)
-            case Refused(error, service):
-                yield Observe(
-                    'refusals_total',
-                    1,
-                    (('service', self._service(service)), ('error', error.name)),
-                )
+            case Refused():
+                yield from self._on_refused(event)
             case FlowOpened():
                 yield from self._on_opened(event)
             case FlowClosed():
@@ -95,6 +91,13 @@
         yield Observe('requests_total', 1, (*labels, ('result', finished)))
         yield Observe('request_seconds', event.seconds, labels)
 
+    def _on_refused(self, event: Refused) -> Iterator[Effect]:
+        if event.service is not None and event.kind_id is not None:
+            self._add(event.service, event.kind_id, _outcome(event.error))
+        service = self._service(event.service)
+        labels = (('service', service), ('error', event.error.name))
+        yield Observe('refusals_total', 1, labels)
+
     def _on_opened(self, event: FlowOpened) -> Iterator[Effect]:
         summary = summarize_flow(event.flow_id)
         # A request flow counts by its requests, not by its opening.
--- a/tests/unit/test_operators.py
+++ b/tests/unit/test_operators.py
@@ -3,7 +3,7 @@
 import json
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 from typing import Any
 
@@ -35,6 +35,7 @@
 )
 
 KEY = bytes(16)
+HOST = Endpoint('127.0.0.1', 1)
 NUMBER = ServiceNumber(3)
 FEED = KindId(1)
 API = ServiceName('api')
@@ -107,36 +108,14 @@
         """Build the kernel and show it a configuration."""
         self.clock = VirtualClock()
         self.decider = Decider(decide, error)
-        address = Endpoint('127.0.0.1', 1)
-        settings = model.HostSettings(
-            HostId('h1'),
-            Region('r'),
-            Zone('tortel'),
-            address,
-            address,
-            address,
-            address,
-            'http://127.0.0.1:1',
-            KEY,
-        )
-        context = kernel.Context(
-            settings,
-            self.clock,
-            random.Random(1),
-            Incarnation(1),
-        )
-        (spec,) = kernel.load_plugins(('operators',))
-        self.kernel = Kernel(
-            context,
-            (
-                spec,
-                PluginSpec(
-                    'decider',
-                    lambda _: self.decider,
-                    frozenset((kernel.ChangeRequested,)),
-                ),
-            ),
-        )
+        where = (HostId('h1'), Region('r'), Zone('tortel'))
+        ports = (HOST, HOST, HOST, HOST)
+        settings = model.HostSettings(*where, *ports, 'http://127.0.0.1:1', KEY)
+        context = kernel.Context(settings, self.clock, random.Random(1), Incarnation(1))
+        requests = frozenset((kernel.ChangeRequested,))
+        decider = PluginSpec('decider', lambda _: self.decider, requests)
+        specs = (*kernel.load_plugins(('operators',)), decider)
+        self.kernel = Kernel(context, specs)
         self.kernel.dispatch(kernel.ViewChanged(VIEW))
         self._last_id = 0
 
@@ -170,16 +149,9 @@
 
 def flow(nonce: int = 1) -> FlowId:
     """Return the id of a feed flow on the back end."""
-    fields = FlowFields(
-        FlowClass.LONG,
-        FEED,
-        NUMBER,
-        Endpoint('127.0.0.1', 1),
-        Incarnation(1),
-        nonce,
-        BACK_END,
-        Incarnation(1),
-    )
+    owner = (HOST, Incarnation(1))
+    upstream = (BACK_END, Incarnation(1))
+    fields = FlowFields(FlowClass.LONG, FEED, NUMBER, *owner, nonce, *upstream)
     return FlowIdCodec(KEY).mint(fields)
 
 
@@ -326,22 +298,9 @@
     for index in range(5000):
         number = ServiceNumber(1000 + index)
         bench.tell(
-            kernel.RequestFinished(
-                number,
-                FEED,
-                Endpoint('10.9.9.9', index + 1),
-                None,
-                0,
-            ),
+            kernel.RequestFinished(number, FEED, Endpoint('10.9.9.9', index), None, 0),
             kernel.GossipReceived(Digest(HostId(f'h{index}'), Zone('z'), {})),
-            kernel.UpstreamChanged(
-                number,
-                UpstreamId('u'),
-                BACK_END,
-                model.UpstreamState.GONE,
-                Incarnation(1),
-                0,
-            ),
+            replace(READY, service=number),
         )
     plugin = bench.kernel.plugins_by_name['operators']
     assert isinstance(plugin, operators.OperatorsPlugin)
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -65,21 +65,11 @@
         """Build the kernel and show it a configuration."""
         self.clock = VirtualClock()
         self.sink = MetricsSink()
-        settings = model.HostSettings(
-            HostId('h1'),
-            Region('r'),
-            Zone('z'),
-            HOST,
-            HOST,
-            HOST,
-            HOST,
-            'http://127.0.0.1:1',
-            KEY,
-        )
-        self.kernel = Kernel(
-            kernel.Context(settings, self.clock, random.Random(1), Incarnation(1)),
-            kernel.load_plugins(('telemetry',)),
-        )
+        where = (HostId('h1'), Region('r'), Zone('z'))
+        ports = (HOST, HOST, HOST, HOST)
+        settings = model.HostSettings(*where, *ports, 'http://127.0.0.1:1', KEY)
+        context = kernel.Context(settings, self.clock, random.Random(1), Incarnation(1))
+        self.kernel = Kernel(context, kernel.load_plugins(('telemetry',)))
         view = ConfigurationView(MappingProxyType({NUMBER: SERVICE}))
         self.tell(kernel.ViewChanged(view))
 
@@ -146,8 +136,10 @@
         kernel.FlowOpened(NUMBER, FEED, flow(FlowClass.REQUEST)),
         kernel.FlowClosed(NUMBER, flow(FlowClass.LONG), ErrorKind.UPSTREAM_LOST),
         kernel.FlowClosed(NUMBER, flow(FlowClass.LONG), None),
+        kernel.Refused(ErrorKind.NO_UPSTREAM, NUMBER, 'open', FEED),
+        kernel.Refused(ErrorKind.NO_UPSTREAM, NUMBER, 'request'),
     )
-    assert bench.counts()['5m'] == (1, 1)
+    assert bench.counts()['5m'] == (1, 2)
     assert bench.metric('flows_opened_total{kind="feed",service="api"} 2.0')
     assert bench.metric(
         'flows_closed_total{kind="feed",result="UPSTREAM_LOST",service="api"} 1.0',
