Report refused and unasked hosts of a query; test log lines

Cause: merged answers hid hosts that refused and hosts beyond the first 16. Change: both are listed; a reply that is not a burn report counts as missing.

--- a/src/lycheedeal/cli/_burn_command.py
+++ b/src/lycheedeal/cli/_burn_command.py
@@ -10,7 +10,7 @@
 from cleo.io.inputs.option import Option
 
 from lycheedeal.cli import _hosts as hosts
-from lycheedeal.cli._client import AdminClient, Answered, Attempt
+from lycheedeal.cli._client import AdminClient, Answered, Attempt, Lost
 from lycheedeal.cli._exit_codes import ExitCode
 from lycheedeal.cli._merge import unanswered
 from lycheedeal.cli._output import (
@@ -33,6 +33,8 @@
 listed, and their counts are missing from the sums.
 """
 
+_FIELDS: Final = frozenset(('host', 'objective', 'rows'))
+
 _Key = tuple[str, str, str]
 
 
@@ -107,7 +109,13 @@
     timeout: float,
 ) -> Sequence[Attempt]:
     async with AdminClient(timeout) as client:
-        return await client.burn_all(addresses)
+        return [_checked(one) for one in await client.burn_all(addresses)]
+
+
+def _checked(attempt: Attempt) -> Attempt:
+    if isinstance(attempt, Answered) and not _FIELDS <= attempt.document.keys():
+        return Lost(attempt.host, 'answer is not a burn report')
+    return attempt
 
 
 def _all_rows(answers: Iterable[dict[str, Any]]) -> Iterator[dict[str, Any]]:
--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -107,8 +107,8 @@
     answers = content.pop('answers', ())
     not_answered = content.pop('not_answered', ())
     as_of = content.pop('as_of', None)
-    if rows is not None:
-        yield from table_lines(rows)
+    if rows or answers:
+        yield from table_lines(rows or ())
     yield from object_lines(content.pop('object', {}))
     yield from object_lines(content)
     if as_of is not None:
--- a/src/lycheedeal/cli/_merge.py
+++ b/src/lycheedeal/cli/_merge.py
@@ -17,10 +17,11 @@
     """Return exit code and merged content; ``now`` is Unix time.
 
     The exit code is 0 if any host gave the rows; hosts that did not answer
-    are listed with the reason.
+    are listed with the reason, and those that refused with the error.
     """
     answers = [attempt for attempt in attempts if isinstance(attempt, Answered)]
     good = [answer for answer in answers if _exit_code(answer) == ExitCode.DONE]
+    faulty = [answer for answer in answers if _exit_code(answer) != ExitCode.DONE]
     merged: dict[str, Any] = {
         'rows': list(_merged_rows(good)),
         'answers': [_describe(answer, now) for answer in good],
@@ -29,13 +30,12 @@
     details = {_host_name(answer): _details(answer) for answer in good}
     if any(details.values()):
         merged['details'] = details
+    if faulty:
+        merged['errors'] = [_describe_error(answer) for answer in faulty]
     if good:
         return ExitCode.DONE, merged
-    if answers:
-        return _exit_code(answers[0]), _content(answers[0]) | {
-            'not_answered': merged['not_answered'],
-        }
-    return ExitCode.UNREACHABLE, merged
+    exit_code = _exit_code(faulty[0]) if faulty else ExitCode.UNREACHABLE
+    return exit_code, merged
 
 
 def unanswered(attempts: Iterable[Attempt]) -> Iterator[dict[str, str]]:
@@ -62,6 +62,15 @@
     }
 
 
+def _describe_error(answer: Answered) -> dict[str, Any]:
+    content = _content(answer)
+    return {
+        'host': _host_name(answer),
+        'error': content.get('error'),
+        'detail': content.get('detail'),
+    }
+
+
 def _details(answer: Answered) -> dict[str, Any]:
     return {
         key: content for key, content in _content(answer).items() if key not in _MERGED
--- a/src/lycheedeal/cli/_statement.py
+++ b/src/lycheedeal/cli/_statement.py
@@ -7,7 +7,14 @@
 from enum import Enum, unique
 from typing import Any, Final
 
-from lycheedeal.cli._client import AdminClient, Answered, Attempt, Lost, Rejected
+from lycheedeal.cli._client import (
+    AdminClient,
+    Answered,
+    Attempt,
+    Lost,
+    NotSent,
+    Rejected,
+)
 from lycheedeal.cli._exit_codes import ExitCode
 from lycheedeal.cli._merge import merge_answers, unanswered
 from lycheedeal.errors import ErrorKind
@@ -15,6 +22,7 @@
 
 # A query asks at most this many hosts, whatever the size of the fleet.
 _MAX_HOSTS: Final = 16
+_NOT_ASKED: Final = f'not asked, since a query goes to {_MAX_HOSTS} hosts at most'
 _MERGED_QUERIES: Final = frozenset(
     ('hosts', 'config', 'flows', 'upstreams', 'refusals'),
 )
@@ -66,7 +74,8 @@
         match classify(text):
             case StatementClass.MERGED_QUERY:
                 attempts = await client.state_all(hosts[:_MAX_HOSTS], text)
-                return Outcome(*merge_answers(attempts, time.time()))
+                left_out = [NotSent(host, _NOT_ASKED) for host in hosts[_MAX_HOSTS:]]
+                return Outcome(*merge_answers([*attempts, *left_out], time.time()))
             case StatementClass.QUERY:
                 return await _try_in_turn(client, hosts, text, is_change=False)
             case StatementClass.CHANGE:
--- a/tests/functional/test_admin.py
+++ b/tests/functional/test_admin.py
@@ -1,10 +1,12 @@
 """The admin server must answer each statement once, and stay bounded."""
 
 import asyncio
+import json
 import os
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from io import StringIO
 from itertools import repeat
 from typing import Any
 
@@ -20,10 +22,11 @@
 from lycheedeal.cli._registry import COMMANDS
 from lycheedeal.cli._statement import send_statement
 from lycheedeal.errors import ErrorKind, answer_for
-from lycheedeal.kernel import Observe, Reply, StatementReceived
+from lycheedeal.kernel import Log, LogLevel, Observe, Reply, StatementReceived
 from lycheedeal.model import Endpoint
 from lycheedeal.runtime import _admin
 from lycheedeal.runtime._admin import AdminServer
+from lycheedeal.runtime._logs import LogSink
 from lycheedeal.runtime._metrics import MetricsSink
 
 
@@ -256,7 +259,7 @@
         assert outcome.exit_code == ExitCode.DONE
         assert len(rig.received) == 8
         assert outcome.content['rows'] == [{'host': 'h1', 'shard': 1}] * 8
-        assert len(outcome.content['not_answered']) == 8
+        assert len(outcome.content['not_answered']) == 12
         assert outcome.content['answers'][0]['age_seconds'] > 0
         assert list(text_lines(outcome.content))[:2] == ['HOST  SHARD', 'h1    1']
 
@@ -267,13 +270,8 @@
     """Guards against a burn that is averaged instead of added up."""
 
     def answer(good: int, bad: int) -> Answered:
-        row = {
-            'service': 'api',
-            'kind': 'feed',
-            'window': '5m',
-            'good': good,
-            'bad': bad,
-        }
+        names = {'service': 'api', 'kind': 'feed', 'window': '5m'}
+        row = {**names, 'good': good, 'bad': bad}
         document = {'host': 'h', 'objective': 0.9, 'rows': [row]}
         return Answered(Endpoint('127.0.0.1', 1), document)
 
@@ -299,3 +297,17 @@
     for name in COMMANDS:
         assert run_program(name, ['--help']) == ExitCode.DONE
         assert '--help' in capsys.readouterr().out
+
+
+def test_log_lines_keep_their_form() -> None:
+    """Guards against a caller's text that forges a line, and a wrong level."""
+    lines = []
+    for as_json in (False, True):
+        stream = StringIO()
+        sink = LogSink('INFO', as_json, stream)
+        sink.write(Log('steering', LogLevel.WARNING, 'bad {x}\nforged: line'))
+        sink.write(Log('steering', LogLevel.DEBUG, 'hidden'))
+        lines.append(stream.getvalue().splitlines())
+    assert [len(written) for written in lines] == [1, 1]
+    assert lines[0][0].endswith('Z WARNING steering: bad {x} forged: line')
+    assert json.loads(lines[1][0])['part'] == 'steering'
--- a/tests/unit/test_operators.py
+++ b/tests/unit/test_operators.py
@@ -165,15 +165,8 @@
     (request,) = bench.decider.requests
     assert request.change_id == 'c1'
     assert request.change == model.DrainUpstream(API, UpstreamId('u1'))
-    assert not bench.replies(
-        kernel.ChangeDecided(
-            request.query_id,
-            request.change_id,
-            None,
-            Generation(6),
-            '',
-        ),
-    )
+    ids = (request.query_id, request.change_id)
+    assert not bench.replies(kernel.ChangeDecided(*ids, None, Generation(6), ''))
 
 
 @pytest.mark.parametrize(
