Treat server faults as lost answers; bound concurrent connections

Cause: HTTP status 500 with a reason counted as a usage fault, although a change may have reached the core; a wait for a connection used up the timeout. Change: such answers are lost, so that a change stays unknown; at most 100 hosts are asked at once, and a timeout begins with the turn.

--- a/src/lycheedeal/cli/_client.py
+++ b/src/lycheedeal/cli/_client.py
@@ -14,6 +14,9 @@
 _CONNECT_SECONDS: Final = 2
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
+_SERVER_FAULT: Final = 500
+# Below the usual limit of open files.
+_MAX_CONCURRENT: Final = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,8 +61,9 @@
         """Take the longest wait for one answer, in seconds."""
         self._timeout = aiohttp.ClientTimeout(
             total=timeout,
-            connect=min(timeout, _CONNECT_SECONDS),
+            sock_connect=min(timeout, _CONNECT_SECONDS),
         )
+        self._turns = asyncio.Semaphore(_MAX_CONCURRENT)
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> 'AdminClient':
@@ -104,12 +108,17 @@
     ) -> Attempt:
         if self._session is None:
             raise RuntimeError('client is not open')
+        url = f'http://{host}{path}'
         try:
-            async with self._session.request(
-                method,
-                f'http://{host}{path}',
-                json=body,
-            ) as response:
+            # A timeout begins with the turn, so that many hosts can be asked.
+            async with (
+                self._turns,
+                self._session.request(
+                    method,
+                    url,
+                    json=body,
+                ) as response,
+            ):
                 return _read(host, response.status, await response.json())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(host, _reason(error))
@@ -123,10 +132,16 @@
     if status == _OK:
         return Answered(host, document)
     reason = str(document.get('reason', f'HTTP status {status}'))
-    return NotSent(host, reason) if status == _UNAVAILABLE else Rejected(host, reason)
+    if status == _UNAVAILABLE:
+        return NotSent(host, reason)
+    # The statement may have reached the core before a fault of the server.
+    failed = status >= _SERVER_FAULT
+    return Lost(host, reason) if failed else Rejected(host, reason)
 
 
 def _reason(error: Exception) -> str:
     if isinstance(error, aiohttp.ClientConnectorError) and error.errno:
         return os.strerror(error.errno).lower()
+    if isinstance(error, TimeoutError):
+        return 'no answer in time'
     return str(error) or type(error).__name__
