Test the configuration plug-in under races, stale objects and lost answers

Cause: the guarantees of configuration had no checks. Change: unit tests of changes and plug-in, and a hypothesis state machine of two operators with late, lost, stale and recreated objects.

--- a/tests/functional/test_configuration_gossip.py
+++ b/tests/functional/test_configuration_gossip.py
@@ -7,21 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lycheedeal import messages, wire
+from lycheedeal import messages, model, wire
 from lycheedeal.configuration import apply_change
 from lycheedeal.exceptions import DecodeError
-from lycheedeal.model import (
-    ChangeId,
-    CreateService,
-    Endpoint,
-    Generation,
-    HostId,
-    ServiceName,
-    Shard,
-    ShardIndex,
-    Zone,
-    shard_of,
-)
 from lycheedeal.runtime._gossip import (
     GossipLink,
     GossipMessage,
@@ -29,16 +17,16 @@
     encode_frame,
 )
 
-SYSTEM_CHOSEN = Endpoint('127.0.0.1', 0)
+SYSTEM_CHOSEN = model.Endpoint('127.0.0.1', 0)
 
 
-def big_shard() -> Shard:
-    index = shard_of(ServiceName('s0'))
-    shard = Shard(index, Generation(0))
-    names = (ServiceName(f's{number}') for number in range(2000))
-    for number, name in enumerate(one for one in names if shard_of(one) == index):
-        change = CreateService(name, Endpoint('10.0.0.1', number + 1))
-        shard = apply_change(shard, change, ChangeId(f'c{number}'), 1.5)
+def big_shard() -> model.Shard:
+    index = model.shard_of(model.ServiceName('s0'))
+    shard = model.Shard(index, model.Generation(0))
+    names = (model.ServiceName(f's{number}') for number in range(2000))
+    for number, name in enumerate(one for one in names if model.shard_of(one) == index):
+        change = model.CreateService(name, model.Endpoint('10.0.0.1', number + 1))
+        shard = apply_change(shard, change, model.ChangeId(f'c{number}'), 1.5)
     return shard
 
 
@@ -66,11 +54,11 @@
     try:
         first.set_neighbours((second.endpoint,))
         digest = messages.Digest(
-            HostId('h1'),
-            Zone('z'),
-            {ShardIndex(2): Generation(9)},
+            model.HostId('h1'),
+            model.Zone('z'),
+            {model.ShardIndex(2): model.Generation(9)},
         )
-        copy = messages.ShardCopy(HostId('h2'), big_shard())
+        copy = messages.ShardCopy(model.HostId('h2'), big_shard())
         assert await send_until_received(first, digest, received) == digest
         while not received.empty():
             received.get_nowait()
@@ -92,7 +80,7 @@
 
 def test_compressed_shard_is_restored() -> None:
     """Guards against damage by compression, and against sending it plain."""
-    copy = messages.ShardCopy(HostId('h'), big_shard())
+    copy = messages.ShardCopy(model.HostId('h'), big_shard())
     frame = encode_frame(copy)
     assert decode_frame(frame) == copy
     assert len(frame) * 4 < len(wire.encode(copy))
@@ -116,7 +104,7 @@
 
 def test_frame_that_expands_too_far_is_refused() -> None:
     """Guards against a small frame that fills the memory."""
-    bomb = encode_frame(messages.ShardCopy(HostId('h' * 2_000_000), big_shard()))
+    bomb = encode_frame(messages.ShardCopy(model.HostId('h' * 2_000_000), big_shard()))
     assert len(bomb) < 100_000
     with pytest.raises(DecodeError):
         decode_frame(bomb)
--- a/tests/functional/test_platform_client.py
+++ b/tests/functional/test_platform_client.py
@@ -1,19 +1,13 @@
 """The client against the stand-in of the object API, over loopback."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 
 import aiohttp
 import uvloop
 
-from lycheedeal.kernel import (
-    ApiCall,
-    ApiChanged,
-    ApiReplied,
-    ApiStatus,
-    CallApi,
-    Event,
-)
+from lycheedeal import kernel
+from lycheedeal.kernel import ApiCall, ApiStatus
 from lycheedeal.runtime._platform import PlatformClient
 from standins.platform import PlatformServer
 
@@ -25,7 +19,7 @@
 
     def __init__(self) -> None:
         self.server = PlatformServer(host_lag=0)
-        self.events: asyncio.Queue[Event] = asyncio.Queue()
+        self.events: asyncio.Queue[kernel.Event] = asyncio.Queue()
         self.base_url = ''
         self.client = PlatformClient('http://127.0.0.1:1', self.events.put_nowait)
 
@@ -45,13 +39,13 @@
         key: str = KEY,
         version: int = 0,
         body: bytes = b'',
-    ) -> ApiReplied:
-        self.client.submit(CallApi(7, operation, key, version, body))
+    ) -> kernel.ApiReplied:
+        self.client.submit(kernel.CallApi(7, operation, key, version, body))
         reply = await self.next_event()
-        assert isinstance(reply, ApiReplied)
+        assert isinstance(reply, kernel.ApiReplied)
         return reply
 
-    async def next_event(self) -> Event:
+    async def next_event(self) -> kernel.Event:
         return await asyncio.wait_for(self.events.get(), 20)
 
     async def control(self, path: str) -> None:
@@ -59,7 +53,9 @@
             await session.post(f'{self.base_url}/control/{path}')
 
 
-def run(scenario: Callable[[Setup], Awaitable[None]]) -> None:
+def on_loopback(
+    scenario: Callable[[Setup], Coroutine[None, None, None]],
+) -> Callable[[], None]:
     async def main() -> None:
         setup = Setup()
         await setup.start()
@@ -68,155 +64,129 @@
         finally:
             await setup.close()
 
-    uvloop.run(main())
+    def test() -> None:
+        uvloop.run(main())
 
+    test.__doc__ = scenario.__doc__
+    return test
 
-def test_conditional_write_takes_effect_once() -> None:
-    """Guards against one of two racing operators overwriting the other."""
-
-    async def scenario(setup: Setup) -> None:
-        created = await setup.call(ApiCall.WRITE, body=b'one')
-        second = await setup.call(ApiCall.WRITE, body=b'other')
-        stale = await setup.call(ApiCall.WRITE, version=5, body=b'other')
-        read = await setup.call(ApiCall.READ)
-        assert (created.status, created.version) == (ApiStatus.OK, 1)
-        assert second.status is stale.status is ApiStatus.CONFLICT
-        assert (read.version, read.body) == (1, b'one')
 
-    run(scenario)
+@on_loopback
+async def test_conditional_write_takes_effect_once(setup: Setup) -> None:
+    """Guards against one of two racing operators overwriting the other."""
+    created = await setup.call(ApiCall.WRITE, body=b'one')
+    second = await setup.call(ApiCall.WRITE, body=b'other')
+    stale = await setup.call(ApiCall.WRITE, version=5, body=b'other')
+    read = await setup.call(ApiCall.READ)
+    assert (created.status, created.version) == (ApiStatus.OK, 1)
+    assert second.status is stale.status is ApiStatus.CONFLICT
+    assert (read.version, read.body) == (1, b'one')
 
 
-def test_recreated_object_starts_at_version_one_again() -> None:
+@on_loopback
+async def test_recreated_object_starts_at_version_one_again(setup: Setup) -> None:
     """Guards against trusting the object version instead of the generation."""
+    await setup.call(ApiCall.WRITE, body=b'one')
+    setup.server.store.delete(KEY, None)
+    missing = await setup.call(ApiCall.READ)
+    again = await setup.call(ApiCall.WRITE, body=b'two')
+    assert missing.status is ApiStatus.NOT_FOUND
+    assert again.version == 1
 
-    async def scenario(setup: Setup) -> None:
-        await setup.call(ApiCall.WRITE, body=b'one')
-        setup.server.store.delete(KEY, None)
-        missing = await setup.call(ApiCall.READ)
-        again = await setup.call(ApiCall.WRITE, body=b'two')
-        assert missing.status is ApiStatus.NOT_FOUND
-        assert again.version == 1
-
-    run(scenario)
 
-
-def test_lost_answer_is_unknown_and_sent_once() -> None:
+@on_loopback
+async def test_lost_answer_is_unknown_and_sent_once(setup: Setup) -> None:
     """Guards against a repeated PUT that hides a write which took effect."""
-
-    async def scenario(setup: Setup) -> None:
-        await setup.call(ApiCall.WRITE, body=b'one')
-        await setup.control('lose-answer?count=1')
-        reply = await setup.call(ApiCall.WRITE, version=1, body=b'two')
-        stored = setup.server.store.get(KEY)
-        assert reply.status is ApiStatus.UNKNOWN
-        assert stored is not None
-        assert (stored.version, stored.body) == (2, b'two')
-        assert setup.server.counter.calls_by_operation['write'] == 2
-
-    run(scenario)
-
-
-def test_outage_is_told_apart_from_an_unknown_outcome() -> None:
+    await setup.call(ApiCall.WRITE, body=b'one')
+    await setup.control('lose-answer?count=1')
+    reply = await setup.call(ApiCall.WRITE, version=1, body=b'two')
+    stored = setup.server.store.get(KEY)
+    assert reply.status is ApiStatus.UNKNOWN
+    assert stored is not None
+    assert (stored.version, stored.body) == (2, b'two')
+    assert setup.server.counter.calls_by_operation['write'] == 2
+
+
+@on_loopback
+async def test_outage_is_told_apart_from_an_unknown_outcome(setup: Setup) -> None:
     """Guards against reporting "not written" for a write that may have been."""
-
-    async def scenario(setup: Setup) -> None:
-        await setup.control('outage?seconds=600')
-        refused = await setup.call(ApiCall.WRITE, body=b'one')
-        await setup.control('outage?seconds=600&mode=reset')
-        reset = await setup.call(ApiCall.WRITE, body=b'one')
-        read = await setup.call(ApiCall.READ)
-        assert refused.status is ApiStatus.UNAVAILABLE
-        assert reset.status is ApiStatus.UNKNOWN
-        assert read.status is ApiStatus.UNAVAILABLE
-        await setup.server.close()
-        closed = await setup.call(ApiCall.WRITE, body=b'one')
-        assert closed.status is ApiStatus.UNAVAILABLE
-
-    run(scenario)
-
-
-def test_unanswered_write_is_unknown() -> None:
+    await setup.control('outage?seconds=600')
+    refused = await setup.call(ApiCall.WRITE, body=b'one')
+    await setup.control('outage?seconds=600&mode=reset')
+    reset = await setup.call(ApiCall.WRITE, body=b'one')
+    read = await setup.call(ApiCall.READ)
+    assert refused.status is ApiStatus.UNAVAILABLE
+    assert reset.status is ApiStatus.UNKNOWN
+    assert read.status is ApiStatus.UNAVAILABLE
+    await setup.server.close()
+    closed = await setup.call(ApiCall.WRITE, body=b'one')
+    assert closed.status is ApiStatus.UNAVAILABLE
+
+
+@on_loopback
+async def test_unanswered_write_is_unknown(setup: Setup) -> None:
     """Guards against a call that waits without end for a platform that hangs."""
+    await setup.control('outage?seconds=600&mode=hang')
+    reply = await setup.call(ApiCall.WRITE, body=b'one')
+    assert reply.status is ApiStatus.UNKNOWN
 
-    async def scenario(setup: Setup) -> None:
-        await setup.control('outage?seconds=600&mode=hang')
-        reply = await setup.call(ApiCall.WRITE, body=b'one')
-        assert reply.status is ApiStatus.UNKNOWN
-
-    run(scenario)
 
-
-def test_list_reports_each_object_before_the_reply() -> None:
+@on_loopback
+async def test_list_reports_each_object_before_the_reply(setup: Setup) -> None:
     """Guards against a host that believes its list is done too early."""
-
-    async def scenario(setup: Setup) -> None:
-        for key in ('config/north/1', 'config/north/2', 'config/south/1'):
-            await setup.call(ApiCall.WRITE, key, body=key.encode())
-        setup.client.submit(CallApi(8, ApiCall.LIST, 'config/north/'))
-        events = [await setup.next_event() for _ in range(3)]
-        assert events == [
-            ApiChanged('config/north/1', 1, b'config/north/1'),
-            ApiChanged('config/north/2', 1, b'config/north/2'),
-            ApiReplied(8, ApiStatus.OK, 'config/north/'),
-        ]
-
-    run(scenario)
-
-
-def test_watch_reports_changes_and_survives_an_outage() -> None:
+    for key in ('config/north/1', 'config/north/2', 'config/south/1'):
+        await setup.call(ApiCall.WRITE, key, body=key.encode())
+    setup.client.submit(kernel.CallApi(8, ApiCall.LIST, 'config/north/'))
+    events = [await setup.next_event() for _ in range(3)]
+    assert events == [
+        kernel.ApiChanged('config/north/1', 1, b'config/north/1'),
+        kernel.ApiChanged('config/north/2', 1, b'config/north/2'),
+        kernel.ApiReplied(8, ApiStatus.OK, 'config/north/'),
+    ]
+
+
+@on_loopback
+async def test_watch_reports_changes_and_survives_an_outage(setup: Setup) -> None:
     """Guards against a watch that ends silently or misses a change."""
-
-    async def scenario(setup: Setup) -> None:
-        await setup.call(ApiCall.WRITE, body=b'one')
-        setup.client.submit(CallApi(9, ApiCall.WATCH, 'config/north/'))
-        assert await setup.next_event() == ApiChanged(KEY, 1, b'one')
-        setup.server.store.put(KEY, b'two', None)
-        await setup.control('outage?seconds=0.3')
-        assert await setup.next_event() == ApiChanged(KEY, 2, b'two')
-        setup.server.store.delete(KEY, None)
-        await setup.control('outage?seconds=0')
-        assert await setup.next_event() == ApiChanged(KEY, 0, b'')
-        setup.client.submit(CallApi(9, ApiCall.UNWATCH, 'config/north/'))
-        reply = await setup.call(ApiCall.WRITE, body=b'three')
-        assert reply.version == 1
-
-    run(scenario)
-
-
-def test_stale_reads_come_from_an_older_copy() -> None:
+    await setup.call(ApiCall.WRITE, body=b'one')
+    setup.client.submit(kernel.CallApi(9, ApiCall.WATCH, 'config/north/'))
+    assert await setup.next_event() == kernel.ApiChanged(KEY, 1, b'one')
+    setup.server.store.put(KEY, b'two', None)
+    await setup.control('outage?seconds=0.3')
+    assert await setup.next_event() == kernel.ApiChanged(KEY, 2, b'two')
+    setup.server.store.delete(KEY, None)
+    await setup.control('outage?seconds=0')
+    assert await setup.next_event() == kernel.ApiChanged(KEY, 0, b'')
+    setup.client.submit(kernel.CallApi(9, ApiCall.UNWATCH, 'config/north/'))
+    reply = await setup.call(ApiCall.WRITE, body=b'three')
+    assert reply.version == 1
+
+
+@on_loopback
+async def test_stale_reads_come_from_an_older_copy(setup: Setup) -> None:
     """Guards against a stand-in that is kinder than the platform."""
-
-    async def scenario(setup: Setup) -> None:
-        await setup.call(ApiCall.WRITE, body=b'one')
-        await setup.control('stale-reads?seconds=600')
-        await setup.call(ApiCall.WRITE, version=1, body=b'two')
-        stale = await setup.call(ApiCall.READ)
-        await setup.control('stale-reads?seconds=0')
-        fresh = await setup.call(ApiCall.READ)
-        assert (stale.version, stale.body) == (1, b'one')
-        assert (fresh.version, fresh.body) == (2, b'two')
-
-    run(scenario)
-
-
-def test_oversized_value_is_refused() -> None:
+    await setup.call(ApiCall.WRITE, body=b'one')
+    await setup.control('stale-reads?seconds=600')
+    await setup.call(ApiCall.WRITE, version=1, body=b'two')
+    stale = await setup.call(ApiCall.READ)
+    await setup.control('stale-reads?seconds=0')
+    fresh = await setup.call(ApiCall.READ)
+    assert (stale.version, stale.body) == (1, b'one')
+    assert (fresh.version, fresh.body) == (2, b'two')
+
+
+@on_loopback
+async def test_oversized_value_is_refused(setup: Setup) -> None:
     """Guards against a value that the platform would not hold."""
+    reply = await setup.call(ApiCall.WRITE, body=bytes(1_000_001))
+    assert reply.status is ApiStatus.UNAVAILABLE
+    assert setup.server.store.get(KEY) is None
 
-    async def scenario(setup: Setup) -> None:
-        reply = await setup.call(ApiCall.WRITE, body=bytes(1_000_001))
-        assert reply.status is ApiStatus.UNAVAILABLE
-        assert setup.server.store.get(KEY) is None
-
-    run(scenario)
 
-
-def test_registered_hosts_are_listed() -> None:
+@on_loopback
+async def test_registered_hosts_are_listed(setup: Setup) -> None:
     """Guards against a host list that seeds nobody."""
-
-    async def scenario(setup: Setup) -> None:
-        async with aiohttp.ClientSession() as session:
-            await session.post(f'{setup.base_url}/hosts', json={'host_id': 'h1'})
-        reply = await setup.call(ApiCall.HOSTS, '')
-        assert reply.body == b'[{"host_id": "h1"}]'
-
-    run(scenario)
+    async with aiohttp.ClientSession() as session:
+        await session.post(f'{setup.base_url}/hosts', json={'host_id': 'h1'})
+    reply = await setup.call(ApiCall.HOSTS, '')
+    assert reply.body == b'[{"host_id": "h1"}]'
--- /dev/null
+++ b/tests/unit/test_configuration_plugin.py
@@ -0,0 +1,534 @@
+"""The plug-in with a stored object and two hosts, without a network."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lycheedeal import kernel, messages, model
+from lycheedeal.configuration import apply_change, decode_shard, encode_shard
+from lycheedeal.errors import ErrorKind
+from standins.platform import ObjectStore, VersionMismatch
+
+ONE = model.ServiceName('fieldlink')
+INDEX = model.shard_of(ONE)
+TWO = next(
+    name
+    for name in (model.ServiceName(f'intake-{number}') for number in range(1000))
+    if model.shard_of(name) == INDEX
+)
+KEY = f'config/north/{INDEX}'
+UP = model.UpstreamId('u1')
+CREATE_ONE = model.CreateService(ONE, model.Endpoint('10.0.0.1', 80))
+CREATE_TWO = model.CreateService(TWO, model.Endpoint('10.0.0.2', 80))
+UP_TWO = model.Endpoint('10.1.0.2', 80)
+CREATE_KIND = model.CreateKind(ONE, 'live', 0)
+READ = kernel.ApiCall.READ
+WRITE = kernel.ApiCall.WRITE
+OK = kernel.ApiStatus.OK
+UNKNOWN = kernel.ApiStatus.UNKNOWN
+UNAVAILABLE = kernel.ApiStatus.UNAVAILABLE
+CHANGES: tuple[model.Change, ...] = (
+    CREATE_ONE,
+    CREATE_TWO,
+    model.CreateUpstream(ONE, UP, model.Endpoint('10.1.0.1', 80), model.Zone('z')),
+    model.DrainUpstream(ONE, UP),
+    model.UndrainUpstream(ONE, UP),
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+class Recorder:
+    def __init__(self, _: kernel.Context) -> None:
+        self.events: list[kernel.Event] = []
+
+    def handle(self, event: kernel.Event) -> Iterator[kernel.Effect]:
+        self.events.append(event)
+        yield from ()
+
+
+RECORDED = kernel.PluginSpec(
+    'recorder',
+    Recorder,
+    frozenset((kernel.ChangeDecided, kernel.Refused, kernel.ViewChanged)),
+)
+
+
+class Host:
+    """One host; its effects are collected until the test handles them."""
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        endpoint = model.Endpoint('127.0.0.1', sum(name.encode()))
+        self.clock = clock
+        self.context = kernel.Context(
+            settings=model.HostSettings(
+                host_id=model.HostId(name),
+                region=model.Region('north'),
+                zone=model.Zone('z'),
+                data=endpoint,
+                peer=endpoint,
+                gossip=endpoint,
+                admin=endpoint,
+                platform_url='',
+                flow_key=b'key',
+            ),
+            clock=clock,
+            rng=random.Random(name),
+            incarnation=model.Incarnation(1),
+        )
+        specs = (*kernel.load_plugins(('configuration',)), RECORDED)
+        self.kernel = kernel.Kernel(self.context, specs)
+        self.calls: list[kernel.CallApi] = []
+        self.gossip: list[messages.Digest | messages.ShardCopy] = []
+        self.neighbours: tuple[model.Endpoint, ...] = ()
+
+    def take(self, event: kernel.Event) -> None:
+        for effect in self.kernel.dispatch(event):
+            match effect:
+                case kernel.CallApi():
+                    self.calls.append(effect)
+                case kernel.Gossip(message):
+                    self.gossip.append(message)
+                case kernel.SetNeighbours(neighbours):
+                    self.neighbours = neighbours
+
+    def events(self, kind: type[kernel.Event]) -> list[kernel.Event]:
+        recorder = self.kernel.plugins_by_name['recorder']
+        assert isinstance(recorder, Recorder)
+        return [one for one in recorder.events if isinstance(one, kind)]
+
+    def generation(self) -> int:
+        views = self.events(kernel.ViewChanged)
+        last = views[-1] if views else None
+        if not isinstance(last, kernel.ViewChanged):
+            return 0
+        return last.view.generations_by_shard.get(INDEX, model.Generation(0))
+
+    def tick(self, seconds: float = 0.1) -> None:
+        self.clock.now += seconds
+        self.take(kernel.Tick(self.clock.now))
+
+    def request(
+        self, change: model.Change, change_id: str, dry_run: bool = False
+    ) -> None:
+        self.take(
+            kernel.ChangeRequested(
+                model.QueryId(1), model.ChangeId(change_id), change, dry_run
+            )
+        )
+
+    def outcome(self) -> ErrorKind | None:
+        decided = self.events(kernel.ChangeDecided)[-1]
+        assert isinstance(decided, kernel.ChangeDecided)
+        return decided.error
+
+    def pop_call(self, operation: kernel.ApiCall) -> kernel.CallApi:
+        found = next(one for one in self.calls if one.operation is operation)
+        self.calls.remove(found)
+        return found
+
+    def answer(
+        self, call: kernel.CallApi, store: ObjectStore, *, lose: bool = False
+    ) -> None:
+        reply = execute(call, store)
+        self.take(reply_to(call, UNKNOWN) if lose else reply)
+
+    def finish(self, store: ObjectStore) -> ErrorKind | None:
+        """Let the platform answer until the change is decided."""
+        before = len(self.events(kernel.ChangeDecided))
+        for _ in range(1000):
+            if len(self.events(kernel.ChangeDecided)) > before:
+                return self.outcome()
+            calls, self.calls = self.calls, []
+            for call in calls:
+                self.answer(call, store)
+            self.tick()
+        raise AssertionError('the change is not decided')
+
+
+def reply_to(
+    call: kernel.CallApi,
+    status: kernel.ApiStatus,
+    version: int = 0,
+    body: bytes = b'',
+) -> kernel.ApiReplied:
+    return kernel.ApiReplied(call.call_id, status, call.key, version, body)
+
+
+def execute(call: kernel.CallApi, store: ObjectStore) -> kernel.ApiReplied:
+    if call.operation is READ:
+        found = store.get(call.key)
+        if found is None:
+            return reply_to(call, kernel.ApiStatus.NOT_FOUND)
+        return reply_to(call, OK, found.version, found.body)
+    if call.operation is WRITE:
+        try:
+            return reply_to(call, OK, store.put(call.key, call.body, call.version))
+        except VersionMismatch:
+            return reply_to(call, kernel.ApiStatus.CONFLICT)
+    return reply_to(call, OK)
+
+
+def members(*hosts: Host) -> kernel.MembersChanged:
+    return kernel.MembersChanged(tuple(host.context.member for host in hosts))
+
+
+def new_host(name: str = 'h1') -> Host:
+    return Host(name, Clock())
+
+
+def shard_at(generation: int) -> model.Shard:
+    shard = model.Shard(INDEX, model.Generation(0))
+    changes = (*CHANGES, *CHANGES[3:] * generation)
+    for number, change in enumerate(changes[:generation]):
+        shard = apply_change(shard, change, model.ChangeId(f's{number}'), 1.0)
+    return shard
+
+
+def changed(generation: int, version: int = 1) -> kernel.ApiChanged:
+    return kernel.ApiChanged(KEY, version, encode_shard(shard_at(generation)))
+
+
+def test_accepted_change_is_stored_in_force_and_passed_on() -> None:
+    """Guards against an accepted change that reaches nobody."""
+    store, host = ObjectStore(), new_host()
+    host.take(members(host, new_host('h2')))
+    host.request(CREATE_ONE, 'c1')
+    assert host.finish(store) is None
+    stored = store.get(KEY)
+    assert stored is not None
+    shard = decode_shard(stored.body, INDEX)
+    assert shard.changes[-1].change_id == 'c1'
+    assert host.generation() == 1
+    assert messages.ShardCopy(model.HostId('h1'), shard) in host.gossip
+
+
+def test_dry_run_writes_nothing() -> None:
+    """Guards against a trial that takes effect."""
+    store, host = ObjectStore(), new_host()
+    host.request(CREATE_ONE, 'c1', dry_run=True)
+    assert host.finish(store) is None
+    host.request(model.DrainUpstream(ONE, UP), 'c2', dry_run=True)
+    assert host.finish(store) is ErrorKind.INVALID_CONFIGURATION
+    assert store.get(KEY) is None
+
+
+@pytest.mark.parametrize('loses', [1, 3])
+def test_lost_answer_is_resolved_by_reading_back(loses: int) -> None:
+    """Guards against "unknown" or a second change for a write that landed."""
+    store, host = ObjectStore(), new_host()
+    host.request(CREATE_ONE, 'c1')
+    host.answer(host.pop_call(READ), store)
+    for _ in range(loses):
+        write = host.pop_call(WRITE)
+        host.take(reply_to(write, UNKNOWN))
+        host.tick(2)
+        host.answer(host.pop_call(READ), store)
+    host.answer(host.pop_call(WRITE), store, lose=True)
+    assert host.finish(store) is None
+    host.request(CREATE_ONE, 'c1')
+    assert host.outcome() is None
+    assert store.revision == 1
+
+
+@pytest.mark.parametrize('sent', [False, True])
+def test_platform_down_is_told_apart_from_unknown(sent: bool) -> None:
+    """Guards against "not written" for a write that may yet land."""
+    store, host = ObjectStore(), new_host()
+    host.request(CREATE_ONE, 'c1')
+    if sent:
+        host.answer(host.pop_call(READ), store)
+        write = host.pop_call(WRITE)
+        host.take(reply_to(write, UNKNOWN))
+        host.tick(2)
+        # The write is not seen yet, which does not prove that it failed.
+        host.answer(host.pop_call(READ), store)
+    while not host.events(kernel.ChangeDecided):
+        for call in host.calls:
+            host.take(reply_to(call, UNAVAILABLE))
+        host.calls.clear()
+        host.tick()
+    expected = ErrorKind.CHANGE_UNKNOWN if sent else ErrorKind.PLATFORM_UNAVAILABLE
+    assert host.outcome() is expected
+
+
+@pytest.mark.parametrize(
+    ('other', 'expected'),
+    [(CHANGES[4], ErrorKind.CONFLICT), (CREATE_TWO, None)],
+)
+def test_only_a_change_of_the_same_service_conflicts(
+    other: model.Change,
+    expected: ErrorKind | None,
+) -> None:
+    """Guards against silent overwriting and against needless conflicts."""
+    store, host, racer = ObjectStore(), new_host(), new_host('h2')
+    for change_id, change in enumerate((CREATE_ONE, CHANGES[2], CHANGES[3])):
+        host.request(change, f'c{change_id}')
+        host.finish(store)
+    host.request(
+        model.CreateUpstream(ONE, model.UpstreamId('u2'), UP_TWO, model.Zone('z')), 'c8'
+    )
+    host.answer(host.pop_call(READ), store)
+    racer.request(other, 'c9')
+    assert racer.finish(store) is None
+    assert host.finish(store) is expected
+
+
+def test_older_object_is_counted_and_never_applied() -> None:
+    """Guards against a recreated object that reverts the configuration."""
+    store, host = ObjectStore(), new_host()
+    host.take(changed(5))
+    for event in (changed(3, version=9), changed(5), kernel.ApiChanged(KEY, 0, b'')):
+        host.take(event)
+    refused = [
+        one for one in host.events(kernel.Refused) if isinstance(one, kernel.Refused)
+    ]
+    assert [one.error for one in refused] == [ErrorKind.CONFIGURATION_REGRESSED] * 2
+    assert host.generation() == 5
+    store.put(KEY, encode_shard(shard_at(3)), 0)
+    host.request(CREATE_TWO, 'c1')
+    assert host.finish(store) is ErrorKind.CONFIGURATION_REGRESSED
+    assert store.revision == 1
+
+
+def test_other_history_of_the_same_generation_is_not_extended() -> None:
+    """Guards against a change that carries a recreated object into force."""
+    store, host = ObjectStore(), new_host()
+    host.take(changed(5))
+    other = replace(shard_at(5), next_counter=9)
+    store.put(KEY, encode_shard(other), 0)
+    host.request(CREATE_KIND, 'c1')
+    assert host.finish(store) is ErrorKind.CONFIGURATION_REGRESSED
+
+
+def test_change_stored_below_the_generation_in_force_is_not_accepted() -> None:
+    """Guards against "accepted" if the object is replaced before the write."""
+    store, host = ObjectStore(), new_host()
+    store.put(KEY, encode_shard(shard_at(3)), 0)
+    host.request(CREATE_KIND, 'c1')
+    host.answer(host.pop_call(READ), store)
+    host.take(changed(7))
+    host.answer(host.pop_call(WRITE), store)
+    assert host.outcome() is ErrorKind.CHANGE_UNKNOWN
+
+
+def test_invalid_shard_leaves_the_last_good_one_in_force() -> None:
+    """Guards against a damaged object that empties the configuration."""
+    host = new_host()
+    host.take(changed(5))
+    broken = model.Shard(INDEX, model.Generation(9), services=shard_at(5).services)
+    host.take(kernel.ApiChanged(KEY, 2, b'{"generation": 9}'))
+    host.take(kernel.GossipReceived(messages.ShardCopy(model.HostId('h2'), broken)))
+    assert len(host.events(kernel.Refused)) == 2
+    assert host.generation() == 5
+
+
+def test_neighbour_that_lags_gets_the_shard_at_a_limited_rate() -> None:
+    """Guards against lost gossip, and against copies that use up the link."""
+    host, other = new_host(), new_host('h2')
+    host.take(members(host, other))
+    host.take(changed(5))
+    host.gossip.clear()
+    digest = messages.Digest(
+        model.HostId('h2'), model.Zone('z'), {INDEX: model.Generation(4)}
+    )
+    for _ in range(20):
+        host.take(kernel.GossipReceived(digest))
+        host.tick(0.05)
+    copies = [one for one in host.gossip if isinstance(one, messages.ShardCopy)]
+    assert 1 <= len(copies) <= 4
+    other.take(kernel.GossipReceived(copies[0]))
+    assert other.generation() == 5
+    host.gossip.clear()
+    host.take(kernel.Resumed(9))
+    assert isinstance(host.gossip[0], messages.Digest)
+
+
+def test_two_hosts_of_a_zone_watch_and_neighbours_are_few() -> None:
+    """Guards against platform calls and links that grow with the fleet."""
+    clock = Clock()
+    hosts = [Host(f'h{number}', clock) for number in range(100)]
+    for host in hosts:
+        host.take(kernel.Started())
+        host.take(members(*hosts))
+        host.tick(0)
+    watchers = [
+        host
+        for host in hosts
+        if any(call.operation is kernel.ApiCall.WATCH for call in host.calls)
+    ]
+    assert len(watchers) == 2
+    assert {len(host.neighbours) for host in hosts} == {7}
+    watchers[0].take(members(*hosts[:0]))
+    watchers[0].take(members(*(one for one in hosts if one not in watchers)))
+    assert watchers[0].calls[-1].operation is kernel.ApiCall.UNWATCH
+
+
+def test_failed_list_is_retried_slowly_until_neighbours_help() -> None:
+    """Guards against a rush on the platform when it comes back."""
+    host = new_host()
+    others = [new_host(f'x{number}') for number in range(20)]
+    host.take(kernel.Started())
+    host.take(members(host, *others))
+    failed = []
+    for _ in range(600):
+        host.tick()
+        for call in host.calls:
+            failed.append(host.clock.now)
+            host.take(reply_to(call, UNAVAILABLE))
+        host.calls.clear()
+    assert min(b - a for a, b in zip(failed, failed[1:], strict=False)) >= 2
+    host.take(
+        kernel.GossipReceived(messages.ShardCopy(model.HostId('x1'), shard_at(2)))
+    )
+    host.tick(100)
+    assert not host.calls
+
+
+class Operators(RuleBasedStateMachine):
+    """Two operators on two hosts, with a platform and a link that misbehave.
+
+    A write without an answer may land later, but not across a recreation of
+    the object.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        clock = Clock()
+        self.hosts = (Host('h1', clock), Host('h2', clock))
+        for host in self.hosts:
+            host.take(members(*self.hosts))
+        self.store = ObjectStore()
+        self.bodies: list[bytes] = []
+        self.late: list[kernel.CallApi] = []
+        self.highest = [0, 0]
+        self.requested = 0
+        self.recreated = False
+
+    def put(self, call: kernel.CallApi) -> kernel.ApiReplied:
+        reply = execute(call, self.store)
+        if call.operation is WRITE and reply.status is OK:
+            self.bodies.append(call.body)
+        return reply
+
+    @rule(which=st.integers(0, 1), change=st.sampled_from(CHANGES))
+    def request(self, which: int, change: model.Change) -> None:
+        self.requested += 1
+        self.hosts[which].request(change, f'c{self.requested}')
+
+    @rule(
+        which=st.integers(0, 1),
+        fate=st.sampled_from(('ok', 'ok', 'ok', 'lost', 'late', 'down', 'stale')),
+        pick=st.integers(0, 9),
+    )
+    def answer(self, which: int, fate: str, pick: int) -> None:
+        host = self.hosts[which]
+        if not host.calls:
+            return
+        call = host.calls.pop(pick % len(host.calls))
+        if fate == 'ok':
+            host.take(self.put(call))
+        elif fate == 'lost':
+            self.put(call)
+            host.take(reply_to(call, UNKNOWN))
+        elif fate == 'late' and call.operation is WRITE:
+            self.late.append(call)
+            host.take(reply_to(call, UNKNOWN))
+        elif fate == 'stale' and call.operation is READ and self.bodies:
+            place = pick % len(self.bodies)
+            host.take(reply_to(call, OK, 1 + place, self.bodies[place]))
+        else:
+            host.take(reply_to(call, UNAVAILABLE))
+
+    @rule()
+    def late_write_arrives(self) -> None:
+        if self.late:
+            self.put(self.late.pop(0))
+
+    @rule(which=st.integers(0, 1), pick=st.integers(0, 9), keep=st.booleans())
+    def hear(self, which: int, pick: int, keep: bool) -> None:
+        """A neighbour's message arrives late, twice or not at all."""
+        heard = self.hosts[1 - which].gossip
+        if heard:
+            message = heard[pick % len(heard)]
+            self.hosts[which].take(kernel.GossipReceived(message))
+            if not keep:
+                heard.clear()
+
+    @rule(which=st.integers(0, 1), pick=st.integers(0, 99))
+    def watch_reports_any_earlier_body(self, which: int, pick: int) -> None:
+        if self.bodies:
+            body = self.bodies[pick % len(self.bodies)]
+            self.hosts[which].take(kernel.ApiChanged(KEY, 1 + pick, body))
+
+    @rule(pick=st.integers(0, 99))
+    def recreate(self, pick: int) -> None:
+        if self.bodies:
+            self.recreated = True
+            self.late.clear()
+            self.store.delete(KEY, None)
+            self.store.put(KEY, self.bodies[pick % len(self.bodies)], None)
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 3.0)))
+    def tick(self, seconds: float) -> None:
+        for host in self.hosts:
+            host.tick(seconds / 2)
+
+    @invariant()
+    def generation_never_falls(self) -> None:
+        current = [host.generation() for host in self.hosts]
+        assert all(new >= old for old, new in zip(self.highest, current, strict=True))
+        self.highest = current
+
+    @invariant()
+    def accepted_means_stored_and_refused_means_not(self) -> None:
+        stored = {
+            record.change_id
+            for body in self.bodies
+            for record in decode_shard(body, INDEX).changes
+        }
+        for host in self.hosts:
+            for decided in host.events(kernel.ChangeDecided):
+                assert isinstance(decided, kernel.ChangeDecided)
+                if decided.error is None:
+                    assert decided.change_id in stored
+                elif decided.error is not ErrorKind.CHANGE_UNKNOWN:
+                    assert decided.change_id not in stored
+
+    @invariant()
+    def accepted_change_stays_in_force(self) -> None:
+        # Hosts that lag behind a recreated object can fork the history; what
+        # they accepted is replaced by the higher generation.
+        if self.recreated:
+            return
+        for host in self.hosts:
+            plugin = host.kernel.plugins_by_name['configuration']
+            in_force = plugin.store.get(INDEX)  # type: ignore[attr-defined]
+            kept = {record.change_id for record in in_force.changes}
+            for decided in host.events(kernel.ChangeDecided):
+                assert isinstance(decided, kernel.ChangeDecided)
+                if decided.error is None:
+                    assert decided.change_id in kept
+
+
+Operators.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+)
+test_operators = Operators.TestCase
