Ask for configuration sooner on an empty host; limit rates in the stand-in

Cause: a host without the platform waited a second for its first copy; the stand-in took any number of calls. Change: digests every 0.3 s until there is a shard; status 429 above 2000 reads or 400 writes in a second; a link whose endpoint is taken raises OSError.

--- a/src/lycheedeal/configuration/_spreading.py
+++ b/src/lycheedeal/configuration/_spreading.py
@@ -31,7 +31,8 @@
 # than its own, so it always sends.
 _ENOUGH_DIGESTS: Final = 2
 _MAX_LEFT_OUT: Final = 3
-# A host that hears of a newer shard asks for it with a digest, not more often.
+# A host that hears of a newer shard, or has none at all, asks with a digest, but
+# not more often.
 _ASK_SECONDS: Final = 0.3
 # With so few neighbours a message that is held back may be the only one.
 _FEW_NEIGHBOURS: Final = 2
@@ -84,7 +85,8 @@
     def send_digest(self, now: float) -> Iterator[Gossip]:
         """Tell the neighbours what is in force here."""
         # Spread over the second, so that neighbours do not answer at once.
-        self._digest_at = now + _DIGEST_SECONDS * self._rng.uniform(0.9, 1.1)
+        period = _DIGEST_SECONDS if len(self._store) else _ASK_SECONDS
+        self._digest_at = now + period * self._rng.uniform(0.9, 1.1)
         self._digest_sent_at = now
         self._same_digests = 0
         self._left_out = 0
--- a/src/lycheedeal/runtime/_gossip.py
+++ b/src/lycheedeal/runtime/_gossip.py
@@ -65,7 +65,7 @@
         self._dialers_by_endpoint: dict[Endpoint, Any] = {}
 
     async def start(self) -> None:
-        """Open the socket and listen."""
+        """Open the socket and listen; raises OSError if the endpoint is taken."""
         _limit_threads()
         self._socket = pynng.Bus0(
             recv_max_size=_MAX_MESSAGE,
@@ -74,7 +74,12 @@
             reconnect_time_min=_RECONNECT_MIN_MS,
             reconnect_time_max=_RECONNECT_MAX_MS,
         )
-        listener = self._socket.listen(_url(self.endpoint))
+        try:
+            listener = self._socket.listen(_url(self.endpoint))
+        except pynng.NNGException as error:
+            self._socket.close()
+            self._socket = None
+            raise OSError(f'gossip link on {self.endpoint}: {error}') from error
         ip, _, port = str(listener.local_address).rpartition(':')
         self.endpoint = Endpoint(ip, int(port))
         self._receive_fd = self._socket.recv_fd
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,7 +14,7 @@
 
 Faults:  POST /control/outage?seconds=&mode=refuse|hang|reset,
 /control/slow?ms=, /control/lose-answer?count=, /control/stale-reads?seconds=.
-GET /control/stats counts calls.
+GET /control/stats counts calls. Calls above the rate limits get status 429.
 """
 
 import argparse
@@ -35,6 +35,10 @@
 MAX_VALUE = 1_000_000
 MAX_WATCH_SECONDS = 30.0
 RATE_WINDOW_SECONDS = 10.0
+# Calls in one second that the platform takes.
+MAX_READS = 2000
+MAX_WRITES = 400
+WRITES = frozenset(('write', 'register'))
 
 
 @dataclass(frozen=True)
@@ -151,13 +155,24 @@
     def __init__(self) -> None:
         """Start at zero."""
         self.calls_by_operation: Counter[str] = Counter()
+        self.refused = 0
+        self._second = 0
+        self._in_second: Counter[bool] = Counter()
         self._times: deque[float] = deque()
 
-    def add(self, operation: str, now: float) -> None:
-        """Count one call."""
+    def add(self, operation: str, now: float) -> bool:
+        """Count one call; tell whether the rate limits allow it."""
         self.calls_by_operation[operation] += 1
         self._times.append(now)
         self._forget(now)
+        if int(now) != self._second:
+            self._second = int(now)
+            self._in_second.clear()
+        is_write = operation in WRITES
+        self._in_second[is_write] += 1
+        allowed = self._in_second[is_write] <= (MAX_WRITES if is_write else MAX_READS)
+        self.refused += not allowed
+        return allowed
 
     def rate(self, now: float) -> float:
         """Return calls per second over the last window."""
@@ -228,7 +243,8 @@
         if request.path.startswith('/control/'):
             response: web.StreamResponse = await handler(request)
             return response
-        self.counter.add(_operation(request), self._clock())
+        if not self.counter.add(_operation(request), self._clock()):
+            return web.Response(status=429)
         if self.faults.slow_seconds:
             await asyncio.sleep(self.faults.slow_seconds)
         if self._is_out():
@@ -335,6 +351,7 @@
             {
                 'calls': dict(calls),
                 'total': calls.total(),
+                'refused': self.counter.refused,
                 'per_second': self.counter.rate(self._clock()),
                 'pending_watches': len(self._changed),
                 'objects': len(self.store.select('')),
--- a/tests/unit/test_configuration_plugin.py
+++ b/tests/unit/test_configuration_plugin.py
@@ -358,6 +358,37 @@
     assert isinstance(host.gossip[0], messages.Digest)
 
 
+@pytest.mark.parametrize(('repeats', 'sent'), [(0, 1), (1, 0)])
+def test_copy_is_passed_on_unless_neighbours_did(repeats: int, sent: int) -> None:
+    """Guards against lost changes, and against each host sending each shard."""
+    host = new_host()
+    host.take(members(host, *(new_host(f'x{number}') for number in range(20))))
+    for sender in range(1 + repeats):
+        copy = messages.ShardCopy(model.HostId(f'x{sender}'), shard_at(2))
+        host.take(kernel.GossipReceived(copy))
+    for _ in range(20):
+        host.tick()
+    assert sum(isinstance(one, messages.ShardCopy) for one in host.gossip) == sent
+
+
+def test_digest_is_left_out_only_while_neighbours_agree() -> None:
+    """Guards against a host that lags and does not tell."""
+    host = new_host()
+    host.take(members(host, *(new_host(f'x{number}') for number in range(20))))
+    host.take(changed(5))
+    counts = []
+    for generation in (5, 6):
+        host.gossip.clear()
+        theirs = {INDEX: model.Generation(generation)}
+        digest = messages.Digest(model.HostId('x1'), model.Zone('z'), theirs)
+        for _ in range(80):
+            host.take(kernel.GossipReceived(digest))
+            host.tick()
+        counts.append(sum(isinstance(one, messages.Digest) for one in host.gossip))
+    assert counts[0] == 2
+    assert counts[1] > 8
+
+
 def test_two_hosts_of_a_zone_watch_and_neighbours_are_few() -> None:
     """Guards against platform calls and links that grow with the fleet."""
     clock = Clock()
