Count request errors and outcomes lost outside a crash

Cause: the demonstration did not tell why requests had no answer. Change: errors by name for flows and requests; unknown outcomes outside the time of a crash are counted apart; the logs can be kept.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,5 +1,6 @@
 """Runs everything with real processes; ends with one JSON line."""
 
+import argparse
 import asyncio
 import json
 import shutil
@@ -109,12 +110,14 @@
         'refused_not_run': counts.refused_not_run,
         'refused_but_ran': counts.refused_but_ran,
         'outcome_unknown': counts.outcome_unknown,
+        'unknown_outside_crash': counts.unknown_outside_crash,
         'not_sent': counts.not_sent,
         'misrouted': counts.misrouted,
         'work_after_drain': _work_after_drain(fleet),
         'longest_gap_seconds': round(counts.longest_gap_seconds, 2),
         'entries_missing': counts.entries_missing,
-        'causes': counts.causes,
+        'flow_errors': counts.flow_errors,
+        'request_errors': counts.request_errors,
         'control_bytes_per_second_per_host': None,
         'api_calls_per_second': None,
         'config_in_force_seconds': None,
@@ -153,9 +156,14 @@
 
 def main() -> int:
     """Run the demonstration in a directory of its own."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--keep-logs', action='store_true', help='also on success')
+    arguments = parser.parse_args()
     directory = Path(tempfile.mkdtemp(prefix='lycheedeal-demo-'))
     status = uvloop.run(demonstrate(directory))
-    if status == 0:
+    if arguments.keep_logs:
+        print(f'logs are in {directory}', file=sys.stderr)
+    elif status == 0:
         shutil.rmtree(directory)
     return status
 
--- a/standins/_records.py
+++ b/standins/_records.py
@@ -56,6 +56,8 @@
 
     token: str
     outcome: RequestOutcome
+    error: str
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Window:
-    """Span of time in which a flow may break because a host crashed."""
+    """Span of time in which a crash may break flows and lose outcomes."""
 
     start: float
     end: float
@@ -117,11 +119,13 @@
     refused_not_run: int = 0
     refused_but_ran: int = 0
     outcome_unknown: int = 0
+    unknown_outside_crash: int = 0
     not_sent: int = 0
     misrouted: int = 0
     entries_missing: int = 0
     longest_gap_seconds: float = 0
-    causes: dict[str, int] = field(default_factory=dict)
+    flow_errors: dict[str, int] = field(default_factory=dict)
+    request_errors: dict[str, int] = field(default_factory=dict)
 
 
 def read_lines(text: bytes) -> Iterator[dict[str, Any]]:
@@ -140,7 +144,12 @@
             case {'event': 'request_submitted', 'token': token, 'idempotent': flag}:
                 yield RequestSubmitted(token, flag)
             case {'event': 'request_ended', 'token': token, 'outcome': outcome}:
-                yield RequestEnded(token, RequestOutcome(outcome))
+                yield RequestEnded(
+                    token,
+                    RequestOutcome(outcome),
+                    line['error'],
+                    line['at'],
+                )
             case {'event': 'foreign_answer'}:
                 yield ForeignAnswer()
             case {'event': 'flow_opened', 'flow_id': flow_id}:
@@ -177,14 +186,14 @@
     counts = Counts()
     crash_windows = tuple(crashes)
     idempotent_by_token: dict[str, bool] = {}
-    outcomes_by_token: dict[str, RequestOutcome] = {}
+    ends_by_token: dict[str, RequestEnded] = {}
     open_flows: set[str] = set()
     for record in callers:
         match record:
             case RequestSubmitted(token, idempotent):
                 idempotent_by_token[token] = idempotent
-            case RequestEnded(token, outcome):
-                outcomes_by_token[token] = outcome
+            case RequestEnded() as ended_request:
+                ends_by_token[ended_request.token] = ended_request
             case ForeignAnswer():
                 counts.foreign_or_torn_answers += 1
             case FlowOpened(flow_id):
@@ -207,8 +216,9 @@
                 continue
     counts.requests = len(idempotent_by_token)
     for token, idempotent in idempotent_by_token.items():
-        outcome = outcomes_by_token.get(token, RequestOutcome.UNKNOWN)
-        _count_request(counts, outcome, idempotent, runs_by_token[token])
+        ended_request = ends_by_token.get(token, _never_ended(token))
+        _count_runs(counts, idempotent, runs_by_token[token])
+        _count_request(counts, ended_request, runs_by_token[token], crash_windows)
     return counts
 
 
@@ -230,24 +240,30 @@
     if not ended.is_broken():
         return
     cause = ended.cause or 'SILENT'
-    counts.causes[cause] = counts.causes.get(cause, 0) + 1
-    if any(window.covers(ended.at) for window in crashes):
+    counts.flow_errors[cause] = counts.flow_errors.get(cause, 0) + 1
+    if _within(ended.at, crashes):
         counts.flows_broken_crash += 1
     else:
         counts.flows_broken_planned += 1
 
 
-def _count_request(
-    counts: Counts,
-    outcome: RequestOutcome,
-    idempotent: bool,
-    runs: int,
-) -> None:
+def _count_runs(counts: Counts, idempotent: bool, runs: int) -> None:
     if runs > 1 and idempotent:
         counts.idempotent_reruns += 1
     elif runs > 1:
         counts.ran_twice += 1
-    match outcome:
+
+
+def _count_request(
+    counts: Counts,
+    ended: RequestEnded,
+    runs: int,
+    crashes: tuple[Window, ...],
+) -> None:
+    if ended.error:
+        errors = counts.request_errors
+        errors[ended.error] = errors.get(ended.error, 0) + 1
+    match ended.outcome:
         case RequestOutcome.ANSWERED:
             counts.whole_answers += 1
         case RequestOutcome.FOREIGN_OR_TORN:
@@ -260,3 +276,12 @@
             counts.refused_but_ran += runs > 0
         case RequestOutcome.UNKNOWN:
             counts.outcome_unknown += 1
+            counts.unknown_outside_crash += not _within(ended.at, crashes)
+
+
+def _never_ended(token: str) -> RequestEnded:
+    return RequestEnded(token, RequestOutcome.UNKNOWN, 'NO_END', 0)
+
+
+def _within(moment: float, windows: tuple[Window, ...]) -> bool:
+    return any(window.covers(moment) for window in windows)
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -216,7 +216,7 @@
     bench.line.run(2)
     bench.line.drop = lambda sent: isinstance(sent, SendPacket)
     bench.line.run(15)
-    assert bench.counts().causes == {'STALLED': 1}
+    assert bench.counts().flow_errors == {'STALLED': 1}
 
 
 def test_packet_of_an_unknown_flow_is_rejected() -> None:
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -13,7 +13,13 @@
 
 
 def _ended(outcome: str) -> dict[str, Any]:
-    return {'event': 'request_ended', 'token': 'a', 'outcome': outcome}
+    return {
+        'event': 'request_ended',
+        'token': 'a',
+        'outcome': outcome,
+        'error': '',
+        'at': 10,
+    }
 
 
 def _flow_ended(cause: str, at: float = 10, silent: float = 0.2) -> dict[str, Any]:
@@ -101,6 +107,16 @@
     assert (counts.outcome_unknown, counts.requests) == (1, 1)
 
 
+def test_unknown_outcome_outside_a_crash_is_counted_apart() -> None:
+    """Guards against a planned stop that loses requests unnoticed."""
+    caller = [SUBMITTED, _ended('unknown') | {'error': 'OWNER_LOST'}]
+    planned = _count(caller, [RUN])
+    crashed = _count(caller, [RUN], (_records.Window(9, 11),))
+    assert (planned.unknown_outside_crash, planned.outcome_unknown) == (1, 1)
+    assert (crashed.unknown_outside_crash, crashed.outcome_unknown) == (0, 1)
+    assert planned.request_errors == {'OWNER_LOST': 1}
+
+
 def test_broken_flow_is_planned_outside_a_crash() -> None:
     """Guards against blaming a crash for a break that a plan caused."""
     caller = [FLOW, _flow_ended('UNKNOWN_FLOW', at=10)]
@@ -115,7 +131,7 @@
     """Guards against a flow that stalls without any message about it."""
     counts = _count([FLOW, _flow_ended('', silent=8)])
     assert counts.flows_broken_planned == 1
-    assert counts.causes == {'SILENT': 1}
+    assert counts.flow_errors == {'SILENT': 1}
 
 
 def test_flow_without_an_end_is_broken() -> None:
