Trace lost outcomes to the owner; give up silent request flows

Change: the owner in the flow id decides whether a crash explains an unknown outcome; new requests open a new flow after 2 s without a sign of the old.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -110,7 +110,7 @@
         'refused_not_run': counts.refused_not_run,
         'refused_but_ran': counts.refused_but_ran,
         'outcome_unknown': counts.outcome_unknown,
-        'unknown_outside_crash': counts.unknown_outside_crash,
+        'unknown_without_crash': counts.unknown_without_crash,
         'not_sent': counts.not_sent,
         'misrouted': counts.misrouted,
         'work_after_drain': _work_after_drain(fleet),
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -11,7 +11,7 @@
 from demo import _plan
 from demo._fleet import Fleet, Host
 from lycheedeal.model import HostId
-from standins._records import Window
+from standins._records import Crash
 
 # Time until the fabric leaves out a host that stops or crashed.
 _FABRIC_LAG: Final = 1.0
@@ -48,7 +48,8 @@
 
 async def _kill_host(fleet: Fleet, host_id: HostId) -> None:
     now = time.time()
-    fleet.crashes.append(Window(now, now + _CRASH_EFFECT_SECONDS))
+    peer = str(fleet.hosts_by_id[host_id].peer)
+    fleet.crashes.append(Crash(peer, now, now + _CRASH_EFFECT_SECONDS))
     await _end(fleet, host_id, signal.SIGKILL)
 
 
--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from lycheedeal.model import Endpoint, HostId, ServiceName, UpstreamId, Zone
-from standins._records import Window
+from standins._records import Crash
 from standins._runtime import write_whole
 
 LOCAL: Final = '127.0.0.1'
@@ -133,7 +133,7 @@
     addresses_by_service: dict[ServiceName, Endpoint] = field(default_factory=dict)
     callers: list[asyncio.subprocess.Process] = field(default_factory=list)
     feeders: list[asyncio.subprocess.Process] = field(default_factory=list)
-    crashes: list[Window] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
     drained_at_by_upstream: dict[UpstreamId, float] = field(default_factory=dict)
     failures: list[str] = field(default_factory=list)
     measures: dict[str, Any] = field(default_factory=dict)
--- a/standins/_client.py
+++ b/standins/_client.py
@@ -5,6 +5,8 @@
 tests.
 """
 
+import socket
+import struct
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum, unique
@@ -40,6 +42,12 @@
 _STALL_SECONDS: Final = 10.0
 # The owner reports at the deadline; its answer may still be on the way.
 _OUTCOME_GRACE: Final = 0.5
+# A request flow on which nothing came for so long gets no further requests:
+# its owner may be gone, and a new flow finds another.
+_SUSPECT_SECONDS: Final = 2.0
+# Place of the owner's address in the layout of a flow id. Callers need not
+# read it; it is noted so that a loss can be traced to a host.
+_OWNER: Final = struct.Struct('!8x4sH')
 _STALLED: Final = 'STALLED'
 _NO_OUTCOME: Final = 'NO_OUTCOME'
 _BAD_ANSWER: Final = 'BAD_ANSWER'
@@ -331,6 +339,7 @@
     """A flow for requests of one kind; ``flow_id`` None while it opens."""
 
     flow_id: FlowId | None = None
+    heard_at: float = 0
     next_number: int = 1
     waiting: list[str] = field(default_factory=list)
 
@@ -416,6 +425,7 @@
             return
         flow = self._flows_by_kind[kind_id]
         flow.flow_id = flow_id
+        flow.heard_at = self._context.clock.monotonic()
         self._known_flows.add(flow_id)
         waiting, flow.waiting = flow.waiting, []
         for token in waiting:
@@ -439,6 +449,7 @@
         request = self._requests_by_token.get(token)
         if request is None or request.flow_id is None:
             return
+        self._suspect(request, request.flow_id)
         parts = _bodies.split_parts(request.body)
         for part, body in enumerate(parts):
             message = messages.Request(
@@ -453,6 +464,14 @@
         longer = min(delay * _BACKOFF, _LONGEST_REQUEST_RETRY)
         yield After(self._context.jitter(delay), RequestDue(token, longer))
 
+    def _suspect(self, request: PendingRequest, flow_id: FlowId) -> None:
+        flow = self._flows_by_kind.get(request.work.kind_id)
+        if flow is None or flow.flow_id != flow_id:
+            return
+        silent_since = max(flow.heard_at, request.submitted_at)
+        if self._context.clock.monotonic() - silent_since > _SUSPECT_SECONDS:
+            self._forget_flow(flow_id)
+
     def _take_answer(self, answer: messages.Answer) -> Iterator[Effect]:
         if answer.flow_id not in self._known_flows:
             yield Record('foreign_answer', {'flow_id': answer.flow_id.hex()})
@@ -512,6 +531,9 @@
         flow_id: FlowId,
         number: RequestNumber,
     ) -> PendingRequest | None:
+        for flow in self._flows_by_kind.values():
+            if flow.flow_id == flow_id:
+                flow.heard_at = self._context.clock.monotonic()
         token = self._tokens_by_place.get((flow_id, number))
         return None if token is None else self._requests_by_token.get(token)
 
@@ -537,11 +559,19 @@
                 'idempotent': request.work.idempotent,
                 'outcome': outcome.value,
                 'error': error,
+                'owner': _owner_of(request.flow_id),
                 'seconds': self._context.clock.monotonic() - request.submitted_at,
             },
         )
 
 
+def _owner_of(flow_id: FlowId | None) -> str:
+    if flow_id is None:
+        return ''
+    ip, port = _OWNER.unpack_from(flow_id)
+    return str(Endpoint(socket.inet_ntoa(ip), port))
+
+
 def _outcome_of(error: ErrorKind) -> RequestOutcome:
     if answer_for(error).verdict is Verdict.NOT_RUN:
         return RequestOutcome.NOT_RUN
--- a/standins/_records.py
+++ b/standins/_records.py
@@ -57,7 +57,7 @@
     token: str
     outcome: RequestOutcome
     error: str
-    at: float
+    owner: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,14 +93,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Window:
-    """Span of time in which a crash may break flows and lose outcomes."""
+class Crash:
+    """A host crashed; flows broken between two times may be due to it.
+
+    Requests are due to it if their flow id names this owner.
+    """
 
+    owner: str
     start: float
     end: float
 
     def covers(self, moment: float) -> bool:
-        """Tell whether a moment lies in the window."""
+        """Tell whether a moment lies between the two times."""
         return self.start <= moment <= self.end
 
 
@@ -119,7 +123,7 @@
     refused_not_run: int = 0
     refused_but_ran: int = 0
     outcome_unknown: int = 0
-    unknown_outside_crash: int = 0
+    unknown_without_crash: int = 0
     not_sent: int = 0
     misrouted: int = 0
     entries_missing: int = 0
@@ -148,7 +152,7 @@
                     token,
                     RequestOutcome(outcome),
                     line['error'],
-                    line['at'],
+                    line['owner'],
                 )
             case {'event': 'foreign_answer'}:
                 yield ForeignAnswer()
@@ -180,11 +184,11 @@
 def count(
     callers: Iterable[CallerRecord],
     upstreams: Iterable[UpstreamRecord],
-    crashes: Iterable[Window] = (),
+    crashes: Iterable[Crash] = (),
 ) -> Counts:
     """Return the counts; ``crashes`` tells planned breaks from others."""
     counts = Counts()
-    crash_windows = tuple(crashes)
+    known_crashes = tuple(crashes)
     idempotent_by_token: dict[str, bool] = {}
     ends_by_token: dict[str, RequestEnded] = {}
     open_flows: set[str] = set()
@@ -201,7 +205,7 @@
                 open_flows.add(flow_id)
             case FlowEnded() as ended:
                 open_flows.discard(ended.flow_id)
-                _count_flow(counts, ended, crash_windows)
+                _count_flow(counts, ended, known_crashes)
     # A caller that ended without a word about its flow lost track of it.
     counts.flows_broken_planned += len(open_flows)
     runs_by_token: Counter[str] = Counter()
@@ -218,7 +222,7 @@
     for token, idempotent in idempotent_by_token.items():
         ended_request = ends_by_token.get(token, _never_ended(token))
         _count_runs(counts, idempotent, runs_by_token[token])
-        _count_request(counts, ended_request, runs_by_token[token], crash_windows)
+        _count_request(counts, ended_request, runs_by_token[token], known_crashes)
     return counts
 
 
@@ -234,14 +238,14 @@
     )
 
 
-def _count_flow(counts: Counts, ended: FlowEnded, crashes: tuple[Window, ...]) -> None:
+def _count_flow(counts: Counts, ended: FlowEnded, crashes: tuple[Crash, ...]) -> None:
     counts.entries_missing += ended.missing
     counts.longest_gap_seconds = max(counts.longest_gap_seconds, ended.longest_gap)
     if not ended.is_broken():
         return
     cause = ended.cause or 'SILENT'
     counts.flow_errors[cause] = counts.flow_errors.get(cause, 0) + 1
-    if _within(ended.at, crashes):
+    if any(crash.covers(ended.at) for crash in crashes):
         counts.flows_broken_crash += 1
     else:
         counts.flows_broken_planned += 1
@@ -258,7 +262,7 @@
     counts: Counts,
     ended: RequestEnded,
     runs: int,
-    crashes: tuple[Window, ...],
+    crashes: tuple[Crash, ...],
 ) -> None:
     if ended.error:
         errors = counts.request_errors
@@ -276,12 +280,9 @@
             counts.refused_but_ran += runs > 0
         case RequestOutcome.UNKNOWN:
             counts.outcome_unknown += 1
-            counts.unknown_outside_crash += not _within(ended.at, crashes)
+            crashed_owners = {crash.owner for crash in crashes}
+            counts.unknown_without_crash += ended.owner not in crashed_owners
 
 
 def _never_ended(token: str) -> RequestEnded:
-    return RequestEnded(token, RequestOutcome.UNKNOWN, 'NO_END', 0)
-
-
-def _within(moment: float, windows: tuple[Window, ...]) -> bool:
-    return any(window.covers(moment) for window in windows)
+    return RequestEnded(token, RequestOutcome.UNKNOWN, 'NO_END', '')
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -209,6 +209,28 @@
     assert counts.longest_gap_seconds > 2
 
 
+def test_silent_request_flow_is_given_up() -> None:
+    """Guards against a caller that sends to an owner that is gone for good."""
+    work = _client.WorkSettings(KIND, idempotent=False, body_size=100, patience=20)
+    bench = Bench()
+    bench.give('caller', _client.Submit(work))
+    bench.line.run(1)
+    ((lost_flow, _),) = bench.places.values()
+
+    def is_lost(sent: Any) -> bool:
+        match sent:
+            case Send(_, messages.Request(flow_id)):
+                return flow_id == lost_flow
+        return False
+
+    bench.line.drop = is_lost
+    bench.give('caller', _client.Submit(work))
+    bench.line.run(4)
+    bench.give('caller', _client.Submit(work))
+    bench.line.run(2)
+    assert bench.counts().whole_answers == 2
+
+
 def test_silent_feed_is_reported_as_stalled() -> None:
     """Guards against a feed that is counted as healthy while nothing comes."""
     bench = Bench()
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -18,7 +18,7 @@
         'token': 'a',
         'outcome': outcome,
         'error': '',
-        'at': 10,
+        'owner': 'host-1',
     }
 
 
@@ -37,7 +37,7 @@
 def _count(
     caller: list[dict[str, Any]],
     upstream: list[dict[str, Any]] | None = None,
-    crashes: tuple[_records.Window, ...] = (),
+    crashes: tuple[_records.Crash, ...] = (),
 ) -> _records.Counts:
     return _records.count(
         _records.read_caller_log(caller),
@@ -107,21 +107,23 @@
     assert (counts.outcome_unknown, counts.requests) == (1, 1)
 
 
-def test_unknown_outcome_outside_a_crash_is_counted_apart() -> None:
+def test_unknown_outcome_without_a_crash_is_counted_apart() -> None:
     """Guards against a planned stop that loses requests unnoticed."""
     caller = [SUBMITTED, _ended('unknown') | {'error': 'OWNER_LOST'}]
     planned = _count(caller, [RUN])
-    crashed = _count(caller, [RUN], (_records.Window(9, 11),))
-    assert (planned.unknown_outside_crash, planned.outcome_unknown) == (1, 1)
-    assert (crashed.unknown_outside_crash, crashed.outcome_unknown) == (0, 1)
+    crashed = _count(caller, [RUN], (_records.Crash('host-1', 9, 11),))
+    other = _count(caller, [RUN], (_records.Crash('host-2', 9, 11),))
+    assert (planned.unknown_without_crash, planned.outcome_unknown) == (1, 1)
+    assert (crashed.unknown_without_crash, crashed.outcome_unknown) == (0, 1)
+    assert other.unknown_without_crash == 1
     assert planned.request_errors == {'OWNER_LOST': 1}
 
 
 def test_broken_flow_is_planned_outside_a_crash() -> None:
     """Guards against blaming a crash for a break that a plan caused."""
     caller = [FLOW, _flow_ended('UNKNOWN_FLOW', at=10)]
-    crash = (_records.Window(9, 11),)
-    later = (_records.Window(11, 12),)
+    crash = (_records.Crash('host-1', 9, 11),)
+    later = (_records.Crash('host-1', 11, 12),)
     assert _count(caller).flows_broken_planned == 1
     assert _count(caller, crashes=crash).flows_broken_crash == 1
     assert _count(caller, crashes=later).flows_broken_planned == 1
