--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -39,6 +39,13 @@
     members: tuple[Member, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HostsListed:
+    """The platform's lagging list of hosts of all zones of the region."""
+
+    members: tuple[Member, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamChanged:
     """State of an upstream as this host sees it.
@@ -75,6 +82,16 @@
     services: tuple[ServiceNumber, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsInUse:
+    """Upstreams that this host forwards flows to, owned or not.
+
+    Published about every 5 s; bounded. Health watches their paths.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class FlowOpened:
     """A flow was opened by this host."""
@@ -123,6 +140,19 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class QueueMeasured:
+    """Requests measured the queue of a service for which this host owns work.
+
+    ``saturated`` holds the kinds for which new flows must wait; ``drain_ms``
+    is the expected time to serve all that waits.
+    """
+
+    service: ServiceNumber
+    saturated: frozenset[KindId]
+    drain_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeRequested:
     """An operator asks for a change; answered by one ``ChangeDecided``."""
