Balance requests between zones by arrivals; measure work by busy time

Change: the owner compares smoothed arrivals, reported once a second, with the share of slots and passes the surplus on; an ingress that is stopping still relays. The scenario measures integrate run time instead of samples.

--- a/scenarios/_host.py
+++ b/scenarios/_host.py
@@ -62,6 +62,7 @@
 class HostTrace:
     """What one process incarnation reported."""
 
+    started: float = 0
     generations: dict[int, int] = field(default_factory=dict)
     view: ConfigurationView | None = None
     in_force: dict[tuple[int, int], float] = field(default_factory=dict)
@@ -123,6 +124,8 @@
         )
         self.alive = False
         self.exit_status: int | None = None
+        # Set by a planned stop until the process exits with 0 in time.
+        self.stopping = False
         self.frozen_until = -1.0
         self.trace = HostTrace()
         self.replies: dict[int, Reply] = {}
@@ -141,7 +144,7 @@
         self.alive = True
         self.exit_status = None
         self.frozen_until = -1
-        self.trace = HostTrace()
+        self.trace = HostTrace(started=clock.now)
         self.neighbours = ()
         self._paths = {}
         self._backlog = []
@@ -290,6 +293,8 @@
                 )
             case Exit(status):
                 self.exit_status = status
+                if status == 0:
+                    self.stopping = False
                 self.kill()
 
     def _count_control(self, message: Any) -> None:
--- a/scenarios/_upstream.py
+++ b/scenarios/_upstream.py
@@ -32,6 +32,7 @@
     upstream: str
     started: float
     deadline: float
+    ended: float = 0
 
 
 @dataclass
@@ -173,6 +174,7 @@
                     flow_id, ErrorKind.FLOW_LIMIT, message.caller
                 )
             now = self.world.time.now
+            self.world.flow_callers[flow_id] = message.caller
             self.flows[flow_id] = _Flow(message.caller, host, path, opened=now)
             self.opened_times.append(now)
         return messages.FlowAccepted(flow_id)
@@ -220,12 +222,14 @@
             self.misrouted += 1
         now = self.world.time.now
         deadline = message.deadline_ms / 1000 - self.world.time.wall() + now
-        record = RunRecord(token, message.kind_id, self.name, now, deadline)
+        duration = self.service_seconds * self.world.rng.uniform(0.6, 1.4)
+        record = RunRecord(
+            token, message.kind_id, self.name, now, deadline, now + duration
+        )
         self._seen.add(message.attempt_id)
         self.running[message.attempt_id] = record
         self.world.runs.append(record)
         incarnation = self.incarnation
-        duration = self.service_seconds * self.world.rng.uniform(0.6, 1.4)
         self.world.time.call_later(
             duration,
             lambda: self._finish(host, path, message.attempt_id, incarnation),
--- a/scenarios/_world.py
+++ b/scenarios/_world.py
@@ -44,6 +44,7 @@
         self.calls: list[CallRecord] = []
         self.flows: list[FlowCaller] = []
         self.foreign_packets = 0
+        self.flow_callers: dict[FlowId, Endpoint] = {}
         self._hosts_by_peer: dict[Endpoint, VirtualHost] = {}
         self._hosts_by_gossip: dict[Endpoint, VirtualHost] = {}
         self._upstreams_by_endpoint: dict[Endpoint, VirtualUpstream] = {}
--- a/src/lycheedeal/admission/_plugin.py
+++ b/src/lycheedeal/admission/_plugin.py
@@ -43,6 +43,7 @@
     message: Open
     service: Service | None
     relayed_by: Endpoint | None
+    final: bool = False
 
 
 class Admission:
@@ -62,9 +63,9 @@
             case CallerMessage(caller, address, Open() as message):
                 service = self._by_address(address)
                 yield from self._decide(_Asked(caller, message, service, None))
-            case PeerMessage(peer, RelayedOpen(caller, number, message)):
+            case PeerMessage(peer, RelayedOpen(caller, number, message, final)):
                 service = self._by_number(number)
-                yield from self._decide(_Asked(caller, message, service, peer))
+                yield from self._decide(_Asked(caller, message, service, peer, final))
             case PeerMessage(_, Pushback() as pushback):
                 self._pushbacks.accept(pushback, self._context.wall_ms())
             case ViewChanged(view):
@@ -95,7 +96,7 @@
         kind = service.kind(asked.message.kind_id)
         if kind is None:
             yield from self._refuse(asked, ErrorKind.UNKNOWN_KIND)
-        elif self._stopping:
+        elif self._stopping and asked.relayed_by is not None:
             yield from self._refuse(asked, ErrorKind.OWNER_LEAVING)
         elif self._is_saturated(service, kind):
             yield from self._refuse(asked, ErrorKind.PUSHED_BACK)
@@ -104,7 +105,13 @@
             yield from self._refuse(asked, ErrorKind.PUSHED_BACK)
         else:
             yield Publish(
-                OpenAdmitted(asked.caller, service, asked.message, asked.relayed_by),
+                OpenAdmitted(
+                    asked.caller,
+                    service,
+                    asked.message,
+                    asked.relayed_by,
+                    asked.final,
+                ),
             )
 
     def _is_saturated(self, service: Service, kind: WorkKind) -> bool:
@@ -129,7 +136,7 @@
             OpenRefused(asked.message.nonce, error, delay),
         )
         number = None if asked.service is None else asked.service.number
-        yield Publish(Refused(error, number, 'open'))
+        yield Publish(Refused(error, number, 'open', asked.message.kind_id))
 
     def _push_back(self, asked: _Asked, service: Service) -> Iterator[Effect]:
         if asked.relayed_by is None:
--- a/src/lycheedeal/kernel/_internal.py
+++ b/src/lycheedeal/kernel/_internal.py
@@ -66,13 +66,14 @@
     """A new flow may be opened.
 
     ``relayed_by`` is the host that relayed the message; None if it came
-    straight from the fabric.
+    straight from the fabric. ``final`` means that it came from another zone.
     """
 
     caller: Endpoint
     service: Service
     message: Open
     relayed_by: Endpoint | None
+    final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -8,11 +8,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayedOpen:
-    """An ``Open`` passed on to the owner of the service; never passed on again."""
+    """An ``Open`` passed on to the owner of the service.
+
+    The owner may pass it on once more, to the owner in another zone;
+    ``final`` says that this has been done.
+    """
 
     caller: Endpoint
     service: ServiceNumber
     message: Open
+    final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,10 +57,13 @@
 
     Within a zone these are the flows that the sender opened while it was the
     owner; to other zones, the owner reports all flows opened in its zone.
+    ``arrivals`` is the number of request flows that callers asked for in the
+    zone, a second.
     """
 
     service: ServiceNumber
     zone: Zone
+    arrivals: float
     counts: tuple[FlowCount, ...]
 
 
--- a/src/lycheedeal/steering/_counts.py
+++ b/src/lycheedeal/steering/_counts.py
@@ -72,19 +72,24 @@
     def report(self, service: ServiceNumber) -> FlowCounts:
         """Return the message that tells the current owner about own flows."""
         own = self._own_by_service.get(service, Counter())
-        return self._message(service, own)
+        return self._message(service, own, 0)
 
-    def zone_report(self, service: ServiceNumber) -> FlowCounts:
+    def zone_report(self, service: ServiceNumber, arrivals: float) -> FlowCounts:
         """Return the message that tells other zones about this zone's flows."""
         totals = Counter(self._own_by_service.get(service, {}))
         for _, report in self._reports_by_service.get(service, {}).values():
             if report.zone == self._zone:
                 _add(totals, report)
-        return self._message(service, totals)
-
-    def _message(self, service: ServiceNumber, flows: Counter[Endpoint]) -> FlowCounts:
+        return self._message(service, totals, arrivals)
+
+    def _message(
+        self,
+        service: ServiceNumber,
+        flows: Counter[Endpoint],
+        arrivals: float,
+    ) -> FlowCounts:
         counts = (FlowCount(upstream, number) for upstream, number in flows.items())
-        return FlowCounts(service, self._zone, tuple(counts))
+        return FlowCounts(service, self._zone, arrivals, tuple(counts))
 
     def services(self) -> tuple[ServiceNumber, ...]:
         """Return the services that have flows opened here."""
--- a/src/lycheedeal/steering/_opening.py
+++ b/src/lycheedeal/steering/_opening.py
@@ -30,8 +30,6 @@
     FlowFields,
     FlowId,
     Incarnation,
-    Member,
-    Service,
     ServiceNumber,
 )
 from lycheedeal.steering._choice import choose_upstream
@@ -65,21 +63,13 @@
 class FlowOpener:
     """Opens flows here or relays the message to the owner."""
 
-    def __init__(self, state: SteeringState) -> None:
+    def __init__(self, state: SteeringState, zones: ZoneBalance) -> None:
         """Share the state of the plug-in."""
         self._state = state
-        self._zones = ZoneBalance(state)
+        self._zones = zones
         self._pending_by_key: dict[OpenKey, _Pending] = {}
         self._keys_by_flow: dict[FlowId, OpenKey] = {}
 
-    def hosts_listed(self, members: tuple[Member, ...]) -> None:
-        """Take the platform's list of hosts of all zones."""
-        self._zones.hosts_listed(members)
-
-    def remote_owners(self, service: Service) -> list[Endpoint]:
-        """Return the owners of a service in other zones."""
-        return self._zones.remote_owners(service)
-
     @property
     def unfinished(self) -> int:
         """Return the number of flows that wait for an upstream."""
@@ -127,12 +117,7 @@
         if event.relayed_by is not None:
             return None
         attempt = event.message.attempt
-        kind = event.service.kind(event.message.kind_id)
-        if kind is not None and kind.long:
-            # The owner picks among all zones by counts of open flows.
-            ranked = self._state.ranked(event.service.number)
-        else:
-            ranked = self._zones.candidates(event.service, attempt)
+        ranked = self._state.ranked(event.service.number)
         if not ranked:
             return None
         owner = ranked[attempt // ATTEMPTS_PER_OWNER % len(ranked)].peer
@@ -140,6 +125,9 @@
 
     def _open(self, event: OpenAdmitted) -> Iterator[Effect]:
         kind = event.service.kind(event.message.kind_id)
+        if self._state.stopping:
+            yield from self._refuse(event, ErrorKind.OWNER_LEAVING)
+            return
         if kind is not None and kind.long:
             known = self._pending_by_key.get(_open_key(event))
             if known is None:
@@ -149,8 +137,15 @@
             else:
                 yield self._ask_upstream(known)
             return
-        flow_id = self._mint(event, FlowClass.REQUEST, None)
-        yield _opened(event, flow_id)
+        elsewhere = self._zones.pick(event)
+        if elsewhere is None:
+            yield _opened(event, self._mint(event, FlowClass.REQUEST, None))
+            return
+        number = event.service.number
+        yield SendToPeer(
+            elsewhere,
+            RelayedOpen(event.caller, number, event.message, final=True),
+        )
 
     def _open_long(
         self,
@@ -205,7 +200,8 @@
         yield SendToCaller(
             event.caller, OpenRefused(event.message.nonce, error, spread)
         )
-        yield Publish(Refused(error, event.service.number, 'open'))
+        kind_id = event.message.kind_id
+        yield Publish(Refused(error, event.service.number, 'open', kind_id))
 
     def _mint(
         self,
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -37,6 +37,7 @@
 from lycheedeal.steering._opening import FlowOpener
 from lycheedeal.steering._routes import ROTATION_SECONDS, RouteTable
 from lycheedeal.steering._state import SteeringState
+from lycheedeal.steering._zones import ZoneBalance
 
 _REPORT_SECONDS: Final = 5
 # Zones that share a service open flows by each other's counts.
@@ -54,7 +55,8 @@
         codec = FlowIdCodec(context.settings.flow_key)
         counter = FlowCounter(context.settings.zone)
         self._state = SteeringState(context, codec, self.routes, counter)
-        self._opener = FlowOpener(self._state)
+        self._zones = ZoneBalance(self._state)
+        self._opener = FlowOpener(self._state, self._zones)
         self._forwarder = Forwarder(self._state)
         self._owned: frozenset[ServiceNumber] = frozenset()
         self._next_report = 0.0
@@ -94,7 +96,7 @@
                 if event.state is UpstreamState.GONE:
                     self._state.counter.close_all(event.service, event.endpoint)
             case HostsListed(members=members):
-                self._opener.hosts_listed(members)
+                self._zones.hosts_listed(members)
             case StopStarted():
                 self._state.stopping = True
 
@@ -115,6 +117,8 @@
             case FlowCounts() as report:
                 now = self._state.context.clock.monotonic()
                 self._state.counter.reported(event.peer, report, now)
+                if report.zone != self._state.context.settings.zone:
+                    self._zones.reported(report, now)
 
     def _tick(self, now: float) -> Iterator[Effect]:
         if now >= self._next_rotation:
@@ -139,6 +143,7 @@
                     yield SendToPeer(member.peer, self._state.counter.report(service))
 
     def _report_to_zones(self) -> Iterator[Effect]:
+        self._zones.second_passed(self._owned)
         for number in sorted(self._owned):
             service = self._state.view.services_by_number[number]
             first = next(iter(self._state.ranked(number)), None)
@@ -146,8 +151,9 @@
                 continue
             if first.peer != self._state.own:
                 continue
-            report = self._state.counter.zone_report(number)
-            for owner in self._opener.remote_owners(service):
+            arrivals = self._zones.arrivals(number)
+            report = self._state.counter.zone_report(number, arrivals)
+            for owner in self._zones.remote_owners(service):
                 yield SendToPeer(owner, report)
 
     def _claim_services(self) -> Iterator[Effect]:
--- a/src/lycheedeal/steering/_zones.py
+++ b/src/lycheedeal/steering/_zones.py
@@ -1,103 +1,147 @@
-"""Share of new work that each availability zone takes."""
+"""Share of new requests that each availability zone takes."""
 
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Final
 
+from lycheedeal.kernel import OpenAdmitted
 from lycheedeal.membership import HostRanking
-from lycheedeal.model import Endpoint, Member, Service, SpillRule, Zone
+from lycheedeal.messages import FlowCounts
+from lycheedeal.model import Endpoint, Member, Service, ServiceNumber, SpillRule, Zone
 from lycheedeal.steering._state import SteeringState
 
 # A caller's retransmissions try each candidate this often.
 ATTEMPTS_PER_OWNER: Final = 2
+# Reports come once a second; a zone that sends none for longer is left out.
+_REPORT_LIFETIME_SECONDS: Final = 3.5
+# Weight of the last second in the rate of arrivals.
+_SMOOTHING: Final = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrivals:
+    """Request flows a second that callers asked for in a zone."""
+
+    rate: float
+    expires: float
 
 
 @dataclass(slots=True)
-class _RemoteZone:
-    hosts: int = 0
-    ranking: HostRanking = field(default_factory=HostRanking)
+class _ServiceLoad:
+    asked: int = 0
+    rate: float = 0
+    remote_by_zone: dict[Zone, _Arrivals] = field(default_factory=dict)
 
 
 class ZoneBalance:
-    """Picks the zone for new work under the rule ``balanced``.
+    """Passes surplus requests to other zones under the rule ``balanced``.
 
-    The fabric spreads callers evenly over all hosts, so a zone with many
-    hosts and few upstreams would overload them. Such a zone passes its
-    surplus, host share less slot share, to zones that have a deficit.
+    The fabric spreads callers over all hosts, so a zone with many hosts and
+    few upstreams gets more than its share. Its owner of the service passes
+    the surplus, share of arrivals less share of slots, to the owners in zones
+    with a deficit.
     """
 
     def __init__(self, state: SteeringState) -> None:
         """Share the state of the plug-in."""
         self._state = state
-        self._remote_by_zone: dict[Zone, _RemoteZone] = {}
+        self._ranking_by_zone: dict[Zone, HostRanking] = {}
+        self._load_by_service: dict[ServiceNumber, _ServiceLoad] = {}
 
     def hosts_listed(self, members: tuple[Member, ...]) -> None:
         """Take the platform's lagging list of hosts."""
-        own_zone = self._state.context.settings.zone
-        self._remote_by_zone = {}
-        for zone in {member.zone for member in members} - {own_zone}:
-            of_zone = [member for member in members if member.zone == zone]
-            remote = _RemoteZone(len(of_zone))
-            remote.ranking.update(of_zone)
-            self._remote_by_zone[zone] = remote
+        for zone in {member.zone for member in members} - {self._own_zone}:
+            ranking = self._ranking_by_zone.setdefault(zone, HostRanking())
+            ranking.update([member for member in members if member.zone == zone])
+
+    def remote_owner(self, service: Service, zone: Zone) -> Endpoint | None:
+        """Return the owner of a service in another zone, if it is known."""
+        ranking = self._ranking_by_zone.get(zone)
+        owner = None if ranking is None else ranking.owner(service.number)
+        return None if owner is None else owner.peer
 
     def remote_owners(self, service: Service) -> list[Endpoint]:
         """Return the owner of a service in each other zone with upstreams."""
         zones = {upstream.zone for upstream in service.upstreams}
-        owners = (
-            remote.ranking.owner(service.number)
-            for zone, remote in self._remote_by_zone.items()
-            if zone in zones
+        owners = (self.remote_owner(service, zone) for zone in sorted(zones))
+        return [owner for owner in owners if owner is not None]
+
+    def second_passed(self, owned: frozenset[ServiceNumber]) -> None:
+        """Smooth the arrivals of the last second."""
+        self._load_by_service = {
+            service: load
+            for service, load in self._load_by_service.items()
+            if service in owned
+        }
+        for load in self._load_by_service.values():
+            load.rate += _SMOOTHING * (load.asked - load.rate)
+            load.asked = 0
+
+    def arrivals(self, service: ServiceNumber) -> float:
+        """Return the request flows a second asked for in this zone."""
+        load = self._load_by_service.get(service)
+        return 0 if load is None else load.rate
+
+    def reported(self, report: FlowCounts, now: float) -> None:
+        """Take the report of the owner in another zone."""
+        load = self._load_by_service.setdefault(report.service, _ServiceLoad())
+        load.remote_by_zone[report.zone] = _Arrivals(
+            report.arrivals,
+            now + _REPORT_LIFETIME_SECONDS,
         )
-        return [owner.peer for owner in owners if owner is not None]
-
-    def candidates(self, service: Service, attempt: int) -> list[Member]:
-        """Return possible owners of new work in the order of preference."""
-        zone = self._choose(service, attempt)
-        remote = self._remote_by_zone.get(zone)
-        if remote is None:
-            return self._state.ranked(service.number)
-        return remote.ranking.candidates(service.number)
-
-    def _choose(self, service: Service, attempt: int) -> Zone:
-        own_zone = self._state.context.settings.zone
-        if service.spill is not SpillRule.BALANCED:
-            return own_zone
-        surplus = self._surplus_by_zone(service)
-        own_share = self._host_share(own_zone)
-        # A remote zone may be cut off, so retransmissions stay in the zone.
-        retried = attempt >= ATTEMPTS_PER_OWNER and surplus[own_zone] < own_share
-        if retried or surplus[own_zone] <= 0:
-            return own_zone
+
+    def pick(self, event: OpenAdmitted) -> Endpoint | None:
+        """Return the owner in another zone that should take a request flow.
+
+        None means that this zone keeps it. Retransmissions stay in the
+        zone, since the other one may be cut off.
+        """
+        service = event.service
+        if service.spill is not SpillRule.BALANCED or event.final:
+            return None
+        load = self._load_by_service.setdefault(service.number, _ServiceLoad())
+        load.asked += 1
+        if event.message.attempt >= ATTEMPTS_PER_OWNER:
+            return None
+        zone = self._draw(service, load)
+        return None if zone is None else self.remote_owner(service, zone)
+
+    @property
+    def _own_zone(self) -> Zone:
+        return self._state.context.settings.zone
+
+    def _draw(self, service: Service, load: _ServiceLoad) -> Zone | None:
+        rates = self._rates(load)
+        surplus = _surplus_by_zone(service, rates)
         rng = self._state.context.rng
-        if rng.random() * own_share > surplus[own_zone]:
-            return own_zone
-        deficits = {
-            zone: -amount
-            for zone, amount in surplus.items()
-            if amount < 0 and zone in self._remote_by_zone
-        }
+        own_share = rates[self._own_zone] / max(sum(rates.values()), 1e-9)
+        if rng.random() * own_share >= surplus[self._own_zone]:
+            return None
+        deficits = {zone: -amount for zone, amount in surplus.items() if amount < 0}
         if not deficits:
-            return own_zone
+            return None
         return rng.choices(list(deficits), list(deficits.values()))[0]
 
-    def _surplus_by_zone(self, service: Service) -> dict[Zone, float]:
-        slots: Counter[Zone] = Counter()
-        for upstream in service.upstreams:
-            if not upstream.drained:
-                slots[upstream.zone] += upstream.slots
-        total = max(slots.total(), 1)
-        own_zone = self._state.context.settings.zone
-        zones = {own_zone, *self._remote_by_zone, *slots}
-        return {
-            zone: self._host_share(zone) - slots[zone] / total for zone in sorted(zones)
+    def _rates(self, load: _ServiceLoad) -> dict[Zone, float]:
+        now = self._state.context.clock.monotonic()
+        rates = {
+            zone: arrivals.rate
+            for zone, arrivals in load.remote_by_zone.items()
+            if arrivals.expires > now
         }
+        rates[self._own_zone] = load.rate
+        return rates
+
 
-    def _host_share(self, zone: Zone) -> float:
-        own = len(self._state.members)
-        total = own + sum(one.hosts for one in self._remote_by_zone.values())
-        remote = self._remote_by_zone.get(zone)
-        hosts = own if remote is None else remote.hosts
-        if zone != self._state.context.settings.zone and remote is None:
-            hosts = 0
-        return hosts / max(total, 1)
+def _surplus_by_zone(service: Service, rates: dict[Zone, float]) -> dict[Zone, float]:
+    """Return share of arrivals less share of slots for each known zone."""
+    slots: Counter[Zone] = Counter()
+    for upstream in service.upstreams:
+        if not upstream.drained and upstream.zone in rates:
+            slots[upstream.zone] += upstream.slots
+    total_rate = max(sum(rates.values()), 1e-9)
+    total_slots = max(slots.total(), 1)
+    return {
+        zone: rate / total_rate - slots[zone] / total_slots
+        for zone, rate in rates.items()
+    }
