Keep observing upstreams after ownership has moved; wait for members

Cause: a booting host opened flows as if it owned every service, lost the ownership at once and left a request in a queue without upstreams. Change: new flows are refused with NOT_READY until members are known; a former owner observes its upstreams for 60 s more.

--- a/scenarios/_callers.py
+++ b/scenarios/_callers.py
@@ -252,12 +252,19 @@
             self.longest_gap = max(self.longest_gap, now - self._last_progress)
             self._last_progress = now
 
+    @property
+    def stalled(self) -> bool:
+        """Return whether entries once stayed away too long."""
+        return self.longest_gap > STALL
+
     def check(self) -> None:
-        """Count the flow as broken if it stalled."""
-        now = self._world.time.now
-        if self.flow_id is not None and self.broken is None:
-            if now - self._last_progress > STALL:
-                self._break('STALLED')
+        """Count the flow as broken if entries stay away."""
+        if self.flow_id is None or self.broken is not None:
+            return
+        gap = self._world.time.now - self._last_progress
+        self.longest_gap = max(self.longest_gap, gap)
+        if gap > STALL:
+            self._break('SILENT')
 
     def _break(self, cause: str) -> None:
         self.broken = cause
@@ -274,7 +281,6 @@
     def _keepalive(self) -> None:
         if self.broken is not None or self.flow_id is None:
             return
-        self.check()
         payload = ENTRY.pack(self.seen)
         self._world.packet_from_caller(self.endpoint, self.flow_id, payload)
         delay = KEEPALIVE * self._world.rng.uniform(0.8, 1.2)
--- a/scenarios/_measures.py
+++ b/scenarios/_measures.py
@@ -181,7 +181,7 @@
 
 _COUNTERS: dict[str, Callable[['Run'], float]] = {
     'flows_broken': _flows(lambda one: one.broken is not None),
-    'flows_stalled': _flows(lambda one: one.broken == 'STALLED'),
+    'flows_stalled': _flows(lambda one: one.stalled),
     'flows_open': _flows(lambda one: one.flow_id is not None and one.broken is None),
     'ran_twice': _ran_twice,
     'refused_but_ran': _refused_but_ran,
--- a/src/lycheedeal/steering/_opening.py
+++ b/src/lycheedeal/steering/_opening.py
@@ -77,6 +77,10 @@
 
     def admit(self, event: OpenAdmitted) -> Iterator[Effect]:
         """Open the flow if this host owns the service, else relay once."""
+        if not self._state.members and event.relayed_by is None:
+            # A booting host would take itself for the owner of everything.
+            yield from self._refuse(event, ErrorKind.NOT_READY)
+            return
         owner = self._owner(event)
         if owner is None:
             yield from self._open(event)
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -44,6 +44,8 @@
 _ZONE_REPORT_SECONDS: Final = 1
 # The second in the order stands ready to open flows when the first is gone.
 _OWNER_CANDIDATES: Final = 2
+# Requests queued here run on after another host has become the owner.
+_LINGER_SECONDS: Final = 60
 
 
 class SteeringPlugin:
@@ -59,6 +61,7 @@
         self._opener = FlowOpener(self._state, self._zones)
         self._forwarder = Forwarder(self._state)
         self._owned: frozenset[ServiceNumber] = frozenset()
+        self._owned_until: dict[ServiceNumber, float] = {}
         self._next_report = 0.0
         self._next_zone_report = 0.0
         self._next_rotation = context.clock.monotonic() + ROTATION_SECONDS
@@ -130,6 +133,7 @@
             self._state.counter.expire(now)
             self._state.count_orphans()
             yield from self._report_counts()
+            yield from self._claim_services()
         if now >= self._next_zone_report:
             self._next_zone_report = now + _ZONE_REPORT_SECONDS
             yield from self._report_to_zones()
@@ -157,9 +161,16 @@
                 yield SendToPeer(owner, report)
 
     def _claim_services(self) -> Iterator[Effect]:
-        owned = frozenset(
-            filter(self._is_candidate, self._state.view.services_by_number)
-        )
+        now = self._state.context.clock.monotonic()
+        services = self._state.view.services_by_number
+        claimed = filter(self._is_candidate, services)
+        self._owned_until.update(dict.fromkeys(claimed, now + _LINGER_SECONDS))
+        self._owned_until = {
+            number: until
+            for number, until in self._owned_until.items()
+            if until > now and number in services
+        }
+        owned = frozenset(self._owned_until)
         if owned != self._owned:
             self._owned = owned
             yield Publish(OwnerReady(tuple(sorted(owned))))
