Measure control traffic, processor time and API calls by size

Cause: docs/CAPACITY.md needs slopes. Change: bench/control.py runs zones of the real core on virtual time.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,168 @@
+"""Control traffic, processor time and API calls by size, as JSON lines.
+
+Runs hosts of the real core on virtual time (see ``scenarios``). Bytes are
+those of encoded messages without UDP and IP headers; processor time is that
+of the core, without sockets and codec. One quantity varies at a time, so that
+slopes can be read off: hosts in the zone, services with three upstreams each
+in the zone, and changes of configuration a second.
+"""
+
+import itertools
+import json
+import sys
+import time
+from collections import Counter
+from typing import Any
+
+from lycheedeal.configuration import encode_shard
+from lycheedeal.model import (
+    SHARD_COUNT,
+    Endpoint,
+    Generation,
+    KindId,
+    Service,
+    ServiceName,
+    ServiceNumber,
+    Shard,
+    ShardIndex,
+    SpillRule,
+    Upstream,
+    UpstreamId,
+    WorkKind,
+    Zone,
+    shard_of,
+)
+from scenarios import World
+
+ZONE = Zone('bench')
+UPSTREAMS = 3
+# Longer than former owners go on observing upstreams.
+SETTLE = 80.0
+SPAN = 30.0
+# hosts, services, changes a second
+CASES = (
+    (8, 16, 0.0),
+    (16, 16, 0.0),
+    (64, 16, 0.0),
+    (128, 16, 0.0),
+    (16, 64, 0.0),
+    (16, 160, 0.0),
+    (16, 16, 0.2),
+    (64, 16, 0.2),
+    (64, 64, 0.0),
+)
+
+
+def _name(number: int) -> ServiceName:
+    """Return a name that belongs to the shard of this service number."""
+    names = (ServiceName(f'service-{number}-{one}') for one in itertools.count())
+    return next(name for name in names if shard_of(name) == number % SHARD_COUNT)
+
+
+def _service(number: int) -> Service:
+    upstreams = tuple(
+        Upstream(
+            UpstreamId(f'service-{number}-{one}'),
+            Endpoint(f'10.{100 + number // 250}.{number % 250}.{one + 1}', 80),
+            ZONE,
+        )
+        for one in range(UPSTREAMS)
+    )
+    kinds = (
+        WorkKind(KindId(1), 'checkin', 0),
+        WorkKind(KindId(2), 'feed', 1, long=True),
+    )
+    address = Endpoint(f'192.0.{number // 250}.{number % 250 + 1}', 443)
+    name = _name(number)
+    return Service(
+        number=ServiceNumber(number),
+        name=name,
+        address=address,
+        spill=SpillRule.NEVER,
+        kinds=kinds,
+        upstreams=upstreams,
+        next_kind=3,
+    )
+
+
+def _store_shards(world: World, services: int) -> None:
+    """Put services into the store as if operators had created them."""
+    for index in range(SHARD_COUNT):
+        numbers = range(index + SHARD_COUNT, (services + 1) * SHARD_COUNT, SHARD_COUNT)
+        chosen = tuple(
+            _service(number) for number in numbers if number < services + SHARD_COUNT
+        )
+        shard = Shard(
+            ShardIndex(index),
+            Generation(1),
+            next_counter=len(chosen) + 2,
+            services=chosen,
+        )
+        key = f'config/south/{index}'
+        world.platform.objects[key] = (1, encode_shard(shard))
+        for service in chosen:
+            for one in service.upstreams:
+                world.add_upstream(
+                    str(one.upstream_id), str(service.name), ZONE, one.endpoint
+                )
+
+
+def _change(world: World, rate: float, count: int) -> None:
+    """Drain and undrain one upstream of the first service again and again."""
+    service = _name(SHARD_COUNT)
+    verb = 'undrain' if count % 2 else 'drain'
+    world.statement(f'{verb} upstream service-{SHARD_COUNT}-0 of {service}')
+    world.time.call_later(1 / rate, lambda: _change(world, rate, count + 1))
+
+
+def measure(hosts: int, services: int, rate: float) -> dict[str, Any]:
+    """Return the control cost of one case."""
+    world = World(seed=1)
+    _store_shards(world, services)
+    for number in range(hosts):
+        world.add_host(f'host-{number}', ZONE)
+    world.time.run_until(SETTLE)
+    for host in world.hosts_by_name.values():
+        host.trace.control_bytes = 0
+        host.trace.control_by_type = Counter()
+        host.cpu_seconds = 0
+    calls = world.platform.calls.copy()
+    if rate:
+        world.time.call_later(0, lambda: _change(world, rate, 0))
+    began = time.process_time()
+    world.time.run_until(SETTLE + SPAN)
+    traces = [host.trace for host in world.live_hosts()]
+    by_type: Counter[str] = Counter()
+    for trace in traces:
+        by_type.update(trace.control_by_type)
+    total = sum(trace.control_bytes for trace in traces)
+    cpu = sum(host.cpu_seconds for host in world.live_hosts())
+    made = world.platform.calls - calls
+    return {
+        'bench': 'control',
+        'hosts': hosts,
+        'services': services,
+        'changes_per_second': rate,
+        'bytes_per_host_second_mean': round(total / hosts / SPAN, 1),
+        'bytes_per_host_second_max': round(
+            max(trace.control_bytes for trace in traces) / SPAN, 1
+        ),
+        'core_percent_per_host': round(100 * cpu / hosts / SPAN, 3),
+        'api_calls_per_second': round(sum(made.values()) / SPAN, 2),
+        'waiting_watches': world.platform.waiting_watches,
+        'bytes_by_message': {
+            name: round(size / hosts / SPAN, 1) for name, size in by_type.most_common()
+        },
+        'wall_seconds': round(time.process_time() - began, 1),
+    }
+
+
+def main() -> None:
+    """Print one JSON line for each case; a size as argument adds that zone."""
+    extra = tuple((int(size), 16, 0.0) for size in sys.argv[1:])
+    for case in CASES + extra:
+        print(json.dumps(measure(*case)), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/scenarios/_host.py
+++ b/scenarios/_host.py
@@ -1,6 +1,7 @@
 """A host of the real core on virtual time."""
 
 import random
+import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -71,6 +72,7 @@
     refused: Counter[str] = field(default_factory=Counter)
     metrics: Counter[str] = field(default_factory=Counter)
     control_bytes: int = 0
+    control_by_type: Counter[str] = field(default_factory=Counter)
     logs: list[str] = field(default_factory=list)
 
 
@@ -136,6 +138,8 @@
         self._backlog: list[Event] = []
         self._froze_at = 0.0
         self._epoch = 0
+        # Processor time of the core, for measurements only.
+        self.cpu_seconds = 0.0
 
     def start(self, peer_seeds: tuple[Endpoint, ...] = ()) -> None:
         """Start a new process incarnation."""
@@ -193,7 +197,10 @@
             if len(self._backlog) < MAX_BACKLOG:
                 self._backlog.append(event)
             return
-        for effect in self.kernel.dispatch(event):
+        began = time.process_time()
+        effects = self.kernel.dispatch(event)
+        self.cpu_seconds += time.process_time() - began
+        for effect in effects:
             self._run(effect)
 
     def packet_from_caller(
@@ -298,8 +305,11 @@
                 self.kill()
 
     def _count_control(self, message: Any) -> None:
-        if type(message).__name__ in _CONTROL:
-            self.trace.control_bytes += len(encode(message))
+        name = type(message).__name__
+        if name in _CONTROL:
+            size = len(encode(message))
+            self.trace.control_bytes += size
+            self.trace.control_by_type[name] += size
 
 
 _CONTROL = frozenset(
