Stop and kill the hosts that own requests

Cause: the demonstration stopped and killed hosts by name; the killed one owned no requests, so the crash had no effect to count. The platform's host list lacked the gossip and admin addresses that membership expects. Change: both faults hit the busiest owner of a zone; the list is complete; idempotent requests without an outcome are submitted again.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,7 +17,7 @@
 # These modules register what carries out the steps.
 from demo import _faults, _operator, _plan, _systems, _traffic
 from demo._fleet import DemoError, Fleet, Processes
-from lycheedeal.model import HostId, UpstreamId
+from lycheedeal.model import UpstreamId
 from standins import _records
 
 _HTTP_SECONDS: Final = 10
@@ -47,9 +47,9 @@
     ),
     _plan.Wait(1),
     _plan.TakePlatformAway(5),
-    _plan.StopHost(HostId(f'{_systems.ZONES[0]}-1')),
+    _plan.StopOwner(_systems.ZONES[0]),
     _plan.Wait(3),
-    _plan.KillHost(HostId(f'{_systems.ZONES[1]}-1')),
+    _plan.KillOwner(_systems.ZONES[1]),
     _plan.Wait(4),
     _plan.ReadControlCost(),
     _plan.FinishCallers(),
@@ -69,10 +69,10 @@
             return
 
 
-def count_logs(directory: Path, fleet: Fleet) -> _records.Counts:
+def count_logs(fleet: Fleet) -> _records.Counts:
     """Return the counts from the logs of callers and upstreams."""
-    caller_lines = _lines(directory, '*.caller.log')
-    upstream_lines = _lines(directory, '*.upstream.log')
+    caller_lines = fleet.read_logs('*.caller.log')
+    upstream_lines = fleet.read_logs('*.upstream.log')
     return _records.count(
         _records.read_caller_log(caller_lines),
         _records.read_upstream_log(upstream_lines),
@@ -80,18 +80,10 @@
     )
 
 
-def _lines(directory: Path, pattern: str) -> list[dict[str, Any]]:
-    return [
-        line
-        for path in sorted(directory.glob(pattern))
-        for line in _records.read_lines(path.read_bytes())
-    ]
-
-
 def _work_after_drain(fleet: Fleet) -> int:
     late = 0
     for upstream_id, drained_at in fleet.drained_at_by_upstream.items():
-        lines = _lines(fleet.directory, f'{upstream_id}.upstream.log')
+        lines = fleet.read_logs(f'{upstream_id}.upstream.log')
         records = _records.read_upstream_log(lines)
         late += _records.count_work_after_drain(records, drained_at)
     return late
@@ -145,7 +137,7 @@
             await run_plan(fleet)
         finally:
             await processes.close()
-    report = build_report(count_logs(directory, fleet), fleet)
+    report = build_report(count_logs(fleet), fleet)
     report['seconds'] = round(time.monotonic() - started, 1)
     if fleet.failures:
         print(f'failed; logs are in {directory}', file=sys.stderr)
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -4,13 +4,14 @@
 import contextlib
 import signal
 import time
+from collections import Counter
 from typing import Final
 
 import aiohttp
 
 from demo import _plan
 from demo._fleet import Fleet, Host
-from lycheedeal.model import HostId
+from lycheedeal.model import HostId, Zone
 from standins._records import Crash
 
 # Time until the fabric leaves out a host that stops or crashed.
@@ -24,17 +25,25 @@
     match step:
         case _plan.Wait(seconds):
             await asyncio.sleep(seconds)
-        case _plan.StopHost(host_id):
-            await _stop_host(fleet, host_id)
-        case _plan.KillHost(host_id):
-            await _kill_host(fleet, host_id)
+        case _plan.StopOwner(zone):
+            await _stop_host(fleet, _busiest_owner(fleet, zone))
+        case _plan.KillOwner(zone):
+            await _kill_host(fleet, _busiest_owner(fleet, zone))
         case _plan.TakePlatformAway(seconds):
             url = f'{fleet.platform_url}/control/outage?seconds={seconds}'
             async with fleet.http.post(url) as answer:
                 answer.raise_for_status()
 
 
+def _busiest_owner(fleet: Fleet, zone: Zone) -> HostId:
+    """Return the host that most requests name, so that the fault matters."""
+    owners = Counter(line.get('owner') for line in fleet.read_logs('*.caller.log'))
+    hosts = [host for host in fleet.hosts_by_id.values() if host.zone == zone]
+    return max(hosts, key=lambda host: owners[str(host.peer)]).host_id
+
+
 async def _stop_host(fleet: Fleet, host_id: HostId) -> None:
+    fleet.measures['stopped'] = host_id
     host = await _end(fleet, host_id, signal.SIGTERM)
     try:
         async with asyncio.timeout(_EXIT_SECONDS):
@@ -48,6 +57,7 @@
 
 async def _kill_host(fleet: Fleet, host_id: HostId) -> None:
     now = time.time()
+    fleet.measures['killed'] = host_id
     peer = str(fleet.hosts_by_id[host_id].peer)
     fleet.crashes.append(Crash(peer, now, now + _CRASH_EFFECT_SECONDS))
     await _end(fleet, host_id, signal.SIGKILL)
@@ -67,7 +77,7 @@
 _plan.register(
     _disturb,
     _plan.Wait,
-    _plan.StopHost,
-    _plan.KillHost,
+    _plan.StopOwner,
+    _plan.KillOwner,
     _plan.TakePlatformAway,
 )
--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from lycheedeal.model import Endpoint, HostId, ServiceName, UpstreamId, Zone
-from standins._records import Crash
+from standins._records import Crash, read_lines
 from standins._runtime import write_whole
 
 LOCAL: Final = '127.0.0.1'
@@ -152,6 +152,14 @@
         live = [str(host.data) for host in self.hosts_by_id.values()]
         write_whole(str(self.host_file), live)
 
+    def read_logs(self, pattern: str) -> list[dict[str, Any]]:
+        """Return the lines of all log files that match a pattern."""
+        return [
+            line
+            for path in sorted(self.directory.glob(pattern))
+            for line in read_lines(path.read_bytes())
+        ]
+
     async def read_port_file(
         self,
         name: str,
--- a/demo/_plan.py
+++ b/demo/_plan.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from demo._fleet import Fleet
-from lycheedeal.model import HostId, ServiceName, UpstreamId
+from lycheedeal.model import ServiceName, UpstreamId, Zone
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,17 +59,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopHost:
-    """Stops a daemon gracefully; it must exit with status 0."""
+class StopOwner:
+    """Stops the host of a zone that owns most requests; it must exit with 0."""
 
-    host_id: HostId
+    zone: Zone
 
 
 @dataclass(frozen=True, slots=True)
-class KillHost:
-    """Kills a daemon."""
+class KillOwner:
+    """Kills the host of a zone that owns most requests."""
 
-    host_id: HostId
+    zone: Zone
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +99,8 @@
     | StartCallers
     | Wait
     | DrainOneUpstream
-    | StopHost
-    | KillHost
+    | StopOwner
+    | KillOwner
     | TakePlatformAway
     | ReadControlCost
     | FinishCallers
--- a/demo/_systems.py
+++ b/demo/_systems.py
@@ -90,7 +90,13 @@
 
 
 async def _register(fleet: Fleet, host: Host) -> None:
-    entry = {'host_id': host.host_id, 'zone': host.zone, 'peer': str(host.peer)}
+    entry = {
+        'host_id': host.host_id,
+        'zone': host.zone,
+        'peer': str(host.peer),
+        'gossip': str(host.gossip),
+        'admin': str(host.admin),
+    }
     async with fleet.http.post(f'{fleet.platform_url}/hosts', json=entry) as answer:
         answer.raise_for_status()
 
--- a/standins/_client.py
+++ b/standins/_client.py
@@ -525,6 +525,8 @@
         yield from self._finish(request, RequestOutcome.UNKNOWN, _NO_OUTCOME)
         # The owner said nothing although its deadline is over, so it is gone.
         self._forget_flow(request.flow_id)
+        if request.work.idempotent:
+            yield from self._resubmit(request, 0)
 
     def _find(
         self,
