--- a/bench/zone_network.py
+++ b/bench/zone_network.py
@@ -229,7 +229,11 @@
             return
         latest = (self.clock.wall() - self.list_lag) * 1000
         body = [
-            {'host_id': one.name, 'zone': ZONE, 'peer': str(one.endpoint)}
+            {
+                'host_id': one.name,
+                'zone': ZONE,
+                **dict.fromkeys(('peer', 'gossip', 'admin'), str(one.endpoint)),
+            }
             for one in self.hosts.values()
             if one.incarnation <= latest
         ]
