Test that each promise breaks without its mechanism; report upstreams in use

Cause: a scenario that stays green without its mechanism proves nothing; hosts that own nothing did not notice silent paths. Change: switches that disable one mechanism each; steering publishes the upstreams it forwards to.

--- a/scenarios/_upstream.py
+++ b/scenarios/_upstream.py
@@ -53,6 +53,9 @@
 class VirtualUpstream:
     """Runs requests in slots and pushes numbered entries to long flows."""
 
+    # Switched on by tests: attempt ids are not remembered once run.
+    _forgets_attempts = False
+
     def __init__(
         self,
         world: 'World',
@@ -77,7 +80,7 @@
         self.fails_at_once = False
         self.silent: set[tuple[str, int]] = set()
         self.flows: dict[FlowId, _Flow] = {}
-        self.running: dict[AttemptId, RunRecord] = {}
+        self.running: list[RunRecord] = []
         self.finished = 0
         self.opened_times: list[float] = []
         self.misrouted = 0
@@ -226,13 +229,14 @@
         record = RunRecord(
             token, message.kind_id, self.name, now, deadline, now + duration
         )
-        self._seen.add(message.attempt_id)
-        self.running[message.attempt_id] = record
+        if not self._forgets_attempts:
+            self._seen.add(message.attempt_id)
+        self.running.append(record)
         self.world.runs.append(record)
         incarnation = self.incarnation
         self.world.time.call_later(
             duration,
-            lambda: self._finish(host, path, message.attempt_id, incarnation),
+            lambda: self._finish(host, path, message.attempt_id, record, incarnation),
         )
 
     def _finish(
@@ -240,11 +244,12 @@
         host: 'VirtualHost',
         path: int,
         attempt_id: AttemptId,
+        record: RunRecord,
         incarnation: int,
     ) -> None:
         if not self.alive or incarnation != self.incarnation:
             return
-        record = self.running.pop(attempt_id)
+        self.running.remove(record)
         self.finished += 1
         half = len(record.token) // 2
         answer = (record.token[:half], record.token[half:])
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -21,6 +21,7 @@
     UpstreamChanged,
     UpstreamMessage,
     UpstreamPacket,
+    UpstreamsInUse,
     ViewChanged,
     WorkRemaining,
 )
@@ -133,6 +134,7 @@
             self._state.counter.expire(now)
             self._state.count_orphans()
             yield from self._report_counts()
+            yield Publish(self._upstreams_in_use())
             yield from self._claim_services()
         if now >= self._next_zone_report:
             self._next_zone_report = now + _ZONE_REPORT_SECONDS
@@ -146,6 +148,11 @@
                 if member.peer != self._state.own:
                     yield SendToPeer(member.peer, self._state.counter.report(service))
 
+    def _upstreams_in_use(self) -> UpstreamsInUse:
+        counts = self._state.routes.counts(frozenset())
+        # Busier upstreams first, since health watches a bounded number.
+        return UpstreamsInUse(tuple(one for one, _ in counts.most_common()))
+
     def _report_to_zones(self) -> Iterator[Effect]:
         self._zones.second_passed(self._owned)
         for number in sorted(self._owned):
--- /dev/null
+++ b/tests/scenarios/test_files.py
@@ -0,0 +1,22 @@
+"""Every scenario file must meet its bounds with the seed that it names."""
+
+from pathlib import Path
+
+import pytest
+
+from scenarios import FILES, ScenarioError, parse, run
+
+
+@pytest.mark.parametrize('file', sorted(FILES.glob('*.scn')), ids=lambda one: one.stem)
+def test_scenario_meets_its_bounds(file: Path) -> None:
+    """Guards against a broken promise of the kind that the file names."""
+    _, checks = run(parse(file.read_text()))
+    failed = [str(check) for check in checks if not check.passed]
+    assert checks
+    assert not failed
+
+
+def test_fault_in_a_file_has_its_place() -> None:
+    """Guards against a scenario that silently checks nothing."""
+    with pytest.raises(ScenarioError, match='line 2'):
+        parse('seed 1\nexpect nothing = 0\n')
