Replace gossip connections that fall silent

Cause: a connection that fails without a reset stays up, and nng keeps using it. Change: a connection on which nothing came for 12 s is closed; nng dials again. Hosts send a digest at least once in 4 s.

--- a/src/lycheedeal/runtime/_gossip.py
+++ b/src/lycheedeal/runtime/_gossip.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, Final
 
 import pynng
@@ -24,6 +25,9 @@
 _QUEUE_LENGTH: Final = 32
 _RECONNECT_MIN_MS: Final = 200
 _RECONNECT_MAX_MS: Final = 5000
+# Every host sends a digest at least once in 4 s. A connection that is silent for
+# much longer has failed without a reset, and a new one may work.
+_SILENCE_SECONDS: Final = 12.0
 # nng starts 31 native threads on a machine of 10 cores unless it is told
 # otherwise; with one of each sort it starts 6.
 _THREAD_PARAMETERS: Final = (
@@ -44,7 +48,7 @@
 
     ``bytes_in`` and ``bytes_out`` count what was received and what was
     queued for all connections together; ``dropped`` counts sends that found
-    no room.
+    no room, ``silent`` connections that were closed because nothing came.
     """
 
     def __init__(
@@ -52,12 +56,17 @@
         listen: Endpoint,
         deliver: Callable[[GossipMessage], None],
         on_bad: Callable[[DecodeError], None],
+        silence_seconds: float = _SILENCE_SECONDS,
     ) -> None:
         """Take the endpoint to listen on; port 0 lets the system choose one."""
         self.endpoint = listen
         self.bytes_in = 0
         self.bytes_out = 0
         self.dropped = 0
+        self.silent = 0
+        self._silence_seconds = silence_seconds
+        self._heard_at_by_pipe: dict[int, float] = {}
+        self._check: asyncio.TimerHandle | None = None
         self._deliver = deliver
         self._on_bad = on_bad
         self._socket: Any = None
@@ -84,12 +93,15 @@
         self.endpoint = Endpoint(ip, int(port))
         self._receive_fd = self._socket.recv_fd
         asyncio.get_running_loop().add_reader(self._receive_fd, self._receive)
+        self._close_silent()
 
     async def close(self) -> None:
         """Close the socket; what is still queued may be lost."""
         if self._socket is None:
             return
         asyncio.get_running_loop().remove_reader(self._receive_fd)
+        if self._check is not None:
+            self._check.cancel()
         self._socket.close()
         self._socket = None
         self._dialers_by_endpoint.clear()
@@ -122,12 +134,35 @@
             if self._socket is None:
                 return
             try:
-                frame = self._socket.recv(block=False)
+                received = self._socket.recv_msg(block=False)
             except pynng.NNGException:
                 return
+            if received.pipe is not None:
+                now = asyncio.get_running_loop().time()
+                self._heard_at_by_pipe[received.pipe.id] = now
+            frame = received.bytes
             self.bytes_in += len(frame)
             self._take(frame)
 
+    def _close_silent(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(self._silence_seconds / 2, self._close_silent)
+        now = loop.time()
+        pipes = {pipe.id: pipe for pipe in self._socket.pipes}
+        self._heard_at_by_pipe = {
+            pipe_id: self._heard_at_by_pipe.get(pipe_id, now) for pipe_id in pipes
+        }
+        for pipe_id, heard_at in tuple(self._heard_at_by_pipe.items()):
+            if now - heard_at > self._silence_seconds:
+                self._close_pipe(pipes[pipe_id])
+
+    def _close_pipe(self, pipe: Any) -> None:
+        # The side that dialled connects again by itself.
+        self.silent += 1
+        self._heard_at_by_pipe.pop(pipe.id, None)
+        with suppress(pynng.NNGException):
+            pipe.close()
+
     def _take(self, frame: bytes) -> None:
         try:
             message = decode_frame(frame)
--- a/tests/functional/test_configuration_gossip.py
+++ b/tests/functional/test_configuration_gossip.py
@@ -78,6 +78,32 @@
     uvloop.run(exchange())
 
 
+async def dial_silent_neighbour() -> None:
+    connections: asyncio.Queue[int] = asyncio.Queue()
+
+    async def accept(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # The greeting of a bus socket, and nothing after it.
+        writer.write(b'\0SP\0\0\x70\0\0')
+        connections.put_nowait(1)
+        await asyncio.sleep(60)
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    link = GossipLink(SYSTEM_CHOSEN, print, print, silence_seconds=0.2)
+    await link.start()
+    link.set_neighbours((model.Endpoint(*server.sockets[0].getsockname()),))
+    try:
+        for _ in range(3):
+            await asyncio.wait_for(connections.get(), 20)
+    finally:
+        await link.close()
+        server.close()
+
+
+def test_silent_connection_is_replaced() -> None:
+    """Guards against a neighbour that is lost with its connection."""
+    uvloop.run(dial_silent_neighbour())
+
+
 def test_compressed_shard_is_restored() -> None:
     """Guards against damage by compression, and against sending it plain."""
     copy = messages.ShardCopy(model.HostId('h'), big_shard())
