--- /dev/null
+++ b/tests/unit/test_requests_machine.py
@@ -0,0 +1,418 @@
+"""At-most-once ownership against a network that reorders, repeats and loses.
+
+The model logs what upstreams really ran and compares it with every verdict.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from lycheedeal import messages
+from lycheedeal.errors import ErrorKind, Verdict, answer_for
+from lycheedeal.kernel import (
+    CallerMessage,
+    Context,
+    Event,
+    Kernel,
+    Resumed,
+    SendToCaller,
+    SendToUpstream,
+    Tick,
+    UpstreamChanged,
+    UpstreamMessage,
+    ViewChanged,
+    load_plugins,
+)
+from lycheedeal.model import (
+    AttemptId,
+    ConfigurationView,
+    Endpoint,
+    FlowClass,
+    FlowFields,
+    FlowId,
+    FlowIdCodec,
+    HostId,
+    HostSettings,
+    Incarnation,
+    KindId,
+    Region,
+    RequestNumber,
+    Service,
+    ServiceName,
+    ServiceNumber,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    WorkKind,
+    Zone,
+)
+
+KEY = b'key'
+ZONE = Zone('zone')
+CALLER = Endpoint('127.0.0.9', 900)
+HOST = HostSettings(
+    HostId('host'),
+    Region('region'),
+    ZONE,
+    *(Endpoint('127.0.0.1', port) for port in range(1, 5)),
+    platform_url='',
+    flow_key=KEY,
+)
+UPSTREAMS = tuple(
+    Upstream(UpstreamId(f'u{index}'), Endpoint('127.0.0.1', 100 + index), ZONE, slots=1)
+    for index in range(2)
+)
+SERVICE = Service(
+    ServiceNumber(1),
+    ServiceName('api'),
+    Endpoint('127.0.0.1', 50),
+    kinds=(
+        WorkKind(KindId(0), 'urgent', priority=0),
+        WorkKind(KindId(1), 'repeatable', priority=5, idempotent=True),
+    ),
+    upstreams=UPSTREAMS,
+)
+VIEW = ConfigurationView(
+    MappingProxyType({SERVICE.number: SERVICE}),
+    MappingProxyType({SERVICE.address: SERVICE}),
+)
+RequestKey = tuple[FlowId, RequestNumber]
+Reply = messages.RunAnswer | messages.RunRefused | messages.RunCancelled
+
+
+def mint(kind_id: int) -> FlowId:
+    fields = FlowFields(
+        flow_class=FlowClass.REQUEST,
+        kind_id=KindId(kind_id),
+        service=SERVICE.number,
+        owner=HOST.peer,
+        owner_incarnation=Incarnation(1),
+        nonce=kind_id,
+    )
+    return FlowIdCodec(KEY).mint(fields)
+
+
+FLOWS = (mint(0), mint(1))
+
+
+class Clock:
+    now = 1_000_000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+@dataclass
+class Told:
+    """What the caller of one request was told; ``asked`` if any part came."""
+
+    asked: bool = False
+    outcomes: list[ErrorKind] = field(default_factory=list)
+    answer_parts: dict[int, bytes] = field(default_factory=dict)
+    answer: bytes | None = None
+
+
+@dataclass
+class UpstreamModel:
+    """Runs an attempt at most once; remembers refused and cancelled ones."""
+
+    incarnation: Incarnation = Incarnation(1)
+    parts: dict[AttemptId, dict[int, bytes]] = field(default_factory=dict)
+    running: dict[AttemptId, bytes] = field(default_factory=dict)
+    closed: set[AttemptId] = field(default_factory=set)
+
+
+class OwnerMachine(RuleBasedStateMachine):
+    """One owner, two upstreams with one slot each, and their callers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        context = Context(HOST, self.clock, random.Random(5), Incarnation(1))
+        self.kernel = Kernel(context, load_plugins(('requests',)))
+        self.plugin = self.kernel.plugins_by_name['requests']
+        self.models = {one.endpoint: UpstreamModel() for one in UPSTREAMS}
+        self.sent: list[messages.Request] = []
+        self.to_upstreams: list[SendToUpstream] = []
+        self.to_owner: list[UpstreamMessage] = []
+        self.ran: Counter[RequestKey] = Counter()
+        self.told: dict[RequestKey, Told] = {}
+
+    @initialize()
+    def start(self) -> None:
+        self.dispatch(ViewChanged(VIEW))
+        for index in range(len(UPSTREAMS)):
+            self.report(index, UpstreamState.READY)
+
+    def report(self, index: int, state: UpstreamState) -> None:
+        one = UPSTREAMS[index]
+        incarnation = self.models[one.endpoint].incarnation
+        self.dispatch(
+            UpstreamChanged(
+                SERVICE.number,
+                one.upstream_id,
+                one.endpoint,
+                state,
+                incarnation,
+                weight=1,
+            ),
+        )
+
+    def dispatch(self, event: Event) -> None:
+        for effect in self.kernel.dispatch(event):
+            match effect:
+                case SendToUpstream(_, messages.Run(deadline_ms=deadline_ms)):
+                    assert deadline_ms > self.clock.now * 1000
+                    self.to_upstreams.append(effect)
+                case SendToUpstream():
+                    self.to_upstreams.append(effect)
+                case SendToCaller(_, messages.Outcome() as outcome):
+                    self.tell_outcome(outcome)
+                case SendToCaller(_, messages.Answer() as answer):
+                    self.tell_answer(answer)
+
+    def tell_outcome(self, outcome: messages.Outcome) -> None:
+        told = self.told[outcome.flow_id, outcome.number]
+        told.outcomes.append(outcome.error)
+
+    def tell_answer(self, answer: messages.Answer) -> None:
+        told = self.told[answer.flow_id, answer.number]
+        told.answer_parts[answer.part] = answer.body
+        if len(told.answer_parts) == answer.parts:
+            told.answer = b''.join(
+                told.answer_parts[one] for one in range(answer.parts)
+            )
+
+    @rule(
+        flow=st.sampled_from(FLOWS),
+        parts=st.integers(1, 3),
+        lifetime_ms=st.sampled_from((3000, 500, 10_000, 40)),
+        size=st.sampled_from((1, 20_000)),
+        complete=st.sampled_from((True, True, True, False)),
+    )
+    def new_request(
+        self,
+        flow: FlowId,
+        parts: int,
+        lifetime_ms: int,
+        size: int,
+        complete: bool,
+    ) -> None:
+        number = RequestNumber(len(self.told))
+        key = (flow, number)
+        self.told[key] = Told()
+        deadline_ms = int(self.clock.now * 1000) + lifetime_ms
+        whole = [
+            messages.Request(flow, number, deadline_ms, part, parts, body)
+            for part, body in enumerate(self.bodies(key, parts, size))
+        ]
+        self.sent += whole
+        for message in whole if complete else whole[1:]:
+            self.send(message)
+
+    def send(self, message: messages.Request) -> None:
+        self.told[_key(message)].asked = True
+        self.dispatch(CallerMessage(CALLER, SERVICE.address, message))
+
+    def bodies(self, key: RequestKey, parts: int, size: int) -> list[bytes]:
+        flow, number = key
+        name = f'{FLOWS.index(flow)}:{number}|'.encode()
+        return [name, *(b'x' * size for _ in range(parts - 1))]
+
+    @rule(choice=st.integers(0, 1000))
+    def repeat_part(self, choice: int) -> None:
+        if self.sent:
+            self.send(self.sent[choice % len(self.sent)])
+
+    @rule(choice=st.integers(0, 1000))
+    def cancel(self, choice: int) -> None:
+        if self.told:
+            flow, number = list(self.told)[choice % len(self.told)]
+            message = messages.CancelRequest(flow, number)
+            self.dispatch(CallerMessage(CALLER, SERVICE.address, message))
+
+    @precondition(lambda self: self.to_upstreams)
+    @rule(choice=st.integers(0, 1000), keep=st.booleans())
+    def deliver_to_upstream(self, choice: int, keep: bool) -> None:
+        index = choice % len(self.to_upstreams)
+        effect = self.to_upstreams[index]
+        if not keep:
+            self.to_upstreams.pop(index)
+        self.receive(effect.upstream, effect.message)
+
+    @precondition(lambda self: self.to_upstreams)
+    @rule(choice=st.integers(0, 1000), keep=st.booleans(), busy=st.integers(0, 3))
+    def deliver_all_to_upstreams(self, choice: int, keep: bool, busy: int) -> None:
+        """Makes whole attempts and refusals common."""
+        pending = list(self.to_upstreams)
+        if not keep:
+            self.to_upstreams.clear()
+        random.Random(choice).shuffle(pending)
+        for effect in pending:
+            self.receive(effect.upstream, effect.message, busy == 1)
+
+    @precondition(lambda self: self.to_owner)
+    @rule(choice=st.integers(0, 1000), keep=st.booleans())
+    def deliver_all_to_owner(self, choice: int, keep: bool) -> None:
+        """Makes whole answers common."""
+        pending = list(self.to_owner)
+        if not keep:
+            self.to_owner.clear()
+        random.Random(choice).shuffle(pending)
+        for event in pending:
+            self.dispatch(event)
+
+    def receive(self, upstream: Endpoint, message: object, busy: bool = False) -> None:
+        model = self.models[upstream]
+        match message:
+            case messages.Run() if message.attempt_id not in model.closed:
+                self.receive_run(upstream, message, busy)
+            case messages.CancelRun(attempt_id):
+                if attempt_id in model.running or attempt_id not in model.closed:
+                    started = model.running.pop(attempt_id, None) is not None
+                    model.closed.add(attempt_id)
+                    self.reply(upstream, messages.RunCancelled(attempt_id, started))
+
+    def receive_run(self, upstream: Endpoint, run: messages.Run, busy: bool) -> None:
+        model = self.models[upstream]
+        assert run.service == SERVICE.name
+        late = run.deadline_ms <= self.clock.now * 1000
+        if busy or late or run.incarnation != model.incarnation or model.running:
+            error = ErrorKind.DEADLINE_PASSED if late else ErrorKind.UPSTREAM_REFUSED
+            model.closed.add(run.attempt_id)
+            self.reply(upstream, messages.RunRefused(run.attempt_id, error))
+            return
+        parts = model.parts.setdefault(run.attempt_id, {})
+        parts[run.part] = run.body
+        if len(parts) == run.parts:
+            model.closed.add(run.attempt_id)
+            body = b''.join(parts[part] for part in range(run.parts))
+            model.running[run.attempt_id] = body
+            name = body.split(b'|')[0].decode().split(':')
+            key = (FLOWS[int(name[0])], RequestNumber(int(name[1])))
+            self.ran[key] += 1
+            expected = b''.join(one.body for one in self.sent if key == _key(one))
+            assert body == expected
+
+    def reply(self, upstream: Endpoint, message: Reply) -> None:
+        self.to_owner.append(UpstreamMessage(upstream, 0, message))
+
+    @precondition(lambda self: any(one.running for one in self.models.values()))
+    @rule(index=st.integers(0, 1), parts=st.integers(1, 3))
+    def finish(self, index: int, parts: int) -> None:
+        upstream = UPSTREAMS[index].endpoint
+        model = self.models[upstream]
+        for attempt_id, body in model.running.items():
+            chunks = [b'answer to ' + body, *([b'tail'] * (parts - 1))]
+            for part, chunk in enumerate(chunks):
+                answer = messages.RunAnswer(attempt_id, part, parts, chunk)
+                self.reply(upstream, answer)
+        model.running.clear()
+
+    @precondition(lambda self: self.to_owner)
+    @rule(choice=st.integers(0, 1000), keep=st.booleans(), stray=st.booleans())
+    def deliver_to_owner(self, choice: int, keep: bool, stray: bool) -> None:
+        index = choice % len(self.to_owner)
+        event = self.to_owner[index]
+        if not keep:
+            self.to_owner.pop(index)
+        if stray and isinstance(event.message, messages.RunAnswer):
+            other = next(one for one in self.models if one != event.upstream)
+            forged = replace(event.message, body=b'forged')
+            self.dispatch(UpstreamMessage(other, 0, forged))
+        self.dispatch(event)
+
+    @precondition(lambda self: self.to_upstreams or self.to_owner)
+    @rule(choice=st.integers(0, 1000))
+    def lose(self, choice: int) -> None:
+        if self.to_upstreams:
+            self.to_upstreams.pop(choice % len(self.to_upstreams))
+        if self.to_owner:
+            self.to_owner.pop(choice % len(self.to_owner))
+
+    @rule(index=st.integers(0, 1), gone=st.booleans())
+    def lose_upstream(self, index: int, gone: bool) -> None:
+        model = self.models[UPSTREAMS[index].endpoint]
+        if gone:
+            self.report(index, UpstreamState.GONE)
+        else:
+            model.running.clear()
+            model.parts.clear()
+            model.incarnation = Incarnation(model.incarnation + 1)
+        self.report(index, UpstreamState.READY)
+
+    @rule(seconds=st.sampled_from((0.1, 0.6, 0.01)), tick=st.booleans())
+    def wait(self, seconds: float, tick: bool) -> None:
+        self.clock.now += seconds
+        if tick:
+            self.dispatch(Tick(self.clock.now))
+
+    @rule(gap=st.sampled_from((0.3, 0.3, 0.3, 2.5, 14.0)))
+    def pause(self, gap: float) -> None:
+        self.clock.now += gap
+        self.dispatch(Resumed(gap))
+
+    @invariant()
+    def verdicts_match_what_ran(self) -> None:
+        for key, told in self.told.items():
+            verdicts = [answer_for(one).verdict for one in told.outcomes]
+            if key[0] == FLOWS[0]:
+                assert self.ran[key] <= 1
+            if Verdict.NOT_RUN in verdicts:
+                assert self.ran[key] == 0
+                assert told.answer is None
+                assert set(verdicts) <= {Verdict.NOT_RUN, Verdict.UNKNOWN}
+                known = set(told.outcomes) - {ErrorKind.RECORD_EXPIRED}
+                assert len(known) == 1
+            if told.answer is not None:
+                body = b''.join(one.body for one in self.sent if key == _key(one))
+                assert told.answer.startswith(b'answer to ' + body)
+                tail = told.answer[len(b'answer to ' + body) :]
+                assert tail in {b'', b'tail', b'tailtail'}
+
+    def teardown(self) -> None:
+        """Everything ends: no record, attempt, slot or byte stays behind."""
+        # The longest deadline is 10 s ahead and the grace period is 10 s.
+        for _ in range(60):
+            self.clock.now += 0.5
+            self.dispatch(Tick(self.clock.now))
+        self.verdicts_match_what_ran()
+        for told in self.told.values():
+            assert told.outcomes or told.answer or not told.asked
+        owner = self.plugin._owner
+        assert owner.ledger.table.active == 0
+        assert owner.ledger.budget.taken == 0
+        assert not owner.ledger.table._records_by_key
+        assert not owner.dispatcher.attempts._attempts_by_id
+        for queue in owner.dispatcher.queues_by_service.values():
+            assert queue.count == 0
+            assert not any(
+                one.in_flight for one in queue.pool._slots_by_endpoint.values()
+            )
+
+
+def _key(message: messages.Request) -> RequestKey:
+    return (message.flow_id, message.number)
+
+
+OwnerMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=60,
+    deadline=None,
+)
+TestOwnerMachine = OwnerMachine.TestCase
