Hold back the first member list while records arrive

Cause: a host that joined a zone of 343 published a list of a few dozen members after 1 s and would have owned too many services.

Change: the first list waits for 0.5 s without a new record, at most 5 s; new entries of the host list are probed every 0.2 s.

--- a/src/lycheedeal/membership/_candidates.py
+++ b/src/lycheedeal/membership/_candidates.py
@@ -30,6 +30,7 @@
 
     def __init__(self, seeds: Iterable[Endpoint]) -> None:
         """Start with the seeds of the settings."""
+        self.untried = 0
         self._waiting: deque[Endpoint] = deque()
         self.add(seeds)
 
@@ -44,6 +45,7 @@
             if endpoint not in known:
                 known.add(endpoint)
                 self._waiting.appendleft(endpoint)
+                self.untried += 1
         while len(self._waiting) > _MAX_CANDIDATES:
             self._waiting.pop()
 
@@ -51,6 +53,7 @@
         """Return the endpoint that was not tried for the longest time."""
         if not self._waiting:
             return None
+        self.untried = max(self.untried - 1, 0)
         self._waiting.rotate(-1)
         return self._waiting[-1]
 
--- a/src/lycheedeal/membership/_plugin.py
+++ b/src/lycheedeal/membership/_plugin.py
@@ -45,6 +45,8 @@
 _JOIN_QUIET_SECONDS: Final = 2.0
 _JOIN_MAX_SECONDS: Final = 30.0
 _FIRST_LIST_SECONDS: Final = 1.0
+_FIRST_QUIET_SECONDS: Final = 0.5
+_FIRST_LIST_LIMIT: Final = 5.0
 _ANNOUNCEMENTS: Final = 8
 _CANDIDATE_TRIES: Final = 8
 _CALL_ID_BITS: Final = 63
@@ -130,9 +132,17 @@
             roster.is_changed = False
             self._ring.update(member.host_id for member in roster.active())
             self._is_stale = True
-        if not self._candidates or now - self._started >= _FIRST_LIST_SECONDS:
+        if self._published or self._may_publish_first(now):
             yield from self._publish()
 
+    def _may_publish_first(self, now: float) -> bool:
+        # With a short list this host would take itself for the owner of too many
+        # services.
+        age = now - self._started
+        learning = now - self._detector.last_joined < _FIRST_QUIET_SECONDS
+        complete = age >= _FIRST_LIST_SECONDS and not learning
+        return not self._candidates or complete or age >= _FIRST_LIST_LIMIT
+
     def _publish(self) -> Iterator[Effect]:
         if not self._is_stale:
             return
@@ -170,7 +180,8 @@
                 yield self._single_probe(dead.peer, now)
         if now >= self._timers.candidate:
             joining = self._is_joining(now)
-            pause = _JOIN_PROBE_SECONDS if joining else _CANDIDATE_SECONDS
+            fast = joining or self._candidates.untried
+            pause = _JOIN_PROBE_SECONDS if fast else _CANDIDATE_SECONDS
             self._timers.candidate = now + pause
             yield from self._probe_candidate(now)
             if joining:
