End the demonstration in order on a signal

Cause: a signal ended it with a traceback, and callers with a common seed shared nonces. Callers kept a request flow whose owner was reported lost. Change: SIGTERM and SIGINT cancel the plan; the seed of a caller includes its name; OWNER_LOST ends a request flow.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -128,7 +128,8 @@
     started = time.monotonic()
     task = asyncio.current_task()
     if task is not None:
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     timeout = aiohttp.ClientTimeout(total=_HTTP_SECONDS)
     processes = Processes(directory)
     async with aiohttp.ClientSession(timeout=timeout) as http:
@@ -152,7 +153,11 @@
     parser.add_argument('--keep-logs', action='store_true', help='also on success')
     arguments = parser.parse_args()
     directory = Path(tempfile.mkdtemp(prefix='lycheedeal-demo-'))
-    status = uvloop.run(demonstrate(directory))
+    try:
+        status = uvloop.run(demonstrate(directory))
+    except asyncio.CancelledError:
+        print(f'stopped by a signal; logs are in {directory}', file=sys.stderr)
+        return 1
     if arguments.keep_logs:
         print(f'logs are in {directory}', file=sys.stderr)
     elif status == 0:
--- a/standins/_client.py
+++ b/standins/_client.py
@@ -498,7 +498,7 @@
             return
         outcome = _outcome_of(message.error)
         yield from self._finish(request, outcome, message.error.name)
-        if message.error is ErrorKind.OWNER_LEAVING:
+        if message.error in {ErrorKind.OWNER_LEAVING, ErrorKind.OWNER_LOST}:
             self._forget_flow(message.flow_id)
         if outcome is RequestOutcome.NOT_RUN or request.work.idempotent:
             yield from self._resubmit(request, message.retry_after_ms / _MS)
--- a/standins/_runtime.py
+++ b/standins/_runtime.py
@@ -37,7 +37,7 @@
     return Endpoint(ip, int(port))
 
 
-def system_clock(seed: int | None = None) -> Clock:
+def system_clock(seed: int | str | None = None) -> Clock:
     """Return the clock and randomness of the machine."""
     return Clock(time.monotonic, time.time, random.Random(seed))
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -37,7 +37,8 @@
             service=ServiceName(arguments.service),
             address=arguments.address,
         )
-        seed = None if arguments.seed is None else arguments.seed + place
+        # Nonces of all callers differ, also when processes share a seed.
+        seed = None if arguments.seed is None else f'{arguments.seed} {settings.name}'
         context = _client.Context(settings, system_clock(seed))
         node = Node(Dispatcher(_client.PROGRAM, context), records)
         await node.start(Endpoint(_LOCAL, 0))
