--- a/src/lycheedeal/membership/_candidates.py
+++ b/src/lycheedeal/membership/_candidates.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Final
 
 import msgspec
@@ -78,4 +79,4 @@
 
 def _endpoint(text: str) -> Endpoint:
     ip, _, port = text.rpartition(':')
-    return Endpoint(ip, int(port))
+    return Endpoint(str(IPv4Address(ip)), int(port))
