Learn owners in other zones from their reports

Cause: the platform's host list is stale after a zone loses hosts, so surplus requests went to hosts that had stopped: 119 of 4,400 calls unanswered. Change: the sender of a zone's report is taken as its owner; without a fresh report all listed candidates get this zone's report.

--- a/scenarios/_callers.py
+++ b/scenarios/_callers.py
@@ -174,7 +174,10 @@
             submission.result = Result.NOT_RUN
             self.record.refusals += 1
             self._nonce = 0
-            self._later(message.retry_after_ms, self._open)
+            if self._world.time.now >= self.record.deadline:
+                self._finish(Result.GAVE_UP)
+            else:
+                self._later(message.retry_after_ms, self._open)
         else:
             submission.result = Result.UNKNOWN
             self._finish(Result.UNKNOWN)
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -122,7 +122,7 @@
                 now = self._state.context.clock.monotonic()
                 self._state.counter.reported(event.peer, report, now)
                 if report.zone != self._state.context.settings.zone:
-                    self._zones.reported(report, now)
+                    self._zones.reported(event.peer, report, now)
 
     def _tick(self, now: float) -> Iterator[Effect]:
         if now >= self._next_rotation:
@@ -164,7 +164,7 @@
                 continue
             arrivals = self._zones.arrivals(number)
             report = self._state.counter.zone_report(number, arrivals)
-            for owner in self._zones.remote_owners(service):
+            for owner in self._zones.report_targets(service):
                 yield SendToPeer(owner, report)
 
     def _claim_services(self) -> Iterator[Effect]:
--- a/src/lycheedeal/steering/_zones.py
+++ b/src/lycheedeal/steering/_zones.py
@@ -1,6 +1,7 @@
 """Share of new requests that each availability zone takes."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -19,9 +20,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Arrivals:
-    """Request flows a second that callers asked for in a zone."""
+class _RemoteLoad:
+    """Last report of the owner of a service in another zone."""
 
+    owner: Endpoint
     rate: float
     expires: float
 
@@ -30,7 +32,7 @@
 class _ServiceLoad:
     asked: int = 0
     rate: float = 0
-    remote_by_zone: dict[Zone, _Arrivals] = field(default_factory=dict)
+    remote_by_zone: dict[Zone, _RemoteLoad] = field(default_factory=dict)
 
 
 class ZoneBalance:
@@ -54,17 +56,22 @@
             ranking = self._ranking_by_zone.setdefault(zone, HostRanking())
             ranking.update([member for member in members if member.zone == zone])
 
-    def remote_owner(self, service: Service, zone: Zone) -> Endpoint | None:
-        """Return the owner of a service in another zone, if it is known."""
-        ranking = self._ranking_by_zone.get(zone)
-        owner = None if ranking is None else ranking.owner(service.number)
-        return None if owner is None else owner.peer
+    def report_targets(self, service: Service) -> Iterator[Endpoint]:
+        """Yield the hosts in other zones that want this zone's report.
 
-    def remote_owners(self, service: Service) -> list[Endpoint]:
-        """Return the owner of a service in each other zone with upstreams."""
+        That is the host that reported last from a zone, and otherwise all
+        candidates by the platform's list, since the first may be gone.
+        """
+        fresh = self._fresh(self._load(service.number))
         zones = {upstream.zone for upstream in service.upstreams}
-        owners = (self.remote_owner(service, zone) for zone in sorted(zones))
-        return [owner for owner in owners if owner is not None]
+        for zone in sorted(zones & self._ranking_by_zone.keys()):
+            candidates = self._ranking_by_zone[zone].candidates(service.number)
+            peers = [member.peer for member in candidates]
+            report = fresh.get(zone)
+            if report is not None:
+                # The first listed candidate may be a new owner.
+                peers = [report.owner, *peers[:1]]
+            yield from dict.fromkeys(peers)
 
     def second_passed(self, owned: frozenset[ServiceNumber]) -> None:
         """Smooth the arrivals of the last second."""
@@ -82,10 +89,10 @@
         load = self._load_by_service.get(service)
         return 0 if load is None else load.rate
 
-    def reported(self, report: FlowCounts, now: float) -> None:
+    def reported(self, peer: Endpoint, report: FlowCounts, now: float) -> None:
         """Take the report of the owner in another zone."""
-        load = self._load_by_service.setdefault(report.service, _ServiceLoad())
-        load.remote_by_zone[report.zone] = _Arrivals(
+        self._load(report.service).remote_by_zone[report.zone] = _RemoteLoad(
+            peer,
             report.arrivals,
             now + _REPORT_LIFETIME_SECONDS,
         )
@@ -99,19 +106,34 @@
         service = event.service
         if service.spill is not SpillRule.BALANCED or event.final:
             return None
-        load = self._load_by_service.setdefault(service.number, _ServiceLoad())
+        load = self._load(service.number)
         load.asked += 1
         if event.message.attempt >= ATTEMPTS_PER_OWNER:
             return None
-        zone = self._draw(service, load)
-        return None if zone is None else self.remote_owner(service, zone)
+        fresh = self._fresh(load)
+        zone = self._draw(service, load.rate, fresh)
+        return None if zone is None else fresh[zone].owner
 
     @property
     def _own_zone(self) -> Zone:
         return self._state.context.settings.zone
 
-    def _draw(self, service: Service, load: _ServiceLoad) -> Zone | None:
-        rates = self._rates(load)
+    def _load(self, service: ServiceNumber) -> _ServiceLoad:
+        return self._load_by_service.setdefault(service, _ServiceLoad())
+
+    def _fresh(self, load: _ServiceLoad) -> dict[Zone, _RemoteLoad]:
+        now = self._state.context.clock.monotonic()
+        reports = load.remote_by_zone.items()
+        return {zone: report for zone, report in reports if report.expires > now}
+
+    def _draw(
+        self,
+        service: Service,
+        own_rate: float,
+        fresh: dict[Zone, _RemoteLoad],
+    ) -> Zone | None:
+        rates = {zone: report.rate for zone, report in fresh.items()}
+        rates[self._own_zone] = own_rate
         surplus = _surplus_by_zone(service, rates)
         rng = self._state.context.rng
         own_share = rates[self._own_zone] / max(sum(rates.values()), 1e-9)
@@ -122,16 +144,6 @@
             return None
         return rng.choices(list(deficits), list(deficits.values()))[0]
 
-    def _rates(self, load: _ServiceLoad) -> dict[Zone, float]:
-        now = self._state.context.clock.monotonic()
-        rates = {
-            zone: arrivals.rate
-            for zone, arrivals in load.remote_by_zone.items()
-            if arrivals.expires > now
-        }
-        rates[self._own_zone] = load.rate
-        return rates
-
 
 def _surplus_by_zone(service: Service, rates: dict[Zone, float]) -> dict[Zone, float]:
     """Return share of arrivals less share of slots for each known zone."""
