Test retries and late answers; shorten the tests

Cause: retries of idempotent work had no direct check, and the tests were long for the code they cover. Change: tests of overdue retries, their budget and an answer after UNKNOWN; imports by module and one shared clock. No assertion changed.

--- a/tests/unit/test_admission_plugin.py
+++ b/tests/unit/test_admission_plugin.py
@@ -3,111 +3,71 @@
 import random
 from types import MappingProxyType
 
+from test_requests_machine import HOST, Clock
+
+from lycheedeal import kernel, model
 from lycheedeal.admission import Admission
 from lycheedeal.errors import ErrorKind
-from lycheedeal.kernel import (
-    CallerMessage,
-    Context,
-    Effect,
-    Event,
-    OpenAdmitted,
-    PeerMessage,
-    Publish,
-    QueueMeasured,
-    SendToCaller,
-    SendToPeer,
-    StopStarted,
-    ViewChanged,
-)
 from lycheedeal.messages import Open, OpenRefused, Pushback, RelayedOpen
-from lycheedeal.model import (
-    ConfigurationView,
-    Endpoint,
-    HostId,
-    HostSettings,
-    Incarnation,
-    KindId,
-    Region,
-    Service,
-    ServiceName,
-    ServiceNumber,
-    WorkKind,
-    Zone,
-)
 
-CALLER = Endpoint('127.0.0.9', 900)
-PEER = Endpoint('127.0.0.2', 200)
-URGENT, BULK, FEED = KindId(0), KindId(1), KindId(2)
-SERVICE = Service(
-    ServiceNumber(1),
-    ServiceName('api'),
-    Endpoint('127.0.0.1', 50),
+CALLER = model.Endpoint('127.0.0.9', 900)
+PEER = model.Endpoint('127.0.0.2', 200)
+URGENT, BULK, FEED = model.KindId(0), model.KindId(1), model.KindId(2)
+SERVICE = model.Service(
+    model.ServiceNumber(1),
+    model.ServiceName('api'),
+    model.Endpoint('127.0.0.1', 50),
     kinds=(
-        WorkKind(URGENT, 'urgent', priority=1),
-        WorkKind(BULK, 'bulk', priority=5),
-        WorkKind(FEED, 'feed', priority=5, long=True),
+        model.WorkKind(URGENT, 'urgent', priority=1),
+        model.WorkKind(BULK, 'bulk', priority=5),
+        model.WorkKind(FEED, 'feed', priority=5, long=True),
     ),
 )
-VIEW = ViewChanged(
-    ConfigurationView(
+VIEW = kernel.ViewChanged(
+    model.ConfigurationView(
         MappingProxyType({SERVICE.number: SERVICE}),
         MappingProxyType({SERVICE.address: SERVICE}),
-    ),
+    )
 )
 
 
-class Clock:
-    now = 1000.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 class Host:
     """Plug-in with a virtual clock; returns the effects of an event."""
 
-    def __init__(self, *events: Event) -> None:
-        places = [Endpoint('127.0.0.1', port) for port in range(1, 5)]
-        settings = HostSettings(
-            HostId('host'),
-            Region('region'),
-            Zone('zone'),
-            *places,
-            platform_url='',
-            flow_key=b'key',
-        )
+    def __init__(self, *events: kernel.Event) -> None:
         self.clock = Clock()
-        context = Context(settings, self.clock, random.Random(3), Incarnation(1))
+        context = kernel.Context(
+            HOST, self.clock, random.Random(3), model.Incarnation(1)
+        )
         self.plugin = Admission(context)
         for event in events:
             self.dispatch(event)
 
-    def dispatch(self, event: Event) -> list[Effect]:
+    def dispatch(self, event: kernel.Event) -> list[kernel.Effect]:
         return list(self.plugin.handle(event))
 
-    def open(self, kind: KindId, address: Endpoint = SERVICE.address) -> list[Effect]:
-        return self.dispatch(CallerMessage(CALLER, address, Open(7, kind)))
+    def open(
+        self, kind: model.KindId, address: model.Endpoint = SERVICE.address
+    ) -> list[kernel.Effect]:
+        return self.dispatch(kernel.CallerMessage(CALLER, address, Open(7, kind)))
 
-    def relayed(self, kind: KindId) -> list[Effect]:
+    def relayed(self, kind: model.KindId) -> list[kernel.Effect]:
         message = RelayedOpen(CALLER, SERVICE.number, Open(7, kind))
-        return self.dispatch(PeerMessage(PEER, message))
+        return self.dispatch(kernel.PeerMessage(PEER, message))
 
 
-def refusal(effects: list[Effect]) -> OpenRefused:
-    answers = [one.message for one in effects if isinstance(one, SendToCaller)]
+def refusal(effects: list[kernel.Effect]) -> OpenRefused:
+    answers = [one.message for one in effects if isinstance(one, kernel.SendToCaller)]
     assert len(answers) == 1
     assert isinstance(answers[0], OpenRefused)
     assert answers[0].nonce == 7
     return answers[0]
 
 
-def admitted(effects: list[Effect]) -> OpenAdmitted:
+def admitted(effects: list[kernel.Effect]) -> kernel.OpenAdmitted:
     assert len(effects) == 1
-    assert isinstance(effects[0], Publish)
-    assert isinstance(effects[0].event, OpenAdmitted)
+    assert isinstance(effects[0], kernel.Publish)
+    assert isinstance(effects[0].event, kernel.OpenAdmitted)
     return effects[0].event
 
 
@@ -116,10 +76,10 @@
     assert refusal(Host().open(URGENT)).error is ErrorKind.NOT_READY
     assert refusal(Host().relayed(URGENT)).error is ErrorKind.NOT_READY
     host = Host(VIEW)
-    elsewhere = Endpoint('127.0.0.1', 51)
+    elsewhere = model.Endpoint('127.0.0.1', 51)
     assert refusal(host.open(URGENT, elsewhere)).error is ErrorKind.UNKNOWN_SERVICE
-    assert refusal(host.open(KindId(9))).error is ErrorKind.UNKNOWN_KIND
-    host.dispatch(StopStarted(deadline=2000))
+    assert refusal(host.open(model.KindId(9))).error is ErrorKind.UNKNOWN_KIND
+    host.dispatch(kernel.StopStarted(deadline=2000))
     assert refusal(host.open(URGENT)).error is ErrorKind.OWNER_LEAVING
 
 
@@ -135,7 +95,7 @@
     """Guards against urgent work pushed back and a pushback without end."""
     host = Host(VIEW)
     pushback = Pushback(SERVICE.number, max_priority=1, ttl_ms=60_000)
-    host.dispatch(PeerMessage(PEER, pushback))
+    host.dispatch(kernel.PeerMessage(PEER, pushback))
     assert refusal(host.open(BULK)).error is ErrorKind.PUSHED_BACK
     admitted(host.open(URGENT))
     admitted(host.relayed(BULK))
@@ -145,7 +105,7 @@
 
 def test_retry_delays_are_spread() -> None:
     """Guards against callers that were refused together and return together."""
-    host = Host(VIEW, PeerMessage(PEER, Pushback(SERVICE.number, 1, 500)))
+    host = Host(VIEW, kernel.PeerMessage(PEER, Pushback(SERVICE.number, 1, 500)))
     delays = [refusal(host.open(BULK)).retry_after_ms for _ in range(200)]
     assert min(delays) < 1300
     assert max(delays) > 2700
@@ -154,15 +114,17 @@
 
 def test_full_queue_refuses_and_pushes_back_once() -> None:
     """Guards against one pushback for each refused open, and against none."""
-    measured = QueueMeasured(SERVICE.number, frozenset((BULK, FEED)), drain_ms=800)
+    measured = kernel.QueueMeasured(
+        SERVICE.number, frozenset((BULK, FEED)), drain_ms=800
+    )
     host = Host(VIEW, measured)
     effects = host.relayed(BULK)
     assert refusal(effects).error is ErrorKind.PUSHED_BACK
-    assert SendToPeer(PEER, Pushback(SERVICE.number, 1, 400)) in effects
+    assert kernel.SendToPeer(PEER, Pushback(SERVICE.number, 1, 400)) in effects
     admitted(host.relayed(URGENT))
     admitted(host.relayed(FEED))
-    again = [one for one in host.relayed(BULK) if isinstance(one, SendToPeer)]
+    again = [one for one in host.relayed(BULK) if isinstance(one, kernel.SendToPeer)]
     assert not again
     assert refusal(host.open(BULK)).error is ErrorKind.PUSHED_BACK
-    host.dispatch(QueueMeasured(SERVICE.number, frozenset(), drain_ms=0))
+    host.dispatch(kernel.QueueMeasured(SERVICE.number, frozenset(), drain_ms=0))
     admitted(host.relayed(BULK))
--- a/tests/unit/test_admission_queue.py
+++ b/tests/unit/test_admission_queue.py
@@ -6,44 +6,31 @@
 
 import pytest
 
+from lycheedeal import model
 from lycheedeal.admission import Assignment, QueuedRequest, ServiceQueue, Shed
 from lycheedeal.errors import ErrorKind
-from lycheedeal.model import (
-    Endpoint,
-    FlowId,
-    Incarnation,
-    KindId,
-    RequestNumber,
-    Service,
-    ServiceName,
-    ServiceNumber,
-    SpillRule,
-    Upstream,
-    UpstreamId,
-    UpstreamState,
-    WorkKind,
-    Zone,
-)
 
-HOME = Zone('home')
-AWAY = Zone('away')
-URGENT = WorkKind(KindId(0), 'urgent', priority=0)
-BULK = WorkKind(KindId(1), 'bulk', priority=5)
+HOME = model.Zone('home')
+AWAY = model.Zone('away')
+URGENT = model.WorkKind(model.KindId(0), 'urgent', priority=0)
+BULK = model.WorkKind(model.KindId(1), 'bulk', priority=5)
 SERVICE_MS = 50
 DEADLINE_MS = 1000
 # 7 upstreams with 2 slots each, 50 ms a request.
 CAPACITY = 280
 
 
-def upstream(index: int, zone: Zone = HOME) -> Upstream:
-    return Upstream(UpstreamId(f'u{index}'), Endpoint('127.0.0.1', 100 + index), zone)
+def upstream(index: int, zone: model.Zone = HOME) -> model.Upstream:
+    return model.Upstream(
+        model.UpstreamId(f'u{index}'), model.Endpoint('127.0.0.1', 100 + index), zone
+    )
 
 
 UPSTREAMS = tuple(upstream(index) for index in range(7))
-SERVICE = Service(
-    ServiceNumber(1),
-    ServiceName('api'),
-    Endpoint('127.0.0.1', 50),
+SERVICE = model.Service(
+    model.ServiceNumber(1),
+    model.ServiceName('api'),
+    model.Endpoint('127.0.0.1', 50),
     kinds=(URGENT, BULK),
     upstreams=UPSTREAMS,
 )
@@ -51,29 +38,29 @@
 
 def change(
     queue: ServiceQueue,
-    one: Upstream,
-    state: UpstreamState = UpstreamState.READY,
+    one: model.Upstream,
+    state: model.UpstreamState = model.UpstreamState.READY,
     weight: float = 1,
 ) -> None:
-    queue.pool.change(one.endpoint, state, Incarnation(1), weight)
+    queue.pool.change(one.endpoint, state, model.Incarnation(1), weight)
 
 
-def ready_queue(service: Service = SERVICE, seed: int = 1) -> ServiceQueue:
+def ready_queue(service: model.Service = SERVICE, seed: int = 1) -> ServiceQueue:
     queue = ServiceQueue(service, HOME, random.Random(seed))
     for one in service.upstreams:
         change(queue, one)
     return queue
 
 
-def request(number: int, kind: WorkKind, now_ms: int) -> QueuedRequest:
-    key = (FlowId(b'flow'), RequestNumber(number))
+def request(number: int, kind: model.WorkKind, now_ms: int) -> QueuedRequest:
+    key = (model.FlowId(b'flow'), model.RequestNumber(number))
     return QueuedRequest(key, kind.kind_id, now_ms, now_ms + DEADLINE_MS)
 
 
 class Simulation:
     """Poisson arrivals by kind; service times vary by half either way."""
 
-    def __init__(self, queue: ServiceQueue, rates: dict[WorkKind, float]) -> None:
+    def __init__(self, queue: ServiceQueue, rates: dict[model.WorkKind, float]) -> None:
         self.queue = queue
         self.rng = random.Random(7)
         # Each kind has its own arrivals, the same with and without a flood.
@@ -81,10 +68,10 @@
         self.now = 1_000_000.0
         self.goodput = dict.fromkeys((kind.kind_id for kind in rates), 0)
         self.slot_ms = dict.fromkeys((kind.kind_id for kind in rates), 0.0)
-        self.work_by_upstream: dict[Endpoint, int] = {}
+        self.work_by_upstream: dict[model.Endpoint, int] = {}
         self.late = 0
         self._number = 0
-        self._events: list[tuple[float, int, WorkKind | Assignment]] = []
+        self._events: list[tuple[float, int, model.WorkKind | Assignment]] = []
         self._rates = rates
         for kind in rates:
             self._next_arrival(kind)
@@ -125,11 +112,11 @@
             self.slot_ms[step.request.kind_id] += duration
             self._add(self.now + duration, step)
 
-    def _next_arrival(self, kind: WorkKind) -> None:
+    def _next_arrival(self, kind: model.WorkKind) -> None:
         gap = self.arrivals[kind].expovariate(self._rates[kind]) * 1000
         self._add(self.now + gap, kind)
 
-    def _add(self, when: float, event: WorkKind | Assignment) -> None:
+    def _add(self, when: float, event: model.WorkKind | Assignment) -> None:
         self._number += 1
         heapq.heappush(self._events, (when, self._number, event))
 
@@ -168,7 +155,11 @@
 def test_draining_ejected_and_gone_get_nothing() -> None:
     """Guards against new work for an upstream that is leaving or broken."""
     queue = ready_queue()
-    states = (UpstreamState.DRAINING, UpstreamState.EJECTED, UpstreamState.GONE)
+    states = (
+        model.UpstreamState.DRAINING,
+        model.UpstreamState.EJECTED,
+        model.UpstreamState.GONE,
+    )
     for one, state in zip(UPSTREAMS, states, strict=False):
         change(queue, one, state)
     drained = replace(UPSTREAMS[3], drained=True)
@@ -181,14 +172,14 @@
 def test_starting_upstream_is_ramped() -> None:
     """Guards against a cold upstream getting a full share at once."""
     queue = ready_queue()
-    change(queue, UPSTREAMS[0], UpstreamState.STARTING, 0.1)
+    change(queue, UPSTREAMS[0], model.UpstreamState.STARTING, 0.1)
     simulation = Simulation(queue, {URGENT: 0.5 * CAPACITY}).run(4)
     work = simulation.work_by_upstream
     assert work.get(UPSTREAMS[0].endpoint, 0) < 0.3 * work[UPSTREAMS[1].endpoint]
 
 
-@pytest.mark.parametrize('spill', SpillRule)
-def test_spill_is_last_resort(spill: SpillRule) -> None:
+@pytest.mark.parametrize('spill', model.SpillRule)
+def test_spill_is_last_resort(spill: model.SpillRule) -> None:
     """Guards against use of other zones while the own zone has an upstream."""
     away = tuple(upstream(index, AWAY) for index in (7, 8))
     service = replace(SERVICE, upstreams=(*UPSTREAMS[:1], *away), spill=spill)
@@ -197,10 +188,12 @@
         list(queue.push(request(number, URGENT, 1000), 1000))
     own = [queue.take(1000) for _ in range(3)]
     assert [one.slots.upstream.zone for one in own if one] == [HOME, HOME]
-    change(queue, UPSTREAMS[0], UpstreamState.EJECTED)
+    change(queue, UPSTREAMS[0], model.UpstreamState.EJECTED)
     spilled = [queue.take(1000) for _ in range(4)]
     used = [one.slots.upstream.endpoint for one in spilled if one]
-    expected = {one.endpoint for one in away} if spill is SpillRule.WHEN_DOWN else set()
+    expected = (
+        {one.endpoint for one in away} if spill is model.SpillRule.WHEN_DOWN else set()
+    )
     assert set(used) == expected
     assert len(used) == len(expected)
 
@@ -256,6 +249,6 @@
     """Guards against callers waiting for upstreams that are all gone."""
     queue = ready_queue()
     for one in UPSTREAMS:
-        change(queue, one, UpstreamState.GONE)
+        change(queue, one, model.UpstreamState.GONE)
     shed = list(queue.push(request(1, URGENT, 1000), 1000))
     assert [one.error for one in shed] == [ErrorKind.NO_UPSTREAM]
--- a/tests/unit/test_requests_machine.py
+++ b/tests/unit/test_requests_machine.py
@@ -18,89 +18,57 @@
     rule,
 )
 
-from lycheedeal import messages
+from lycheedeal import kernel, messages, model
 from lycheedeal.errors import ErrorKind, Verdict, answer_for
-from lycheedeal.kernel import (
-    CallerMessage,
-    Context,
-    Event,
-    Kernel,
-    Resumed,
-    SendToCaller,
-    SendToUpstream,
-    Tick,
-    UpstreamChanged,
-    UpstreamMessage,
-    ViewChanged,
-    load_plugins,
-)
-from lycheedeal.model import (
-    AttemptId,
-    ConfigurationView,
-    Endpoint,
-    FlowClass,
-    FlowFields,
-    FlowId,
-    FlowIdCodec,
-    HostId,
-    HostSettings,
-    Incarnation,
-    KindId,
-    Region,
-    RequestNumber,
-    Service,
-    ServiceName,
-    ServiceNumber,
-    Upstream,
-    UpstreamId,
-    UpstreamState,
-    WorkKind,
-    Zone,
-)
 
 KEY = b'key'
-ZONE = Zone('zone')
-CALLER = Endpoint('127.0.0.9', 900)
-HOST = HostSettings(
-    HostId('host'),
-    Region('region'),
+ZONE = model.Zone('zone')
+CALLER = model.Endpoint('127.0.0.9', 900)
+HOST = model.HostSettings(
+    model.HostId('host'),
+    model.Region('region'),
     ZONE,
-    *(Endpoint('127.0.0.1', port) for port in range(1, 5)),
+    *(model.Endpoint('127.0.0.1', port) for port in range(1, 5)),
     platform_url='',
     flow_key=KEY,
 )
 UPSTREAMS = tuple(
-    Upstream(UpstreamId(f'u{index}'), Endpoint('127.0.0.1', 100 + index), ZONE, slots=1)
+    model.Upstream(
+        model.UpstreamId(f'u{index}'),
+        model.Endpoint('127.0.0.1', 100 + index),
+        ZONE,
+        slots=1,
+    )
     for index in range(2)
 )
-SERVICE = Service(
-    ServiceNumber(1),
-    ServiceName('api'),
-    Endpoint('127.0.0.1', 50),
+SERVICE = model.Service(
+    model.ServiceNumber(1),
+    model.ServiceName('api'),
+    model.Endpoint('127.0.0.1', 50),
     kinds=(
-        WorkKind(KindId(0), 'urgent', priority=0),
-        WorkKind(KindId(1), 'repeatable', priority=5, idempotent=True),
+        model.WorkKind(model.KindId(0), 'urgent', priority=0),
+        model.WorkKind(model.KindId(1), 'repeatable', priority=5, idempotent=True),
     ),
     upstreams=UPSTREAMS,
 )
-VIEW = ConfigurationView(
+VIEW = model.ConfigurationView(
     MappingProxyType({SERVICE.number: SERVICE}),
     MappingProxyType({SERVICE.address: SERVICE}),
 )
-RequestKey = tuple[FlowId, RequestNumber]
+RequestKey = tuple[model.FlowId, model.RequestNumber]
 Reply = messages.RunAnswer | messages.RunRefused | messages.RunCancelled
 
 
-def mint(kind_id: int) -> FlowId:
-    fields = FlowFields(
-        flow_class=FlowClass.REQUEST,
-        kind_id=KindId(kind_id),
+def mint(kind_id: int) -> model.FlowId:
+    fields = model.FlowFields(
+        flow_class=model.FlowClass.REQUEST,
+        kind_id=model.KindId(kind_id),
         service=SERVICE.number,
         owner=HOST.peer,
-        owner_incarnation=Incarnation(1),
+        owner_incarnation=model.Incarnation(1),
         nonce=kind_id,
     )
-    return FlowIdCodec(KEY).mint(fields)
+    return model.FlowIdCodec(KEY).mint(fields)
 
 
 FLOWS = (mint(0), mint(1))
@@ -130,10 +98,10 @@
 class UpstreamModel:
     """Runs an attempt at most once; remembers refused and cancelled ones."""
 
-    incarnation: Incarnation = Incarnation(1)
-    parts: dict[AttemptId, dict[int, bytes]] = field(default_factory=dict)
-    running: dict[AttemptId, bytes] = field(default_factory=dict)
-    closed: set[AttemptId] = field(default_factory=set)
+    incarnation: model.Incarnation = model.Incarnation(1)
+    parts: dict[model.AttemptId, dict[int, bytes]] = field(default_factory=dict)
+    running: dict[model.AttemptId, bytes] = field(default_factory=dict)
+    closed: set[model.AttemptId] = field(default_factory=set)
 
 
 class OwnerMachine(RuleBasedStateMachine):
@@ -142,47 +110,49 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = Clock()
-        context = Context(HOST, self.clock, random.Random(5), Incarnation(1))
-        self.kernel = Kernel(context, load_plugins(('requests',)))
+        context = kernel.Context(
+            HOST, self.clock, random.Random(5), model.Incarnation(1)
+        )
+        self.kernel = kernel.Kernel(context, kernel.load_plugins(('requests',)))
         self.plugin = self.kernel.plugins_by_name['requests']
         self.models = {one.endpoint: UpstreamModel() for one in UPSTREAMS}
         self.sent: list[messages.Request] = []
-        self.to_upstreams: list[SendToUpstream] = []
-        self.to_owner: list[UpstreamMessage] = []
+        self.to_upstreams: list[kernel.SendToUpstream] = []
+        self.to_owner: list[kernel.UpstreamMessage] = []
         self.ran: Counter[RequestKey] = Counter()
         self.told: dict[RequestKey, Told] = {}
 
     @initialize()
     def start(self) -> None:
-        self.dispatch(ViewChanged(VIEW))
+        self.dispatch(kernel.ViewChanged(VIEW))
         for index in range(len(UPSTREAMS)):
-            self.report(index, UpstreamState.READY)
+            self.report(index, model.UpstreamState.READY)
 
-    def report(self, index: int, state: UpstreamState) -> None:
+    def report(self, index: int, state: model.UpstreamState) -> None:
         one = UPSTREAMS[index]
         incarnation = self.models[one.endpoint].incarnation
         self.dispatch(
-            UpstreamChanged(
+            kernel.UpstreamChanged(
                 SERVICE.number,
                 one.upstream_id,
                 one.endpoint,
                 state,
                 incarnation,
                 weight=1,
-            ),
+            )
         )
 
-    def dispatch(self, event: Event) -> None:
+    def dispatch(self, event: kernel.Event) -> None:
         for effect in self.kernel.dispatch(event):
             match effect:
-                case SendToUpstream(_, messages.Run(deadline_ms=deadline_ms)):
+                case kernel.SendToUpstream(_, messages.Run(deadline_ms=deadline_ms)):
                     assert deadline_ms > self.clock.now * 1000
                     self.to_upstreams.append(effect)
-                case SendToUpstream():
+                case kernel.SendToUpstream():
                     self.to_upstreams.append(effect)
-                case SendToCaller(_, messages.Outcome() as outcome):
+                case kernel.SendToCaller(_, messages.Outcome() as outcome):
                     self.tell_outcome(outcome)
-                case SendToCaller(_, messages.Answer() as answer):
+                case kernel.SendToCaller(_, messages.Answer() as answer):
                     self.tell_answer(answer)
 
     def tell_outcome(self, outcome: messages.Outcome) -> None:
@@ -206,13 +176,13 @@
     )
     def new_request(
         self,
-        flow: FlowId,
+        flow: model.FlowId,
         parts: int,
         lifetime_ms: int,
         size: int,
         complete: bool,
     ) -> None:
-        number = RequestNumber(len(self.told))
+        number = model.RequestNumber(len(self.told))
         key = (flow, number)
         self.told[key] = Told()
         deadline_ms = int(self.clock.now * 1000) + lifetime_ms
@@ -226,7 +196,7 @@
 
     def send(self, message: messages.Request) -> None:
         self.told[_key(message)].asked = True
-        self.dispatch(CallerMessage(CALLER, SERVICE.address, message))
+        self.dispatch(kernel.CallerMessage(CALLER, SERVICE.address, message))
 
     def bodies(self, key: RequestKey, parts: int, size: int) -> list[bytes]:
         flow, number = key
@@ -243,7 +213,7 @@
         if self.told:
             flow, number = list(self.told)[choice % len(self.told)]
             message = messages.CancelRequest(flow, number)
-            self.dispatch(CallerMessage(CALLER, SERVICE.address, message))
+            self.dispatch(kernel.CallerMessage(CALLER, SERVICE.address, message))
 
     @precondition(lambda self: self.to_upstreams)
     @rule(choice=st.integers(0, 1000), keep=st.booleans())
@@ -276,52 +246,56 @@
         for event in pending:
             self.dispatch(event)
 
-    def receive(self, upstream: Endpoint, message: object, busy: bool = False) -> None:
-        model = self.models[upstream]
+    def receive(
+        self, upstream: model.Endpoint, message: object, busy: bool = False
+    ) -> None:
+        runner = self.models[upstream]
         match message:
-            case messages.Run() if message.attempt_id not in model.closed:
+            case messages.Run() if message.attempt_id not in runner.closed:
                 self.receive_run(upstream, message, busy)
             case messages.CancelRun(attempt_id):
-                if attempt_id in model.running or attempt_id not in model.closed:
-                    started = model.running.pop(attempt_id, None) is not None
-                    model.closed.add(attempt_id)
+                if attempt_id in runner.running or attempt_id not in runner.closed:
+                    started = runner.running.pop(attempt_id, None) is not None
+                    runner.closed.add(attempt_id)
                     self.reply(upstream, messages.RunCancelled(attempt_id, started))
 
-    def receive_run(self, upstream: Endpoint, run: messages.Run, busy: bool) -> None:
-        model = self.models[upstream]
+    def receive_run(
+        self, upstream: model.Endpoint, run: messages.Run, busy: bool
+    ) -> None:
+        runner = self.models[upstream]
         assert run.service == SERVICE.name
         late = run.deadline_ms <= self.clock.now * 1000
-        if busy or late or run.incarnation != model.incarnation or model.running:
+        if busy or late or run.incarnation != runner.incarnation or runner.running:
             error = ErrorKind.DEADLINE_PASSED if late else ErrorKind.UPSTREAM_REFUSED
-            model.closed.add(run.attempt_id)
+            runner.closed.add(run.attempt_id)
             self.reply(upstream, messages.RunRefused(run.attempt_id, error))
             return
-        parts = model.parts.setdefault(run.attempt_id, {})
+        parts = runner.parts.setdefault(run.attempt_id, {})
         parts[run.part] = run.body
         if len(parts) == run.parts:
-            model.closed.add(run.attempt_id)
+            runner.closed.add(run.attempt_id)
             body = b''.join(parts[part] for part in range(run.parts))
-            model.running[run.attempt_id] = body
+            runner.running[run.attempt_id] = body
             name = body.split(b'|')[0].decode().split(':')
-            key = (FLOWS[int(name[0])], RequestNumber(int(name[1])))
+            key = (FLOWS[int(name[0])], model.RequestNumber(int(name[1])))
             self.ran[key] += 1
             expected = b''.join(one.body for one in self.sent if key == _key(one))
             assert body == expected
 
-    def reply(self, upstream: Endpoint, message: Reply) -> None:
-        self.to_owner.append(UpstreamMessage(upstream, 0, message))
+    def reply(self, upstream: model.Endpoint, message: Reply) -> None:
+        self.to_owner.append(kernel.UpstreamMessage(upstream, 0, message))
 
     @precondition(lambda self: any(one.running for one in self.models.values()))
     @rule(index=st.integers(0, 1), parts=st.integers(1, 3))
     def finish(self, index: int, parts: int) -> None:
         upstream = UPSTREAMS[index].endpoint
-        model = self.models[upstream]
-        for attempt_id, body in model.running.items():
+        runner = self.models[upstream]
+        for attempt_id, body in runner.running.items():
             chunks = [b'answer to ' + body, *([b'tail'] * (parts - 1))]
             for part, chunk in enumerate(chunks):
                 answer = messages.RunAnswer(attempt_id, part, parts, chunk)
                 self.reply(upstream, answer)
-        model.running.clear()
+        runner.running.clear()
 
     @precondition(lambda self: self.to_owner)
     @rule(choice=st.integers(0, 1000), keep=st.booleans(), stray=st.booleans())
@@ -333,7 +307,7 @@
         if stray and isinstance(event.message, messages.RunAnswer):
             other = next(one for one in self.models if one != event.upstream)
             forged = replace(event.message, body=b'forged')
-            self.dispatch(UpstreamMessage(other, 0, forged))
+            self.dispatch(kernel.UpstreamMessage(other, 0, forged))
         self.dispatch(event)
 
     @precondition(lambda self: self.to_upstreams or self.to_owner)
@@ -346,25 +320,25 @@
 
     @rule(index=st.integers(0, 1), gone=st.booleans())
     def lose_upstream(self, index: int, gone: bool) -> None:
-        model = self.models[UPSTREAMS[index].endpoint]
+        runner = self.models[UPSTREAMS[index].endpoint]
         if gone:
-            self.report(index, UpstreamState.GONE)
+            self.report(index, model.UpstreamState.GONE)
         else:
-            model.running.clear()
-            model.parts.clear()
-            model.incarnation = Incarnation(model.incarnation + 1)
-        self.report(index, UpstreamState.READY)
+            runner.running.clear()
+            runner.parts.clear()
+            runner.incarnation = model.Incarnation(runner.incarnation + 1)
+        self.report(index, model.UpstreamState.READY)
 
     @rule(seconds=st.sampled_from((0.1, 0.6, 0.01)), tick=st.booleans())
     def wait(self, seconds: float, tick: bool) -> None:
         self.clock.now += seconds
         if tick:
-            self.dispatch(Tick(self.clock.now))
+            self.dispatch(kernel.Tick(self.clock.now))
 
     @rule(gap=st.sampled_from((0.3, 0.3, 0.3, 2.5, 14.0)))
     def pause(self, gap: float) -> None:
         self.clock.now += gap
-        self.dispatch(Resumed(gap))
+        self.dispatch(kernel.Resumed(gap))
 
     @invariant()
     def verdicts_match_what_ran(self) -> None:
@@ -389,7 +363,7 @@
         # The longest deadline is 10 s ahead and the grace period is 10 s.
         for _ in range(60):
             self.clock.now += 0.5
-            self.dispatch(Tick(self.clock.now))
+            self.dispatch(kernel.Tick(self.clock.now))
         self.verdicts_match_what_ran()
         for told in self.told.values():
             assert told.outcomes or told.answer or not told.asked
@@ -410,9 +384,6 @@
 
 
 OwnerMachine.TestCase.settings = settings(
-    derandomize=True,
-    max_examples=200,
-    stateful_step_count=60,
-    deadline=None,
+    derandomize=True, max_examples=200, stateful_step_count=60, deadline=None
 )
 TestOwnerMachine = OwnerMachine.TestCase
--- a/tests/unit/test_requests_plugin.py
+++ b/tests/unit/test_requests_plugin.py
@@ -16,40 +16,12 @@
     mint,
 )
 
-from lycheedeal import messages
+from lycheedeal import kernel, messages, model
 from lycheedeal.errors import ErrorKind
-from lycheedeal.kernel import (
-    CallerMessage,
-    Context,
-    Effect,
-    Event,
-    MembersChanged,
-    PeerMessage,
-    Publish,
-    Refused,
-    SendToCaller,
-    SendToPeer,
-    SendToUpstream,
-    StopStarted,
-    Tick,
-    UpstreamChanged,
-    UpstreamMessage,
-    ViewChanged,
-    WorkRemaining,
-)
-from lycheedeal.model import (
-    Endpoint,
-    FlowClass,
-    FlowId,
-    FlowIdCodec,
-    Incarnation,
-    RequestNumber,
-    UpstreamState,
-)
 from lycheedeal.requests import Requests
 from lycheedeal.requests._records import RecordTable
 
-PEER = Endpoint('127.0.0.2', 2)
+PEER = model.Endpoint('127.0.0.2', 2)
 
 
 class Host:
@@ -57,58 +29,66 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
-        self.context = Context(HOST, self.clock, random.Random(5), Incarnation(1))
+        self.context = kernel.Context(
+            HOST, self.clock, random.Random(5), model.Incarnation(1)
+        )
         self.plugin = Requests(self.context)
-        self.dispatch(ViewChanged(VIEW))
+        self.dispatch(kernel.ViewChanged(VIEW))
         for one in UPSTREAMS:
             self.dispatch(
-                UpstreamChanged(
+                kernel.UpstreamChanged(
                     SERVICE.number,
                     one.upstream_id,
                     one.endpoint,
-                    UpstreamState.READY,
-                    Incarnation(1),
+                    model.UpstreamState.READY,
+                    model.Incarnation(1),
                     weight=1,
-                ),
+                )
             )
 
-    def dispatch(self, event: Event) -> list[Effect]:
+    def dispatch(self, event: kernel.Event) -> list[kernel.Effect]:
         return list(self.plugin.handle(event))
 
-    def request(self, flow_id: FlowId = FLOWS[0], **changes: object) -> list[Effect]:
+    def request(
+        self, flow_id: model.FlowId = FLOWS[0], **changes: object
+    ) -> list[kernel.Effect]:
         return self.dispatch(
-            CallerMessage(CALLER, SERVICE.address, self.one(flow_id, **changes))
+            kernel.CallerMessage(CALLER, SERVICE.address, self.one(flow_id, **changes))
         )
 
-    def one(self, flow_id: FlowId = FLOWS[0], **changes: object) -> messages.Request:
+    def one(
+        self, flow_id: model.FlowId = FLOWS[0], **changes: object
+    ) -> messages.Request:
         deadline_ms = self.context.wall_ms() + 1000
-        plain = messages.Request(flow_id, RequestNumber(1), deadline_ms, 0, 1, b'work')
+        plain = messages.Request(
+            flow_id, model.RequestNumber(1), deadline_ms, 0, 1, b'work'
+        )
         return replace(plain, **changes)
 
 
-def other_flow(**changes: object) -> FlowId:
-    codec = FlowIdCodec(KEY)
+def other_flow(**changes: object) -> model.FlowId:
+    codec = model.FlowIdCodec(KEY)
     return codec.mint(replace(codec.parse(mint(0)), **changes))
 
 
-def outcomes(effects: list[Effect]) -> list[ErrorKind]:
-    sent = [one.message for one in effects if isinstance(one, SendToCaller)]
+def outcomes(effects: list[kernel.Effect]) -> list[ErrorKind]:
+    sent = [one.message for one in effects if isinstance(one, kernel.SendToCaller)]
     return [one.error for one in sent if isinstance(one, messages.Outcome)]
 
 
-def refusals(effects: list[Effect]) -> list[ErrorKind]:
-    events = [one.event for one in effects if isinstance(one, Publish)]
-    return [one.error for one in events if isinstance(one, Refused)]
+def refusals(effects: list[kernel.Effect]) -> list[ErrorKind]:
+    events = [one.event for one in effects if isinstance(one, kernel.Publish)]
+    return [one.error for one in events if isinstance(one, kernel.Refused)]
 
 
-def runs(effects: list[Effect]) -> list[messages.Run]:
-    sent = [one.message for one in effects if isinstance(one, SendToUpstream)]
+def runs(effects: list[kernel.Effect]) -> list[messages.Run]:
+    sent = [one.message for one in effects if isinstance(one, kernel.SendToUpstream)]
     return [one for one in sent if isinstance(one, messages.Run)]
 
 
 def test_forged_flow_id_gets_no_answer() -> None:
     """Guards against replies to senders that are not authenticated."""
-    forged = FlowId(FLOWS[0][:-1] + bytes((FLOWS[0][-1] ^ 1,)))
+    forged = model.FlowId(FLOWS[0][:-1] + bytes((FLOWS[0][-1] ^ 1,)))
     effects = Host().request(forged)
     assert refusals(effects) == [ErrorKind.BAD_TAG]
     assert len(effects) == 1
@@ -116,15 +96,15 @@
 
 def test_long_flow_carries_no_requests() -> None:
     """Guards against a request on a flow of another class."""
-    effects = Host().request(other_flow(flow_class=FlowClass.LONG))
+    effects = Host().request(other_flow(flow_class=model.FlowClass.LONG))
     assert outcomes(effects) == [ErrorKind.MALFORMED]
 
 
 def test_request_for_another_service_address_is_dropped() -> None:
     """Guards against a flow of one service used at the address of another."""
     host = Host()
-    elsewhere = Endpoint('127.0.0.1', 51)
-    effects = host.dispatch(CallerMessage(CALLER, elsewhere, host.one()))
+    elsewhere = model.Endpoint('127.0.0.1', 51)
+    effects = host.dispatch(kernel.CallerMessage(CALLER, elsewhere, host.one()))
     assert refusals(effects) == [ErrorKind.MALFORMED]
     assert not runs(effects)
 
@@ -134,9 +114,9 @@
     host = Host()
     message = host.one(other_flow(owner=PEER))
     relayed = messages.RelayedRequest(CALLER, message)
-    direct = host.dispatch(CallerMessage(CALLER, SERVICE.address, message))
-    assert direct == [SendToPeer(PEER, relayed)]
-    again = host.dispatch(PeerMessage(Endpoint('127.0.0.3', 2), relayed))
+    direct = host.dispatch(kernel.CallerMessage(CALLER, SERVICE.address, message))
+    assert direct == [kernel.SendToPeer(PEER, relayed)]
+    again = host.dispatch(kernel.PeerMessage(model.Endpoint('127.0.0.3', 2), relayed))
     assert refusals(again) == [ErrorKind.UNKNOWN_FLOW]
     assert len(again) == 1
 
@@ -144,17 +124,19 @@
 def test_request_of_a_lost_owner_is_unknown() -> None:
     """Guards against silence, and against taking a leaving owner for lost."""
     host = Host()
-    earlier = other_flow(owner_incarnation=Incarnation(9))
+    earlier = other_flow(owner_incarnation=model.Incarnation(9))
     assert outcomes(host.request(earlier)) == [ErrorKind.OWNER_LOST]
     member = replace(host.context.member, peer=PEER)
     theirs = other_flow(owner=PEER)
-    host.dispatch(MembersChanged((member,)))
-    host.dispatch(MembersChanged(()))
+    host.dispatch(kernel.MembersChanged((member,)))
+    host.dispatch(kernel.MembersChanged(()))
     host.clock.now += 10
     assert outcomes(host.request(theirs)) == []
     host.clock.now += 6
     assert outcomes(host.request(theirs)) == [ErrorKind.OWNER_LOST]
-    host.dispatch(MembersChanged((replace(member, incarnation=Incarnation(3)),)))
+    host.dispatch(
+        kernel.MembersChanged((replace(member, incarnation=model.Incarnation(3)),))
+    )
     assert outcomes(host.request(theirs)) == [ErrorKind.OWNER_LOST]
 
 
@@ -171,8 +153,7 @@
     ],
 )
 def test_unacceptable_request_is_refused_for_good(
-    changes: dict[str, object],
-    error: ErrorKind,
+    changes: dict[str, object], error: ErrorKind
 ) -> None:
     """Guards against a refusal that a duplicate turns into a run."""
     host = Host()
@@ -198,7 +179,7 @@
     host = Host()
     assert len(runs(host.request(deadline_ms=1_000_001_000))) == 1
     host.clock.now += 13
-    host.dispatch(Tick(host.clock.now))
+    host.dispatch(kernel.Tick(host.clock.now))
     host.clock.now -= 13
     assert not runs(host.request(deadline_ms=1_000_001_000))
 
@@ -207,17 +188,73 @@
     """Guards against an exit with work in hand, and new work during a stop."""
     host = Host()
     run = runs(host.request())[0]
-    host.dispatch(StopStarted(deadline=host.clock.now + 10))
+    host.dispatch(kernel.StopStarted(deadline=host.clock.now + 10))
     refused = host.request(number=2)
     assert outcomes(refused) == [ErrorKind.OWNER_LEAVING]
-    assert Publish(WorkRemaining('requests', 1)) in host.dispatch(Tick(host.clock.now))
+    assert kernel.Publish(kernel.WorkRemaining('requests', 1)) in host.dispatch(
+        kernel.Tick(host.clock.now)
+    )
     answer = messages.RunAnswer(run.attempt_id, 0, 1, b'done')
     upstream = next(
         one.endpoint
         for one in UPSTREAMS
         if host.plugin._owner.dispatcher.attempts.find(run.attempt_id, one.endpoint)
     )
-    done = host.dispatch(UpstreamMessage(upstream, 0, answer))
-    assert any(isinstance(one, SendToCaller) for one in done)
-    assert Publish(WorkRemaining('requests', 0)) in host.dispatch(Tick(host.clock.now))
+    done = host.dispatch(kernel.UpstreamMessage(upstream, 0, answer))
+    assert any(isinstance(one, kernel.SendToCaller) for one in done)
+    assert kernel.Publish(kernel.WorkRemaining('requests', 0)) in host.dispatch(
+        kernel.Tick(host.clock.now)
+    )
     assert outcomes(host.request(number=2)) == [ErrorKind.OWNER_LEAVING]
+
+
+def upstream_of(effects: list[kernel.Effect]) -> model.Endpoint:
+    return next(
+        one.upstream for one in effects if isinstance(one, kernel.SendToUpstream)
+    )
+
+
+def test_overdue_idempotent_request_is_retried_elsewhere() -> None:
+    """Guards against a stuck upstream deciding the fate of repeatable work."""
+    host = Host()
+    first = host.request(FLOWS[1])
+    host.clock.now += 0.25
+    overdue = host.dispatch(kernel.Tick(host.clock.now))
+    assert messages.CancelRun(runs(first)[0].attempt_id) in sent_upstream(overdue)
+    host.clock.now += 0.1
+    second = host.dispatch(kernel.Tick(host.clock.now))
+    assert upstream_of(second) != upstream_of(first)
+    assert runs(second)[0].attempt_id != runs(first)[0].attempt_id
+
+
+def sent_upstream(effects: list[kernel.Effect]) -> list[object]:
+    return [one.message for one in effects if isinstance(one, kernel.SendToUpstream)]
+
+
+def test_retries_stay_within_a_tenth_of_first_attempts() -> None:
+    """Guards against retries that multiply the load of slow upstreams."""
+    host = Host()
+    attempts = 0
+    for number in range(300):
+        sent = host.request(FLOWS[1], number=number)
+        for _ in range(35):
+            host.clock.now += 0.1
+            sent += host.dispatch(kernel.Tick(host.clock.now))
+        attempts += len(runs(sent))
+    assert 300 < attempts <= 300 + 30 + 3
+
+
+def test_late_answer_follows_unknown() -> None:
+    """Guards against the loss of an answer that came after the deadline."""
+    host = Host()
+    first = host.request()
+    host.clock.now += 1.1
+    assert outcomes(host.dispatch(kernel.Tick(host.clock.now))) == [ErrorKind.NO_ANSWER]
+    answer = messages.RunAnswer(runs(first)[0].attempt_id, 0, 1, b'done')
+    event = kernel.UpstreamMessage(upstream_of(first), 0, answer)
+    told = [
+        one.message
+        for one in host.dispatch(event)
+        if isinstance(one, kernel.SendToCaller)
+    ]
+    assert [one.body for one in told] == [b'done']
