--- a/tests/unit/test_requests_plugin.py
+++ b/tests/unit/test_requests_plugin.py
@@ -258,3 +258,23 @@
         if isinstance(one, kernel.SendToCaller)
     ]
     assert [one.body for one in told] == [b'done']
+
+
+def test_answer_counts_only_from_the_upstream_that_was_asked() -> None:
+    """Guards against an answer, refusal or cancellation of another upstream."""
+    host = Host()
+    first = host.request()
+    attempt_id = runs(first)[0].attempt_id
+    asked = upstream_of(first)
+    other = next(one.endpoint for one in UPSTREAMS if one.endpoint != asked)
+    for stray in (
+        messages.RunAnswer(attempt_id, 0, 1, b'forged'),
+        messages.RunRefused(attempt_id, ErrorKind.UPSTREAM_REFUSED),
+        messages.RunCancelled(attempt_id, started=False),
+    ):
+        assert host.dispatch(kernel.UpstreamMessage(other, 0, stray)) == []
+    answer = messages.RunAnswer(attempt_id, 0, 1, b'done')
+    told = host.dispatch(kernel.UpstreamMessage(asked, 0, answer))
+    assert [
+        one.message.body for one in told if isinstance(one, kernel.SendToCaller)
+    ] == [b'done']
