Tell a crash from a faulty health endpoint; log a second process of one host id

Cause: an upstream with rare successful requests was taken for gone 5 s after the last one; changes in five places passed the tests unnoticed.

Change: missing Hellos count only after 10 s without success, or at once when requests fail since the first missed Hello. A new host may take the endpoint of a dead one. Stricter tests of ejection times, pauses and repeated stops.

--- a/bench/zone_network.py
+++ b/bench/zone_network.py
@@ -67,7 +67,7 @@
                 self._host.lists.append(members)
                 self._host.list_times.append(self._clock.now)
             case StopStarted(deadline):
-                self._host.stop_deadline = deadline
+                self._host.stop_deadlines.append(deadline)
         return ()
 
 
@@ -85,7 +85,7 @@
     alive: bool = True
     paused_since: float | None = None
     queued: list[Event] = field(default_factory=list)
-    stop_deadline: float | None = None
+    stop_deadlines: list[float] = field(default_factory=list)
     exit_time: float | None = None
     exit_status: int | None = None
     messages: int = 0
--- a/src/lycheedeal/health/_pool.py
+++ b/src/lycheedeal/health/_pool.py
@@ -94,16 +94,13 @@
         now: float,
     ) -> Iterator[Effect]:
         """Take the result of a request; eject an upstream that fails."""
-        record.results.add(result, now)
-        match result:
-            case Result.SUCCESS:
-                record.succeeded(now)
-            case Result.FAILURE if self._must_eject(record, now):
-                record.eject(now)
-                yield Observe('upstream_ejections')
-                text = f'upstream {record.upstream.upstream_id} ejected'
-                yield Log('health', LogLevel.WARNING, text)
-                yield from self.evaluate(now)
+        record.finished(result, now)
+        if result is Result.FAILURE and self._must_eject(record, now):
+            record.eject(now)
+            yield Observe('upstream_ejections')
+            text = f'upstream {record.upstream.upstream_id} ejected'
+            yield Log('health', LogLevel.WARNING, text)
+            yield from self.evaluate(now)
 
     def evaluate(self, now: float) -> Iterator[Effect]:
         """Publish what changed."""
--- a/src/lycheedeal/health/_record.py
+++ b/src/lycheedeal/health/_record.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from lycheedeal.health._results import Ejection, ResultWindow
+from lycheedeal.health._results import Ejection, Result, ResultWindow
 from lycheedeal.messages import Welcome
 from lycheedeal.model import Incarnation, ServiceName, Upstream, UpstreamState
 
@@ -41,7 +41,8 @@
     ramp_started: float | None = None
     misses: int = 0
     first_miss: float = 0
-    last_success: float = 0
+    last_success: float = float('-inf')
+    last_failure: float = float('-inf')
     silent_since: float | None = None
     results: ResultWindow = field(default_factory=ResultWindow)
     ejection: Ejection = field(default_factory=Ejection)
@@ -96,6 +97,15 @@
         self.last_heard = max(self.last_heard, now)
         self.results.clear()
 
+    def finished(self, result: Result, now: float) -> None:
+        """Note the end of a request."""
+        self.results.add(result, now)
+        match result:
+            case Result.SUCCESS:
+                self.succeeded(now)
+            case Result.FAILURE:
+                self.last_failure = now
+
     def eject(self, now: float) -> None:
         """Give the upstream no new work for a while."""
         self.ejection.begin(now)
@@ -120,9 +130,11 @@
     def _is_silent(self, now: float) -> bool:
         if self.misses < _SILENT_MISSES or now - self.last_heard < _SILENT_SECONDS:
             return False
-        if self.last_success <= self.first_miss + _UNDER_WAY_SECONDS:
+        if now - self.last_success > _SUCCESS_SECONDS:
             return True
-        return now - self.last_success > _SUCCESS_SECONDS
+        # Requests that fail since then tell a crash from a faulty health endpoint.
+        failing = self.last_failure > self.first_miss
+        return failing and self.last_success < self.first_miss + _UNDER_WAY_SECONDS
 
     def _state(self, now: float, *, may_be_out: bool) -> UpstreamState:
         if self.is_foreign:
--- a/src/lycheedeal/membership/_detector.py
+++ b/src/lycheedeal/membership/_detector.py
@@ -38,6 +38,8 @@
         self.last_revived = 0.0
         self._updates = UpdateQueue()
         self._composer = Composer(self.roster, self._updates)
+        self._has_rival = False
+        self._rival_logged = -_LOG_SECONDS
         self._cut_off_logged = -_LOG_SECONDS
 
     def receive(
@@ -101,6 +103,13 @@
         for host_id in self.suspicions.due(now):
             yield from self.start_probe(host_id, now)
         yield from self._report_cut_off(now)
+        if self._has_rival and now >= self._rival_logged + _LOG_SECONDS:
+            self._has_rival = False
+            self._rival_logged = now
+            text = (
+                'another process with this host id started later, or the clock is off'
+            )
+            yield Log('membership', LogLevel.ERROR, text)
 
     def start_probe(self, host_id: HostId, now: float) -> Iterator[Effect]:
         """Probe a member, unless a probe of it is in progress."""
@@ -149,6 +158,7 @@
 
     def _answer_about_self(self, record: Member) -> None:
         own = self.roster.own
+        self._has_rival |= record.incarnation > own.incarnation
         if record.incarnation != own.incarnation or record.revision < own.revision:
             return
         if record.revision > own.revision or record.state is not own.state:
--- a/src/lycheedeal/membership/_roster.py
+++ b/src/lycheedeal/membership/_roster.py
@@ -77,9 +77,8 @@
     def is_news(self, record: Member) -> bool:
         """Tell whether a record replaces what is known."""
         occupant = self.owner_of(record.peer)
-        if occupant is not None and occupant.member.host_id != record.host_id:
-            if record.incarnation <= occupant.member.incarnation:
-                return False
+        if occupant is not None and not _may_follow(record, occupant.member):
+            return False
         entry = self._entries_by_id.get(record.host_id)
         if entry is None:
             return len(self._entries_by_id) < _MAX_ENTRIES
@@ -171,3 +170,9 @@
 
 def _identity(member: Member) -> tuple[bool, int, Endpoint]:
     return member.state in ACTIVE, member.incarnation, member.peer
+
+
+def _may_follow(record: Member, occupant: Member) -> bool:
+    if record.host_id == occupant.host_id or occupant.state is MemberState.DEAD:
+        return True
+    return record.incarnation > occupant.incarnation
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -235,12 +235,26 @@
     bench = Bench(3)
     bench.run(3)
     bench.targets[0].answers = silent
-    bench.run(20, lambda: bench.finish(0, None))
-    assert bench.state(0) is UpstreamState.READY
+    for _ in range(5):
+        bench.finish(0, None)
+        bench.run(5)
+        assert bench.state(0) is UpstreamState.READY
     bench.run(11)
     assert bench.state(0) is UpstreamState.GONE
 
 
+def test_crashed_upstream_with_recent_successes_is_gone_soon() -> None:
+    """Guards against taking the last answers before a crash for a sign of life."""
+    bench = Bench(3)
+    bench.run(3)
+    bench.finish(0, None)
+    bench.targets[0].answers = silent
+    bench.run(2)
+    bench.finish(0, ErrorKind.NO_ANSWER)
+    bench.run(2)
+    assert bench.state(0) is UpstreamState.GONE
+
+
 def test_instant_failure_is_ejected_for_longer_each_time() -> None:
     """Guards against an upstream that draws work by failing at once."""
     bench = Bench(3)
@@ -259,6 +273,8 @@
     bench.run(60, fail)
     # About one second for ten failures, then 5, 10, 20 and 40 s without work.
     assert len(ejected_ticks) > 500
+    states = [one.state for one in bench.changes(0)]
+    assert states.count(UpstreamState.EJECTED) == 4
     assert bench.state(1) is UpstreamState.READY
 
 
@@ -334,6 +350,16 @@
     assert len(bench.events) == before
 
 
+def test_upstreams_are_probed_at_once_after_a_pause() -> None:
+    """Guards against old timers where the clock stands still in a pause."""
+    bench = Bench(3)
+    bench.run(3.05)
+    before = [len(one.hellos) for one in bench.targets]
+    bench.dispatch(Resumed(30))
+    bench.run(0.1)
+    assert [len(one.hellos) for one in bench.targets] == [n + 1 for n in before]
+
+
 def test_late_and_foreign_answers_are_ignored() -> None:
     """Guards against acting on answers that nobody asked for."""
     bench = Bench(1)
--- a/tests/unit/test_membership_stop.py
+++ b/tests/unit/test_membership_stop.py
@@ -26,7 +26,7 @@
     host = stopping_host(zone)
     asked = zone.clock.now
     assert 'h000' not in host.members
-    assert host.stop_deadline == asked + 10
+    assert host.stop_deadlines == [asked + 10]
     zone.dispatch(host, WorkRemaining('requests', 0))
     rest = tuple(zone.hosts)[1:]
     assert zone.seconds_until(lambda: zone.agree(rest), 3) <= 1.5
--- a/tests/unit/test_membership_zone.py
+++ b/tests/unit/test_membership_zone.py
@@ -1,8 +1,12 @@
 """Membership of a zone on a virtual-time network."""
 
+from dataclasses import replace
+
 import pytest
 
 from bench.zone_network import ZoneNetwork, endpoint_of
+from lycheedeal.kernel import PeerMessage, Resumed
+from lycheedeal.messages import Probe
 
 
 def joined_zone(count: int, seed: int) -> ZoneNetwork:
@@ -92,6 +96,18 @@
     assert zone.agree(zone.hosts)
 
 
+def test_resumed_host_announces_itself_at_once() -> None:
+    """Guards against waiting for the next probe after a pause."""
+    zone = joined_zone(16, seed=16)
+    host = zone.hosts['h000']
+    sent = host.messages
+    zone.dispatch(host, Resumed(30))
+    assert host.messages >= sent + 4
+    zone.run(1)
+    seen = [one.host_id for one in zone.hosts['h001'].lists[-1]]
+    assert seen == list(zone.hosts)
+
+
 @pytest.mark.parametrize('name', ('h005', 'other'))
 def test_restarted_process_replaces_the_old_one(name: str) -> None:
     """Guards against two records for one endpoint, or a lasting old one."""
@@ -111,6 +127,17 @@
     assert zone.agree(zone.hosts)
 
 
+def test_duplicate_host_id_is_logged() -> None:
+    """Guards against two processes with one id that fail without a reason."""
+    zone = joined_zone(4, seed=17)
+    host = zone.hosts['h001']
+    peer, own = host.lists[-1][:2]
+    rival = replace(own, incarnation=own.incarnation + 1)
+    zone.dispatch(host, PeerMessage(peer.peer, Probe(1, peer, (rival,))))
+    zone.run(1)
+    assert any('this host id' in text for text in host.logs)
+
+
 def test_halves_of_a_zone_find_each_other_again() -> None:
     """Guards against a partition that outlasts its cause."""
     zone = joined_zone(16, seed=11)
