Give the first service of the demonstration three upstreams a zone

Cause: with one of two drained, two slots carried a zone and overflowed for some seconds after the crash, which hid what the crash itself cost. Change: three upstreams a zone for the service with the drained upstream.

--- a/demo/_systems.py
+++ b/demo/_systems.py
@@ -13,7 +13,8 @@
 ZONES: Final = (Zone('coyhaique'), Zone('cochrane'))
 SERVICES: Final = (ServiceName('bitacora-api'), ServiceName('reparo'))
 _HOSTS_BY_ZONE: Final = 3
-_UPSTREAMS_BY_ZONE: Final = 2
+# One upstream of the first service is drained; the others must carry its work.
+_UPSTREAMS_BY_ZONE: Final = {SERVICES[0]: 3, SERVICES[1]: 2}
 _REGION: Final = 'sur'
 _DRAIN_SECONDS: Final = 6
 _START_SECONDS: Final = 15.0
@@ -48,7 +49,7 @@
         (service, zone, UpstreamId(f'{service}-{zone}-{place}'))
         for service in SERVICES
         for zone in ZONES
-        for place in range(_UPSTREAMS_BY_ZONE)
+        for place in range(_UPSTREAMS_BY_ZONE[service])
     ]
     started = [
         await fleet.processes.start(
