--- a/bench/zone_network.py
+++ b/bench/zone_network.py
@@ -67,8 +67,8 @@
                 self._host.lists.append(members)
                 self._host.list_times.append(self._clock.now)
             case StopStarted(deadline):
-                self._host.stop_deadline = deadline
-        yield from ()
+                self._host.stop_deadlines.append(deadline)
+        return ()
 
 
 @dataclass
@@ -85,7 +85,7 @@
     alive: bool = True
     paused_since: float | None = None
     queued: list[Event] = field(default_factory=list)
-    stop_deadline: float | None = None
+    stop_deadlines: list[float] = field(default_factory=list)
     exit_time: float | None = None
     exit_status: int | None = None
     messages: int = 0
@@ -229,7 +229,11 @@
             return
         latest = (self.clock.wall() - self.list_lag) * 1000
         body = [
-            {'host_id': one.name, 'zone': ZONE, 'peer': str(one.endpoint)}
+            {
+                'host_id': one.name,
+                'zone': ZONE,
+                **dict.fromkeys(('peer', 'gossip', 'admin'), str(one.endpoint)),
+            }
             for one in self.hosts.values()
             if one.incarnation <= latest
         ]
