Bound the life of request flows so that a planned stop strands no request

Change: Opened carries a time to live of 5 s for request flows, and a stopping host waits until the last one has passed.

--- a/scenarios/_callers.py
+++ b/scenarios/_callers.py
@@ -57,6 +57,15 @@
     refusals: int = 0
 
 
+@dataclass
+class Session:
+    """A request flow that several calls of a kind may share."""
+
+    flow_id: FlowId | None = None
+    expires: float = 0
+    submitted: int = 0
+
+
 class RequestCall:
     """Opens a request flow, submits, retries what was not run."""
 
@@ -68,10 +77,13 @@
         seconds: float,
         *,
         impatient: bool = False,
+        reuse: bool = False,
     ) -> None:
         """Start a call that must be done within ``seconds``."""
         self._world = world
         self._impatient = impatient
+        self._reuse = reuse
+        self._session = Session()
         self.endpoint = world.new_caller(self)
         now = world.time.now
         self.record = CallRecord(kind, service, now, now + seconds)
@@ -95,10 +107,9 @@
         if self._done:
             return
         match message:
-            case messages.Opened(nonce=nonce, flow_id=flow_id):
-                if nonce == self._nonce and self._flow_id is None:
-                    self._flow_id = flow_id
-                    self._submit()
+            case messages.Opened() as opened:
+                if opened.nonce == self._nonce and self._flow_id is None:
+                    self._opened(opened)
             case messages.OpenRefused(nonce=nonce, retry_after_ms=delay):
                 if nonce == self._nonce and self._flow_id is None:
                     self.record.refusals += 1
@@ -112,6 +123,12 @@
     def _open(self) -> None:
         if self._done:
             return
+        shared = self._world.sessions.get(self._key)
+        if self._reuse and shared and self._world.time.now < shared.expires:
+            self._session = shared
+            self._flow_id = shared.flow_id
+            self._submit()
+            return
         self._nonce = self._world.rng.getrandbits(63)
         self._flow_id = None
         self._send_open(self._nonce, 0)
@@ -124,8 +141,20 @@
         delay = OPEN_RETRY * min(2**attempt, 4) * self._world.rng.uniform(0.8, 1.2)
         self._world.time.call_later(delay, lambda: self._send_open(nonce, attempt + 1))
 
+    @property
+    def _key(self) -> tuple[str, str]:
+        return self.record.service, self.record.kind
+
+    def _opened(self, opened: messages.Opened) -> None:
+        self._flow_id = opened.flow_id
+        expires = self._world.time.now + opened.ttl_ms / 1000
+        self._session = Session(opened.flow_id, expires)
+        self._world.sessions[self._key] = self._session
+        self._submit()
+
     def _submit(self) -> None:
-        self._number += 1
+        self._session.submitted += 1
+        self._number = self._session.submitted
         self._parts = {}
         token = self._world.new_token()
         self._submission = Submission(token, self.record.kind, self._world.time.now)
@@ -172,6 +201,7 @@
         submission.error = message.error
         if answer_for(message.error).verdict is Verdict.NOT_RUN:
             submission.result = Result.NOT_RUN
+            self._world.sessions.pop(self._key, None)
             self.record.refusals += 1
             self._nonce = 0
             if self._world.time.now >= self.record.deadline:
--- a/scenarios/_language.py
+++ b/scenarios/_language.py
@@ -42,6 +42,7 @@
     service: str
     rate: float
     deadline: float
+    reuse: str | None
 
 
 @dataclass(frozen=True)
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -163,7 +163,12 @@
     for requests in scenario.requests:
         _every(run_state, requests.rate, 0, scenario.until - requests.deadline)(
             partial(
-                RequestCall, world, requests.service, requests.kind, requests.deadline
+                RequestCall,
+                world,
+                requests.service,
+                requests.kind,
+                requests.deadline,
+                reuse=requests.reuse is not None,
             ),
         )
     for flows in scenario.flows:
--- a/scenarios/_world.py
+++ b/scenarios/_world.py
@@ -15,7 +15,7 @@
     UpstreamMessage,
 )
 from lycheedeal.model import Endpoint, FlowId, KindId, QueryId, Service
-from scenarios._callers import CallRecord, FlowCaller, RequestCall
+from scenarios._callers import CallRecord, FlowCaller, RequestCall, Session
 from scenarios._host import VirtualHost
 from scenarios._network import CALLERS, Network
 from scenarios._platform import VirtualPlatform
@@ -44,6 +44,7 @@
         self.calls: list[CallRecord] = []
         self.flows: list[FlowCaller] = []
         self.foreign_packets = 0
+        self.sessions: dict[tuple[str, str], Session] = {}
         self.flow_callers: dict[FlowId, Endpoint] = {}
         self._hosts_by_peer: dict[Endpoint, VirtualHost] = {}
         self._hosts_by_gossip: dict[Endpoint, VirtualHost] = {}
--- a/src/lycheedeal/messages/_caller.py
+++ b/src/lycheedeal/messages/_caller.py
@@ -20,10 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Opened:
-    """Gives the flow id for an ``Open`` with the same nonce."""
+    """Gives the flow id for an ``Open`` with the same nonce.
+
+    A caller must submit no new request on a request flow after ``ttl_ms``;
+    0 means no limit. A host that stops waits for that long, so that no
+    request meets an owner that is gone.
+    """
 
     nonce: int
     flow_id: FlowId
+    ttl_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheedeal/steering/_opening.py
+++ b/src/lycheedeal/steering/_opening.py
@@ -41,6 +41,9 @@
 # Callers retransmit an Open within this time, so its flow id must be found.
 _PENDING_SECONDS: Final = 10
 _NONCE_BITS: Final = 64
+# Must fit in the drain time of a planned stop, with time for the last request.
+REQUEST_FLOW_SECONDS: Final = 5
+_MILLISECONDS: Final = 1000
 
 
 @dataclass(slots=True)
@@ -69,11 +72,18 @@
         self._zones = zones
         self._pending_by_key: dict[OpenKey, _Pending] = {}
         self._keys_by_flow: dict[FlowId, OpenKey] = {}
+        self._request_flows_until = 0.0
 
     @property
     def unfinished(self) -> int:
-        """Return the number of flows that wait for an upstream."""
-        return sum(not one.accepted for one in self._pending_by_key.values())
+        """Return the number of flows that still need this process.
+
+        Those are flows that wait for an upstream, and one for all request
+        flows on which callers may still submit.
+        """
+        opening = sum(not one.accepted for one in self._pending_by_key.values())
+        now = self._state.context.clock.monotonic()
+        return opening + (now < self._request_flows_until)
 
     def admit(self, event: OpenAdmitted) -> Iterator[Effect]:
         """Open the flow if this host owns the service, else relay once."""
@@ -143,7 +153,7 @@
             return
         elsewhere = self._zones.pick(event)
         if elsewhere is None:
-            yield _opened(event, self._mint(event, FlowClass.REQUEST, None))
+            yield self._open_request_flow(event)
             return
         number = event.service.number
         yield SendToPeer(
@@ -151,6 +161,13 @@
             RelayedOpen(event.caller, number, event.message, final=True),
         )
 
+    def _open_request_flow(self, event: OpenAdmitted) -> Effect:
+        now = self._state.context.clock.monotonic()
+        self._request_flows_until = now + REQUEST_FLOW_SECONDS
+        flow_id = self._mint(event, FlowClass.REQUEST, None)
+        ttl = REQUEST_FLOW_SECONDS * _MILLISECONDS
+        return SendToCaller(event.caller, Opened(event.message.nonce, flow_id, ttl))
+
     def _open_long(
         self,
         event: OpenAdmitted,
--- a/standins/_client.py
+++ b/standins/_client.py
@@ -5,6 +5,7 @@
 tests.
 """
 
+import math
 import socket
 import struct
 from collections.abc import Iterator
@@ -340,6 +341,7 @@
 
     flow_id: FlowId | None = None
     heard_at: float = 0
+    expires_at: float = math.inf
     next_number: int = 1
     waiting: list[str] = field(default_factory=list)
 
@@ -378,8 +380,8 @@
 
     def _take_message(self, message: object) -> Iterator[Effect]:
         match message:
-            case messages.Opened(nonce, flow_id):
-                yield from self._opened(nonce, flow_id)
+            case messages.Opened(nonce, flow_id, ttl_ms):
+                yield from self._opened(nonce, flow_id, ttl_ms)
             case messages.OpenRefused() as refusal:
                 yield from self._opening.refuse(refusal)
             case messages.Answer() as answer:
@@ -410,7 +412,7 @@
         )
         yield After(work.patience + _OUTCOME_GRACE, RequestExpired(token))
         flow = self._flows_by_kind.get(work.kind_id)
-        if flow is None:
+        if flow is None or clock.monotonic() >= flow.expires_at:
             flow = RequestFlow()
             self._flows_by_kind[work.kind_id] = flow
             yield from self._opening.start(work.kind_id)
@@ -419,13 +421,15 @@
         else:
             yield from self._place(flow, flow.flow_id, request)
 
-    def _opened(self, nonce: int, flow_id: FlowId) -> Iterator[Effect]:
+    def _opened(self, nonce: int, flow_id: FlowId, ttl_ms: int) -> Iterator[Effect]:
         kind_id = self._opening.finish(nonce)
         if kind_id is None:
             return
         flow = self._flows_by_kind[kind_id]
         flow.flow_id = flow_id
         flow.heard_at = self._context.clock.monotonic()
+        if ttl_ms:
+            flow.expires_at = flow.heard_at + ttl_ms / _MS
         self._known_flows.add(flow_id)
         waiting, flow.waiting = flow.waiting, []
         for token in waiting:
