--- a/src/lycheedeal/health/_paths.py
+++ b/src/lycheedeal/health/_paths.py
@@ -140,10 +140,13 @@
                 yield from self._check_answers(watch, now)
             if now >= watch.next_hello:
                 yield self._send(watch, watch.path, now)
-                unsure = watch.is_unsure or watch.misses
-                unsure = unsure and watch.misses < _UNSURE_LIMIT
-                pause = watch.interval / _UNSURE_FACTOR if unsure else watch.interval
-                watch.next_hello = now + self._jittered(pause)
+                watch.next_hello = now + self._jittered(self._pause(watch))
+
+    def _pause(self, watch: Watch) -> float:
+        is_unsure = watch.is_unsure or watch.misses > 0
+        if is_unsure and watch.misses < _UNSURE_LIMIT:
+            return watch.interval / _UNSURE_FACTOR
+        return watch.interval
 
     def _check_answers(self, watch: Watch, now: float) -> Iterator[Step]:
         overdue = [
@@ -155,7 +158,7 @@
             watch.sent_by_nonce.pop(nonce)
             if sent.path == watch.path:
                 watch.misses += 1
-                watch.next_hello = min(watch.next_hello, now)
+                watch.next_hello = min(watch.next_hello, now + self._pause(watch))
                 yield HelloMissed(watch.endpoint)
                 yield self._send(watch, self._next_alternate(watch), now)
         if watch.misses >= _SILENT_MISSES and watch.answered_alternate is not None:
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -339,6 +339,19 @@
     assert [one.path for one in bench.switches()] == [2]
 
 
+def test_silent_upstreams_in_use_cost_little() -> None:
+    """Guards against Hellos that take the control budget when a zone is lost."""
+    bench = Bench(1, own=False)
+    endpoints = tuple(Endpoint('127.0.2.1', port) for port in range(1000))
+    bench.dispatch(UpstreamsInUse(endpoints))
+    bench.run(30)
+    assert len({one.upstream for one in bench.effects}) == 256
+    bench.effects.clear()
+    bench.run(20)
+    # One Hello on the current path and one on another for each in 5 s.
+    assert len(bench.effects) < 20 * 256 / 5 * 2 * 1.1
+
+
 def test_pause_is_not_blamed_on_upstreams() -> None:
     """Guards against conclusions from answers that waited during a pause."""
     bench = Bench(3)
