Evaluate a pool only when an answer changes something

Cause: each Welcome evaluated all upstreams of its service.

Change: compare what an answer can change before evaluating.

--- a/src/lycheedeal/health/_pool.py
+++ b/src/lycheedeal/health/_pool.py
@@ -121,6 +121,7 @@
     ) -> Iterator[Effect]:
         is_first = not record.is_known
         was_foreign = record.is_foreign
+        before = record.standing
         if record.welcome(message, self.service.name, now):
             is_ready = record.reported is UpstreamState.READY
             if is_first and is_ready and not self._is_cold(record, now):
@@ -131,7 +132,8 @@
             yield Publish(
                 Refused(ErrorKind.UPSTREAM_REPLACED, self.service.number, detail),
             )
-        yield from self.evaluate(now)
+        if record.standing != before:
+            yield from self.evaluate(now)
 
     def _is_cold(self, record: UpstreamRecord, now: float) -> bool:
         if now - self._adopted < _ADOPTION_SECONDS:
--- a/src/lycheedeal/health/_record.py
+++ b/src/lycheedeal/health/_record.py
@@ -54,6 +54,12 @@
         """Tell whether the upstream has ever answered for this service."""
         return self.reported is not UpstreamState.UNKNOWN
 
+    @property
+    def standing(self) -> tuple[object, ...]:
+        """Return what an answer can change about the state."""
+        silent = self.silent_since is not None
+        return self.reported, self.incarnation, self.is_foreign, silent
+
     @property
     def is_draining(self) -> bool:
         """Tell whether the operator or the upstream wants no new work."""
