--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -51,7 +51,8 @@
     try:
         yield process
     finally:
-        process.kill()
+        if process.returncode is None:
+            process.kill()
         await process.wait()
 
 
--- a/src/lycheedeal/kernel/_context.py
+++ b/src/lycheedeal/kernel/_context.py
@@ -44,4 +44,4 @@
 
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
-        return int(self.clock.wall() * 1000)  # noqa: WPS432
+        return int(self.clock.wall() * 1000)
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -2,8 +2,9 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator
-from typing import Protocol
+from typing import Protocol, TypeVar
 
+from lycheedeal.exceptions import PluginError
 from lycheedeal.kernel import _inputs as inputs
 from lycheedeal.kernel import _internal as internal
 from lycheedeal.kernel._context import Context
@@ -50,6 +51,9 @@
         """Take one event and yield the effects it calls for."""
 
 
+_PluginT = TypeVar('_PluginT', bound=Plugin)
+
+
 class Kernel:
     """Holds the plug-ins of one process incarnation.
 
@@ -68,6 +72,13 @@
             for event_type in spec.events:
                 self._plugins_by_event.setdefault(event_type, []).append(plugin)
 
+    def find(self, plugin_type: type[_PluginT]) -> _PluginT:
+        """Return the plug-in of a type; raises PluginError if none is loaded."""
+        for plugin in self.plugins_by_name.values():
+            if isinstance(plugin, plugin_type):
+                return plugin
+        raise PluginError(f'no plug-in of type {plugin_type.__name__} is loaded')
+
     def dispatch(self, event: Event) -> list[Effect]:
         """Return the effects of an event and of all events it published."""
         pending = deque((event,))
--- /dev/null
+++ b/tests/functional/test_daemon.py
@@ -0,0 +1,145 @@
+"""The daemon as a process: packets, damaged input, planned stop."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+from typing import Any
+
+import aiohttp
+import pytest
+
+from bench._processes import FLOW_KEY, daemon_arguments, free_endpoint, program
+from bench.packets import flow_packets
+from lycheedeal.model import Endpoint
+
+WAIT_SECONDS = 30
+PACKET = 0x11
+
+
+class _Socket(asyncio.DatagramProtocol):
+    """Queues what it receives."""
+
+    def __init__(self) -> None:
+        self.received: asyncio.Queue[tuple[bytes, Any]] = asyncio.Queue()
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.received.put_nowait((data, addr))
+
+
+async def _bind() -> tuple[_Socket, Endpoint]:
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.create_datagram_endpoint(
+        _Socket, local_addr=('127.0.0.1', 0)
+    )
+    return protocol, Endpoint(*transport.get_extra_info('sockname'))
+
+
+async def _until_forwarded(
+    caller: _Socket,
+    upstream: _Socket,
+    packet: bytes,
+    data: Endpoint,
+) -> tuple[bytes, Any]:
+    """Send a packet again until the daemon is up and forwards it."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            caller.transport.sendto(packet, data)
+            try:
+                async with asyncio.timeout(0.1):
+                    return await upstream.received.get()
+            except TimeoutError:
+                continue
+
+
+async def _serve_packets_then_stop() -> int | None:
+    caller, caller_place = await _bind()
+    upstream, upstream_place = await _bind()
+    data = free_endpoint()
+    packet = next(flow_packets(caller_place, upstream_place, 1))
+    async with program(*daemon_arguments(data)) as process:
+        forwarded, path = await _until_forwarded(caller, upstream, packet, data)
+        assert forwarded[0] == PACKET
+        upstream.transport.sendto(forwarded, path)
+        async with asyncio.timeout(WAIT_SECONDS):
+            answer, _ = await caller.received.get()
+        assert answer == packet[12:]
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await process.wait()
+
+
+def test_established_flow_needs_no_configuration_and_stop_is_clean() -> None:
+    """Guards against a host that drops flows while it knows nothing else."""
+    assert asyncio.run(_serve_packets_then_stop()) == 0
+
+
+async def _send_garbage() -> str:
+    caller, caller_place = await _bind()
+    upstream, upstream_place = await _bind()
+    data = free_endpoint()
+    arguments = daemon_arguments(data)
+    peer = next(one for one in arguments if one.startswith('--peer='))
+    admin = next(one for one in arguments if one.startswith('--admin='))
+    packet = next(flow_packets(caller_place, upstream_place, 1))
+    rng = random.Random(1)
+    async with program(*arguments) as process:
+        await _until_forwarded(caller, upstream, packet, data)
+        peer_port = int(peer.rpartition(':')[2])
+        for size in (0, 1, 2, 11, 12, 13, 60, 64, 65, 400, 1400):
+            for head in (b'', packet[:13], b'\x12\x01', b'\x22'):
+                garbage = head + rng.randbytes(size)
+                caller.transport.sendto(garbage, data)
+                caller.transport.sendto(garbage, ('127.0.0.1', peer_port))
+        await _until_forwarded(caller, upstream, packet, data)
+        assert process.returncode is None
+        url = f'http://{admin.removeprefix("--admin=")}/metrics'
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            return await response.text()
+
+
+def test_garbage_is_counted_and_changes_nothing() -> None:
+    """Guards against a datagram that ends the loop."""
+    metrics = asyncio.run(_send_garbage())
+    assert 'lycheedeal_refusals_total' in metrics
+    assert 'malformed' in metrics.lower()
+
+
+async def _run_daemon(*arguments: str) -> tuple[int | None, str]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'lycheedeal.cli.daemon',
+        *arguments,
+        env={**os.environ, 'LYCHEEDEAL_FLOW_KEY': FLOW_KEY.hex()},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+@pytest.mark.parametrize('name', ['data', 'zone', 'platform-url'])
+def test_all_bad_settings_are_named_at_once(name: str) -> None:
+    """Guards against settings that must be corrected one run at a time."""
+    arguments = ('--data=x', '--zone=', '--platform-url=ftp://x')
+    status, output = asyncio.run(_run_daemon(*arguments, '--check-settings'))
+    assert status == 2
+    assert name in output
+
+
+def test_address_in_use_ends_the_start() -> None:
+    """Guards against a daemon that runs without its sockets."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(('127.0.0.1', 0))
+        arguments = daemon_arguments(Endpoint(*taken.getsockname()))[1:]
+        status, output = asyncio.run(_run_daemon(*arguments))
+    assert status not in {0, None}
+    assert 'Traceback' not in output
