--- /dev/null
+++ b/bench/daemons.py
@@ -0,0 +1,110 @@
+"""Idle cost of real daemons of one zone, as JSON lines.
+
+Starts the object API stand-in and zones of several sizes, waits until the
+hosts know each other, and reads processor time, memory, threads and control
+bytes of the processes over some seconds.
+"""
+
+import asyncio
+import json
+import re
+import socket
+import tempfile
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from statistics import fmean
+
+import aiohttp
+import uvloop
+
+from bench._processes import (
+    cpu_seconds,
+    free_endpoint,
+    program,
+    resident_bytes,
+    thread_count,
+)
+from lycheedeal.model import Endpoint
+
+SIZES = (2, 4, 8, 16)
+SETTLE = 15.0
+SPAN = 20.0
+_CONTROL = re.compile(r'^lycheedeal_control_bytes_total\{.*\} (\S+)$', re.MULTILINE)
+
+
+async def _control_bytes(session: aiohttp.ClientSession, admin: Endpoint) -> float:
+    async with session.get(f'http://{admin}/metrics') as response:
+        return sum(map(float, _CONTROL.findall(await response.text())))
+
+
+async def _platform(stack: AsyncExitStack, directory: Path) -> str:
+    port_file = directory / 'port'
+    await stack.enter_async_context(
+        program('standins.platform', '--port', '0', '--port-file', str(port_file))
+    )
+    while not (port_file.exists() and port_file.read_text().strip()):
+        await asyncio.sleep(0.05)
+    found = re.search(r'\d+', port_file.read_text())
+    if found is None:
+        raise SystemExit('the platform stand-in wrote no port')
+    return f'http://127.0.0.1:{found.group()}'
+
+
+async def measure(size: int) -> dict[str, float]:
+    """Return means a host in a zone of some size."""
+    async with AsyncExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        url = await _platform(stack, directory)
+        peers = [free_endpoint() for _ in range(size)]
+        admins = [free_endpoint(socket.SOCK_STREAM) for _ in range(size)]
+        processes = [
+            await stack.enter_async_context(
+                program(
+                    'lycheedeal.cli.daemon',
+                    f'--data={free_endpoint()}',
+                    f'--peer={peers[number]}',
+                    f'--gossip={free_endpoint(socket.SOCK_STREAM)}',
+                    f'--admin={admins[number]}',
+                    f'--host-id=host-{number}',
+                    '--zone=bench',
+                    '--region=bench',
+                    f'--platform-url={url}',
+                    f'--peer-seeds={peers[number - 1]}',
+                ),
+            )
+            for number in range(size)
+        ]
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        await asyncio.sleep(SETTLE)
+        before = [await _control_bytes(session, admin) for admin in admins]
+        cpu = [cpu_seconds(process.pid) for process in processes]
+        began = time.perf_counter()
+        await asyncio.sleep(SPAN)
+        seconds = time.perf_counter() - began
+        used = [
+            cpu_seconds(process.pid) - one
+            for process, one in zip(processes, cpu, strict=True)
+        ]
+        after = [await _control_bytes(session, admin) for admin in admins]
+        pids = [process.pid for process in processes]
+        return {
+            'hosts': size,
+            'core_percent': round(100 * fmean(used) / seconds, 2),
+            'resident_megabytes': round(fmean(map(resident_bytes, pids)) / 1e6, 1),
+            'threads': fmean(map(thread_count, pids)),
+            'control_bytes_per_second': round(
+                (sum(after) - sum(before)) / size / seconds, 1
+            ),
+        }
+
+
+def main() -> None:
+    """Print one JSON line for each size."""
+    for size in SIZES:
+        line = {'bench': 'daemons', **uvloop.run(measure(size))}
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/lycheedeal/membership/_ring.py
+++ b/src/lycheedeal/membership/_ring.py
@@ -39,6 +39,6 @@
             self._round = this_round
             self._distances = list(range(count))
             # All hosts need the same order; nothing secret depends on it.
-            random.Random(this_round).shuffle(self._distances)  # noqa: S311
+            random.Random(this_round).shuffle(self._distances)
         start = bisect_left(self._ids, self._own)
         return self._ids[(start + self._distances[step]) % count]
--- a/src/lycheedeal/runtime/_executor.py
+++ b/src/lycheedeal/runtime/_executor.py
@@ -90,7 +90,9 @@
         outputs = self._outputs
         match effect:
             case Gossip(message):
+                before = outputs.gossip.bytes_out
                 outputs.gossip.send(message)
+                self._count_control(outputs.gossip.bytes_out - before, 'gossip')
             case SetNeighbours(neighbours):
                 outputs.gossip.set_neighbours(neighbours)
             case SwitchPath(upstream, path):
@@ -123,11 +125,14 @@
     def _encode(self, message: Any, link: str) -> bytes:
         datagram = encode(message)
         if not isinstance(message, _WORK):
-            self._outputs.metrics.observe(
-                Observe('control_bytes_total', len(datagram), (('link', link),)),
-            )
+            self._count_control(len(datagram), link)
         return datagram
 
+    def _count_control(self, size: int, link: str) -> None:
+        self._outputs.metrics.observe(
+            Observe('control_bytes_total', size, (('link', link),)),
+        )
+
 
 def _api_call(call: CallApi) -> Observe:
     return Observe('api_calls_total', labels=(('operation', call.operation.value),))
