Kill the owner earlier in the demonstration

Cause: a planned stop now takes its drain time, so the crash came when most requests were over, and the run took up to 39 s on a busy machine. Change: one second instead of three between the stop and the crash.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -48,7 +48,7 @@
     _plan.Wait(1),
     _plan.TakePlatformAway(5),
     _plan.StopOwner(_systems.ZONES[0]),
-    _plan.Wait(3),
+    _plan.Wait(1),
     _plan.KillOwner(_systems.ZONES[1]),
     _plan.Wait(4),
     _plan.ReadControlCost(),
