Probe upstreams of other zones every 1.5 s

Cause: an upstream that announced it was leaving got new work from another zone for up to 5 s, since remote upstreams were probed every 5 s. Change: 1.5 s.

--- a/src/lycheedeal/health/_pools.py
+++ b/src/lycheedeal/health/_pools.py
@@ -18,7 +18,8 @@
 )
 
 _LOCAL_SECONDS: Final = 1.0
-_REMOTE_SECONDS: Final = 5.0
+# A leaving upstream must get no new work after 3 s, from other zones too.
+_REMOTE_SECONDS: Final = 1.5
 _UNSURE_STATES: Final = frozenset((UpstreamState.UNKNOWN, UpstreamState.STARTING))
 
 
