--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import importlib
 
-MODULES = ('packets', 'flows')
+MODULES = ('packets', 'flows', 'memory', 'daemons', 'membership', 'control')
 
 
 def main() -> None:
--- a/bench/flows.py
+++ b/bench/flows.py
@@ -49,7 +49,8 @@
 NEW_FLOWS = 10_000
 
 
-def _settings() -> HostSettings:
+def bench_settings() -> HostSettings:
+    """Return settings of a host that stands alone."""
     own = '127.0.0.1'
     return HostSettings(
         host_id=HostId('bench-1'),
@@ -66,7 +67,7 @@
 
 def _kernel() -> Kernel:
     """Return a core that owns one service with seven upstreams."""
-    context = Context(_settings(), SystemClock(), random.Random(1), Incarnation(1))
+    context = Context(bench_settings(), SystemClock(), random.Random(1), Incarnation(1))
     kernel = Kernel(context, load_plugins())
     upstreams = tuple(
         Upstream(
