Restore a stored shard that is older than the one in force

Cause: if a shard object is deleted and made anew by hand, changes are refused with CONFIGURATION_REGRESSED for ever, since no host applies the older shard and none writes the newer one.

Change: "restore configuration of SERVICE" writes the shard in force on the host back by a conditional update, one generation above both, with a record. It is refused with CONFLICT if the stored shard is not older; another content of the same generation counts as older, as it does for other changes. The service must be in force on the host, which refuses misspelt names.

--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -34,6 +34,7 @@
   drain upstream NAME of SERVICE | undrain upstream NAME of SERVICE
   delete service NAME | delete kind NAME of SERVICE
   delete upstream NAME of SERVICE
+  restore configuration of SERVICE
 
 Priority 0 is the most urgent. A floor is the share of slots that a kind keeps
 while other kinds flood. "dry run" before a change only validates it and tells
--- a/src/lycheedeal/configuration/_attempt.py
+++ b/src/lycheedeal/configuration/_attempt.py
@@ -1,6 +1,6 @@
 """One change on its way to the object API; decides, but calls nothing."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -8,6 +8,7 @@
     apply_change,
     find_record,
     find_service,
+    restore_shard,
     summarize,
 )
 from lycheedeal.configuration._codec import encode_shard
@@ -15,7 +16,14 @@
 from lycheedeal.errors import ErrorKind
 from lycheedeal.exceptions import InvalidConfigurationError
 from lycheedeal.kernel import ApiStatus, ChangeRequested
-from lycheedeal.model import Generation, Service, Shard, ShardIndex, shard_of
+from lycheedeal.model import (
+    Generation,
+    RestoreConfiguration,
+    Service,
+    Shard,
+    ShardIndex,
+    shard_of,
+)
 
 MAX_TRIES: Final = 8
 # A read may be stale for a moment; an object that was replaced stays old.
@@ -96,6 +104,9 @@
         ``in_force`` and ``others`` are the shard and all services in force
         on this host before the read.
         """
+        change = self.request.change
+        if isinstance(change, RestoreConfiguration):
+            return self._after_restore_read(stored, in_force, change, wall)
         shard = stored.shard
         if self._has_regressed(shard, in_force):
             return self.retry(
@@ -156,6 +167,39 @@
             )
         return Decide(error, Generation(0), detail)
 
+    def _after_restore_read(
+        self,
+        stored: StoredShard,
+        in_force: Shard,
+        change: RestoreConfiguration,
+        wall: float,
+    ) -> Step:
+        shard = stored.shard
+        record = find_record(shard, self.request.change_id)
+        if record is not None:
+            return Decide(None, record.generation, record.summary)
+        if self._may_still_land(shard):
+            return self.written or Retry()
+        self.unresolved = False
+        if not self._has_regressed(shard, in_force):
+            return Decide(
+                ErrorKind.CONFLICT,
+                shard.generation,
+                f'generation {shard.generation} is stored, which is not older than '
+                f'{in_force.generation} in force',
+            )
+        # A read that was stale fails at the conditional update.
+        return self._write_or_decide(
+            stored,
+            lambda: restore_shard(
+                shard,
+                in_force,
+                change,
+                self.request.change_id,
+                wall,
+            ),
+        )
+
     def _has_regressed(self, shard: Shard, in_force: Shard) -> bool:
         # An object that was deleted and made anew can reach the generation
         # in force with other content.
@@ -213,12 +257,31 @@
         wall: float,
     ) -> Step:
         self.base = stored.shard
+        return self._write_or_decide(
+            stored,
+            lambda: self._change_shard(stored.shard, others, wall),
+        )
+
+    def _change_shard(
+        self,
+        stored: Shard,
+        others: Iterable[Service],
+        wall: float,
+    ) -> Shard:
         request = self.request
+        shard = apply_change(stored, request.change, request.change_id, wall)
+        service = find_service(shard, request.change.service)
+        if service is not None:
+            check_against_others(service, others)
+        return shard
+
+    def _write_or_decide(
+        self,
+        stored: StoredShard,
+        propose: Callable[[], Shard],
+    ) -> Step:
         try:
-            shard = apply_change(stored.shard, request.change, request.change_id, wall)
-            service = find_service(shard, request.change.service)
-            if service is not None:
-                check_against_others(service, others)
+            shard = propose()
             body = encode_shard(shard)
         except InvalidConfigurationError as error:
             return Decide(
@@ -226,7 +289,8 @@
                 stored.shard.generation,
                 error.detail,
             )
-        if request.dry_run:
-            return Decide(None, stored.shard.generation, summarize(request.change))
+        if self.request.dry_run:
+            summary = summarize(self.request.change)
+            return Decide(None, stored.shard.generation, summary)
         self.written = Write(shard, stored.version, body)
         return self.written
--- a/src/lycheedeal/configuration/_changes.py
+++ b/src/lycheedeal/configuration/_changes.py
@@ -19,6 +19,7 @@
     DrainUpstream,
     Generation,
     KindId,
+    RestoreConfiguration,
     Service,
     ServiceName,
     ServiceNumber,
@@ -53,6 +54,26 @@
     return changed
 
 
+def restore_shard(
+    stored: Shard,
+    in_force: Shard,
+    change: RestoreConfiguration,
+    change_id: ChangeId,
+    wall: float,
+) -> Shard:
+    """Return the shard in force as the generation after both.
+
+    Raises InvalidConfigurationError if the service is not in force.
+    """
+    base = replace(
+        in_force,
+        generation=max(stored.generation, in_force.generation),
+        # Numbers that the stored shard gave out are not given out again.
+        next_counter=max(stored.next_counter, in_force.next_counter),
+    )
+    return apply_change(base, change, change_id, wall)
+
+
 def find_record(shard: Shard, change_id: ChangeId) -> ChangeRecord | None:
     """Return the record of an accepted change, if the shard still has it."""
     return next((one for one in shard.changes if one.change_id == change_id), None)
@@ -67,21 +88,24 @@
     """Return the change as an operator would state it."""
     match change:
         case CreateService(service, address):
-            return f'create service {service} at {address}'
+            text = f'create service {service} at {address}'
         case DeleteService(service):
-            return f'delete service {service}'
+            text = f'delete service {service}'
         case CreateKind(service, name):
-            return f'create kind {name} of {service}'
+            text = f'create kind {name} of {service}'
         case DeleteKind(service, name):
-            return f'delete kind {name} of {service}'
+            text = f'delete kind {name} of {service}'
         case CreateUpstream(service, upstream_id):
-            return f'create upstream {upstream_id} of {service}'
+            text = f'create upstream {upstream_id} of {service}'
         case DrainUpstream(service, upstream_id):
-            return f'drain upstream {upstream_id} of {service}'
+            text = f'drain upstream {upstream_id} of {service}'
         case UndrainUpstream(service, upstream_id):
-            return f'undrain upstream {upstream_id} of {service}'
+            text = f'undrain upstream {upstream_id} of {service}'
         case DeleteUpstream(service, upstream_id):
-            return f'delete upstream {upstream_id} of {service}'
+            text = f'delete upstream {upstream_id} of {service}'
+        case RestoreConfiguration(service):
+            text = f'restore configuration of {service}'
+    return text
 
 
 def _edit(shard: Shard, change: Change) -> Shard:
@@ -109,7 +133,7 @@
             return _set_drained(service, upstream_id, drained=False)
         case DeleteUpstream(_, upstream_id):
             return _delete_upstream(service, upstream_id)
-        case CreateService() | DeleteService():
+        case CreateService() | DeleteService() | RestoreConfiguration():
             return service
 
 
--- a/src/lycheedeal/model/__init__.py
+++ b/src/lycheedeal/model/__init__.py
@@ -9,6 +9,7 @@
     DeleteService,
     DeleteUpstream,
     DrainUpstream,
+    RestoreConfiguration,
     UndrainUpstream,
 )
 from lycheedeal.model._configuration import (
@@ -90,6 +91,7 @@
     'RejectedShard',
     'RejectingHost',
     'RequestNumber',
+    'RestoreConfiguration',
     'Service',
     'ServiceName',
     'ServiceNumber',
--- a/src/lycheedeal/model/_changes.py
+++ b/src/lycheedeal/model/_changes.py
@@ -78,6 +78,17 @@
     upstream_id: UpstreamId
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreConfiguration:
+    """Stores the shard in force again if the stored one is older.
+
+    The shard is that of the service, which must be in force on the host that
+    takes the change.
+    """
+
+    service: ServiceName
+
+
 Change = (
     CreateService
     | DeleteService
@@ -87,4 +98,5 @@
     | DrainUpstream
     | UndrainUpstream
     | DeleteUpstream
+    | RestoreConfiguration
 )
--- a/src/lycheedeal/operators/_parser.py
+++ b/src/lycheedeal/operators/_parser.py
@@ -185,6 +185,9 @@
     def delete_upstream(self, name: Token, service: Token) -> model.Change:
         return model.DeleteUpstream(_service(service), _upstream(name))
 
+    def restore_configuration(self, service: Token) -> model.Change:
+        return model.RestoreConfiguration(_service(service))
+
 
 def _name(token: Token) -> str:
     if len(token) > _MAX_NAME:
--- a/tests/unit/test_configuration_plugin.py
+++ b/tests/unit/test_configuration_plugin.py
@@ -222,6 +222,57 @@
     assert host.finish(store) is ErrorKind.CONFIGURATION_REGRESSED
 
 
+RESTORE = model.RestoreConfiguration(ONE)
+
+
+@pytest.mark.parametrize('stored', [0, 3, 5])
+def test_restore_writes_the_shard_in_force_as_the_next_generation(
+    stored: int,
+) -> None:
+    """Guards against changes that are refused for ever after an object is lost.
+
+    The stored object may be absent, older, or another one of the same generation.
+    """
+    store, host = ObjectStore(), new_host()
+    host.take(changed(5))
+    if stored:
+        other = replace(shard_at(stored), next_counter=9)
+        store.put(KEY, encode_shard(other), 0)
+    host.request(RESTORE, 'r1', dry_run=True)
+    assert host.finish(store) is None
+    assert store.revision == bool(stored)
+    host.request(RESTORE, 'r2')
+    host.answer(host.pop_call(READ), store)
+    lose_answer(host, store)
+    assert host.finish(store) is None
+    found = store.get(KEY)
+    assert found is not None
+    shard = decode_shard(found.body, INDEX)
+    assert shard.services == shard_at(5).services
+    assert (shard.generation, shard.changes[-1].change_id) == (6, 'r2')
+    # Numbers that the stored shard gave out are not given out again.
+    assert shard.next_counter == (9 if stored else shard_at(5).next_counter)
+    assert host.generation() == 6
+    host.request(CREATE_KIND, 'c1')
+    assert host.finish(store) is None
+
+
+def test_restore_does_not_touch_a_shard_that_is_not_older() -> None:
+    """Guards against a restore that reverts changes, also after a stale read."""
+    store, host = ObjectStore(), new_host()
+    host.take(changed(5))
+    store.put(KEY, encode_shard(shard_at(5)), 0)
+    host.request(RESTORE, 'r1')
+    assert host.finish(store) is ErrorKind.CONFLICT
+    host.request(RESTORE, 'r2')
+    read = host.pop_call(READ)
+    host.take(reply_to(read, OK, 99, encode_shard(shard_at(3))))
+    assert host.finish(store) is ErrorKind.CONFLICT
+    assert store.revision == 1
+    host.request(model.RestoreConfiguration(model.ServiceName('x9')), 'r3', True)
+    assert host.finish(store) is not None
+
+
 def test_change_stored_below_the_generation_in_force_is_not_accepted() -> None:
     """Guards against "accepted" if the object is replaced before the write."""
     store, host = ObjectStore(), new_host()
--- a/tests/unit/test_statements.py
+++ b/tests/unit/test_statements.py
@@ -16,6 +16,7 @@
 WORDS = (
     'show service services upstreams of flows hosts config refusals since create '
     'kind at upstream in priority floor idempotent long drain undrain delete dry run '
+    'restore configuration '
     'spill never when-down slots connections api 10.0.0.1:80 7 20% 5m 999999 1.1.1:1 '
     '120% é ; %'
 ).split()
@@ -57,6 +58,7 @@
             'create kind feed of api priority 0 floor 12.5% idempotent long',
             model.CreateKind(API, 'feed', 0, 0.125, idempotent=True, long=True),
         ),
+        ('restore configuration of api', model.RestoreConfiguration(API)),
         ('create kind bulk of api priority 9', model.CreateKind(API, 'bulk', 9)),
         (
             'create upstream u1 of api at 10.0.0.1:80 in Tortel',
