--- a/src/lycheedeal/model/__init__.py
+++ b/src/lycheedeal/model/__init__.py
@@ -9,6 +9,7 @@
     DeleteService,
     DeleteUpstream,
     DrainUpstream,
+    RestoreConfiguration,
     UndrainUpstream,
 )
 from lycheedeal.model._configuration import (
@@ -49,6 +50,12 @@
 from lycheedeal.model._member import Member, MemberState
 from lycheedeal.model._settings import HostSettings
 from lycheedeal.model._states import FlowClass, SpillRule, UpstreamState
+from lycheedeal.model._status import (
+    LaggingHost,
+    RejectedShard,
+    RejectingHost,
+    ZoneStatus,
+)
 
 __all__ = (
     'FLOW_ID_SIZE',
@@ -76,11 +83,15 @@
     'HostSettings',
     'Incarnation',
     'KindId',
+    'LaggingHost',
     'Member',
     'MemberState',
     'QueryId',
     'Region',
+    'RejectedShard',
+    'RejectingHost',
     'RequestNumber',
+    'RestoreConfiguration',
     'Service',
     'ServiceName',
     'ServiceNumber',
@@ -93,6 +104,7 @@
     'UpstreamState',
     'WorkKind',
     'Zone',
+    'ZoneStatus',
     'shard_of',
     'summarize_flow',
 )
