Summarise a soak by scenario, measure and seed

Cause: the soak printed every check of every run, and one run that raised ended it. Change: soak takes files and a number of seeds, prints failed checks with their seeds and one summary line per scenario; an exception counts as a failure of that seed.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+# Seeds 1 to SEEDS of every scenario file.
+soak: SEEDS ?= 10
 soak: $(STAMP)
-	$(BIN)/python -m scenarios soak
+	$(BIN)/python -m scenarios soak --seeds $(SEEDS)
 
 experiments: $(STAMP)
 	$(BIN)/python -m experiments
--- a/scenarios/__main__.py
+++ b/scenarios/__main__.py
@@ -1,4 +1,4 @@
-"""Runs scenario files: ``python -m scenarios [run FILE...] [soak SEEDS]``."""
+"""Runs scenario files: ``python -m scenarios run|soak [FILE...]``."""
 
 import argparse
 import json
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from scenarios import FILES, parse, run
+from scenarios._soak import Completed, Outcome, Raised, soak
 
 
 def main() -> int:
@@ -16,18 +17,30 @@
     one = commands.add_parser('run', help='run scenario files once')
     one.add_argument('files', nargs='*', type=Path, help='default: all')
     one.add_argument('--seed', type=int, help='overrides the seed of the file')
-    soak = commands.add_parser('soak', help='run all scenarios with many seeds')
-    soak.add_argument('--seeds', type=int, default=10)
+    many = commands.add_parser('soak', help='run scenario files with many seeds')
+    many.add_argument('files', nargs='*', type=Path, help='default: all')
+    many.add_argument('--seeds', type=int, default=10, help='seeds 1 to this number')
     arguments = parser.parse_args()
+    files = arguments.files or sorted(FILES.glob('*.scn'))
     if arguments.command == 'run':
-        files = arguments.files or sorted(FILES.glob('*.scn'))
         return int(not all([_run_file(file, arguments.seed) for file in files]))
-    results = [
-        _run_file(file, seed)
-        for seed in range(1, arguments.seeds + 1)
-        for file in sorted(FILES.glob('*.scn'))
-    ]
-    return int(not all(results))
+    return int(not all([_soak_file(file, arguments.seeds) for file in files]))
+
+
+def _soak_file(file: Path, seeds: int) -> bool:
+    text = file.read_text()
+    summary = soak(file.stem, lambda: parse(text), range(1, seeds + 1), _report)
+    print(json.dumps(summary.as_row()), flush=True)
+    return summary.passed
+
+
+def _report(outcome: Outcome) -> None:
+    match outcome:
+        case Completed(seed=seed, failed=failed):
+            for check in failed:
+                print(f'  seed {seed}: {check}', flush=True)
+        case Raised(seed=seed, error=error):
+            print(f'  seed {seed}: raised {error!r}', flush=True)
 
 
 def _run_file(file: Path, seed: int | None) -> bool:
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -81,13 +81,17 @@
     bound: float
     passed: bool
 
+    @property
+    def name(self) -> str:
+        """Return the measure with its arguments."""
+        words = ' '.join(map(str, self.expectation.words))
+        return f'{self.expectation.measure} {words}'.strip()
+
     def __str__(self) -> str:
         """Return one line for a report."""
         mark = 'pass' if self.passed else 'FAIL'
-        words = ' '.join(map(str, self.expectation.words))
-        name = f'{self.expectation.measure} {words}'.strip()
         text = f'{self.measured:.4g} {self.expectation.compare} {self.bound:.4g}'
-        return f'{mark}  {name}: {text}'
+        return f'{mark}  {self.name}: {text}'
 
 
 def run(
