Test pairs of faults with a state machine

Cause: the scenario files combine faults only as they were written down. Change: a hypothesis state machine applies any fault at any moment as a line of the scenario language and checks the guarantees after each step and after healing. The runner's phases are public for it; 'duplicate' is new in the language; a second or ended pause of a host no longer reports a wrong gap; a revived upstream is ready again.

--- a/scenarios/_host.py
+++ b/scenarios/_host.py
@@ -136,7 +136,7 @@
         self._routes: Any = None
         self._paths: dict[Endpoint, int] = {}
         self._backlog: list[Event] = []
-        self._froze_at = 0.0
+        self._froze_at = -1.0
         self._epoch = 0
         # Processor time of the core, for measurements only.
         self.cpu_seconds = 0.0
@@ -145,6 +145,7 @@
         """Start a new process incarnation."""
         clock = self.world.time
         self._epoch += 1
+        self._froze_at = -1
         self.alive = True
         self.exit_status = None
         self.frozen_until = -1
@@ -179,10 +180,20 @@
         self.world.platform.forget(self.name)
 
     def freeze(self, seconds: float) -> None:
-        """Pause the process; what arrives meanwhile waits in its sockets."""
-        self._froze_at = self.world.time.now
-        self.frozen_until = self.world.time.now + seconds
-        self.world.time.call_later(seconds, self._thaw)
+        """Pause the process; what arrives meanwhile waits in its sockets.
+
+        A second pause during the first can only make it longer.
+        """
+        if not self.frozen:
+            self._froze_at = self.world.time.now
+        self.frozen_until = max(self.frozen_until, self.world.time.now + seconds)
+        self.world.time.call_at(self.frozen_until, self._thaw)
+
+    def thaw(self) -> None:
+        """End a pause early."""
+        if self.frozen:
+            self.frozen_until = self.world.time.now
+            self._thaw()
 
     @property
     def frozen(self) -> bool:
@@ -239,10 +250,12 @@
         self.world.time.call_later(TICK, lambda: self._tick(epoch))
 
     def _thaw(self) -> None:
-        if not self.alive or self.frozen:
+        # A restart or an earlier thaw has ended the pause already.
+        if not self.alive or self.frozen or self._froze_at < 0:
             return
         backlog, self._backlog = self._backlog, []
         gap = self.world.time.now - self._froze_at
+        self._froze_at = -1
         if gap > 2:
             self.deliver(Resumed(gap))
         for event in backlog:
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -58,7 +58,7 @@
     conflicts: int = 0
     stopped: list[VirtualHost] = field(default_factory=list)
     exit_failures: int = 0
-    traces: list[tuple[str, HostTrace]] = field(default_factory=list)
+    past_traces: list[tuple[str, HostTrace]] = field(default_factory=list)
     flood_ends: list[float] = field(default_factory=list)
     _statements: dict[int, str] = field(default_factory=dict)
 
@@ -67,9 +67,15 @@
         """Return scenario time in seconds."""
         return self.world.time.now - self.start
 
+    @property
+    def traces(self) -> list[tuple[str, HostTrace]]:
+        """Return what all process incarnations reported, replaced ones first."""
+        hosts = self.world.hosts_by_name.values()
+        return [*self.past_traces, *((one.name, one.trace) for one in hosts)]
+
     def remember_trace(self, host: VirtualHost) -> None:
         """Keep what an incarnation reported before it is replaced."""
-        self.traces.append((host.name, host.trace))
+        self.past_traces.append((host.name, host.trace))
 
 
 @dataclass(frozen=True)
@@ -108,14 +114,15 @@
     state = Run(scenario, world)
     if prepare is not None:
         prepare(world)
-    _set_up(state)
-    _schedule(state)
+    set_up(state)
+    schedule(state)
     world.time.run_until(state.start + scenario.until)
-    _finish(state)
+    finish(state)
     return state, [_check(state, one) for one in scenario.expectations]
 
 
-def _set_up(run_state: Run) -> None:
+def set_up(run_state: Run) -> None:
+    """Start the hosts and create the services."""
     scenario, world = run_state.scenario, run_state.world
     for zone, count in scenario.hosts_by_zone.items():
         for number in range(1, count + 1):
@@ -161,7 +168,8 @@
         raise SetupError(f'{text}: {reply}')
 
 
-def _schedule(run_state: Run) -> None:
+def schedule(run_state: Run) -> None:
+    """Start sampling, the load and the timeline."""
     world, scenario = run_state.world, run_state.scenario
     world.time.call_later(0, lambda: _sample(run_state))
     for requests in scenario.requests:
@@ -177,7 +185,7 @@
                 partial(FlowCaller, world, flows.service, flows.kind),
             )
     for action in scenario.actions:
-        world.time.call_later(action.at, partial(_act, run_state, action))
+        world.time.call_later(action.at, partial(act, run_state, action))
 
 
 def _every(
@@ -231,14 +239,13 @@
             run_state.accepted.append(accepted)
 
 
-def _finish(run_state: Run) -> None:
+def finish(run_state: Run) -> None:
+    """Take what is still open into account before measuring."""
     _collect_replies(run_state)
     for flow in run_state.world.flows:
         flow.check()
     for host in run_state.stopped:
         run_state.exit_failures += host.stopping
-    for host in run_state.world.hosts_by_name.values():
-        run_state.remember_trace(host)
 
 
 def _check(run_state: Run, expectation: Expectation) -> Check:
@@ -263,7 +270,8 @@
     )
 
 
-def _act(run_state: Run, action: Action) -> None:
+def act(run_state: Run, action: Action) -> None:
+    """Carry out one action now."""
     world, words = run_state.world, action.words
     match action.name:
         case 'kill':
@@ -355,6 +363,10 @@
         case ('lossy', share, seconds):
             network.loss = share
             later(seconds, partial(setattr, network, 'loss', run_state.scenario.loss))
+        case ('duplicate', share, seconds):
+            network.duplication = share
+            usual = run_state.scenario.duplication
+            later(seconds, partial(setattr, network, 'duplication', usual))
         case _:
             _act_on_upstream(run_state, action)
 
@@ -377,6 +389,7 @@
         case ('revive', _):
             upstream.alive = True
             upstream.fails_at_once = False
+            upstream.state = UpstreamState.READY
             upstream.restart()
         case ('drain_signal', _):
             upstream.state = UpstreamState.DRAINING
--- /dev/null
+++ b/tests/scenarios/fault_trial.py
@@ -0,0 +1,290 @@
+"""Faults at any moment against a small world, with checks after each step.
+
+Steps are lines of the scenario language without their time, so a sequence that
+fails can be replayed as it was printed.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from lycheedeal.model import FlowId, UpstreamState
+from scenarios import parse
+from scenarios._callers import CallRecord, FlowCaller, RequestCall, Result
+from scenarios._language import Action
+from scenarios._measures import MEASURES
+from scenarios._runner import Run, act, finish, schedule, set_up
+from scenarios._world import World
+
+ZONES = ('coyhaique', 'cochrane')
+HOSTS = tuple(f'{zone}-{number}' for zone in ZONES for number in (1, 2, 3))
+SERVICE = 'bitacora-api'
+UPSTREAMS = tuple(f'{SERVICE}-{number}' for number in (1, 2, 3, 4))
+SCENARIO = """
+zone coyhaique hosts 3
+zone cochrane hosts 3
+service bitacora-api in coyhaique, cochrane upstreams 4 time 100ms spill
+kind checkin of bitacora-api priority 0
+kind feed of bitacora-api priority 1 long
+kind backlog of bitacora-api priority 6 idempotent
+service reparo in coyhaique upstreams 1 time 100ms spill
+kind photos of reparo priority 5 idempotent
+requests checkin of bitacora-api 6/s deadline 4s
+requests backlog of bitacora-api 3/s deadline 6s
+flows feed of bitacora-api 12 over 6s
+"""
+ALWAYS_ZERO = (
+    'ran_twice',
+    'refused_but_ran',
+    'foreign_answers',
+    'misrouted',
+    'reverted',
+    'late_runs',
+)
+# A step takes some time: a process cannot start twice in one millisecond.
+STEP_SECONDS = 0.05
+HEAL_SECONDS = 40
+DRAIN_SECONDS = 3
+IN_FORCE_SECONDS = 5
+FRESH_CALLS = 10
+FRESH_SECONDS = 2.0
+
+
+@dataclass
+class FaultTrial:
+    """One world, the steps taken in it, and what must hold."""
+
+    seed: int
+    steps: list[str] = field(default_factory=list)
+    # Flows of upstream processes that crashed or were replaced.
+    excused: set[FlowId] = field(default_factory=set)
+    # Host processes with a planned stop; a restart ends it.
+    _stopping: set[str] = field(default_factory=set)
+    run: Run = field(init=False)
+    # Stored objects with the highest generation before they were recreated.
+    _stored_by_key: dict[str, bytes] = field(default_factory=dict)
+    _first_generations: dict[int, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Start the world."""
+        scenario = replace(parse(SCENARIO), until=float('inf'))
+        self.run = Run(scenario, World(self.seed))
+        set_up(self.run)
+        schedule(self.run)
+        for host in self.world.live_hosts():
+            self._first_generations.update(host.trace.generations)
+
+    @property
+    def world(self) -> World:
+        """Return the world of the run."""
+        return self.run.world
+
+    def do(self, step: str) -> None:
+        """Carry out a step: an action, several joined by ``+``, or ``wait``."""
+        self.steps.append(step)
+        if step.startswith('wait '):
+            self.wait(float(step.split()[1][:-1]))
+            return
+        for text in step.split(' + '):
+            (action,) = parse(f'at 0s {text}').actions
+            if self._applies(action):
+                act(self.run, action)
+        self.wait(STEP_SECONDS)
+
+    def wait(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.world.time.run_until(self.world.time.now + seconds)
+
+    def violations(self) -> list[str]:
+        """Return what must hold at every moment and does not."""
+        found = [
+            f'{name} {number:g}'
+            for name in ALWAYS_ZERO
+            if (number := MEASURES['count'](self.run, name))
+        ]
+        return found + self._lost_changes()
+
+    def _lost_changes(self) -> list[str]:
+        """Return accepted changes whose generation another change has too."""
+        accepted = Counter((one.shard, one.generation) for one in self.run.accepted)
+        return [
+            f'accepted change lost: shard {shard} generation {generation}'
+            for (shard, generation), times in accepted.items()
+            if times > 1 or generation <= self._first_generations[shard]
+        ]
+
+    def violations_at_end(self) -> list[str]:
+        """Heal everything, let time pass, and return what does not hold."""
+        self._heal()
+        self.wait(HEAL_SECONDS / 2)
+        # Planned stops that were under way have ended by now.
+        self._start_dead_hosts()
+        self.wait(HEAL_SECONDS / 2)
+        found = self._undrain_enough()
+        drained, drain_faults = self._drain_one()
+        found += drain_faults
+        self.wait(DRAIN_SECONDS)
+        after = self.run.now
+        seen_before = {one.endpoint: one.seen for one in self.world.flows}
+        calls = self._fresh_calls()
+        finish(self.run)
+        found += self._late_calls(calls)
+        found += self._flow_faults(seen_before)
+        found += [
+            f'new work on drained {name} {number:g}'
+            for name in drained
+            if (number := MEASURES['work_after'](self.run, name, after))
+        ]
+        if behind := MEASURES['count'](self.run, 'behind'):
+            found.append(f'behind {behind:g}')
+        return found + self.violations()
+
+    def _applies(self, action: Action) -> bool:
+        """Return whether an action makes sense now, and note what it breaks."""
+        hosts, upstreams = self.world.hosts_by_name, self.world.upstreams_by_name
+        match (action.name, *action.words):
+            case ('kill' | 'stop', name, *_):
+                # Configuration that only dead hosts held is lost by design.
+                serving = {one.name for one in self.world.live_hosts()}
+                if action.name == 'stop':
+                    serving -= self._stopping
+                if name not in serving or len(serving - self._stopping - {name}) < 1:
+                    return False
+                if action.name == 'stop':
+                    self._stopping.add(name)
+                return True
+            case ('start_host', name):
+                if hosts[name].alive:
+                    return False
+                self._stopping.discard(name)
+                return True
+            case ('freeze', name, _):
+                return hosts[name].alive
+            case ('statement', _):
+                return bool(self.world.live_hosts())
+            case ('recreate', _):
+                self._remember_objects()
+                return True
+            case ('crash' | 'revive' | 'reuse', name, *_):
+                self.excused.update(upstreams[name].flows)
+                return True
+            case _:
+                return True
+
+    def _remember_objects(self) -> None:
+        for key, (_, body) in self.world.platform.objects.items():
+            known = self._stored_by_key.get(key, body)
+            self._stored_by_key[key] = max(known, body, key=_generation)
+
+    def _restore_objects(self) -> None:
+        """Undo a recreated object, as an operator of the platform would."""
+        self._remember_objects()
+        objects = self.world.platform.objects
+        for key, body in self._stored_by_key.items():
+            version, stored = objects[key]
+            if stored != body:
+                objects[key] = (version + 1, body)
+
+    def _heal(self) -> None:
+        world = self.world
+        self._restore_objects()
+        world.network.cuts.clear()
+        world.network.loss = 0
+        world.network.duplication = 0
+        world.platform.down_until = -1
+        world.platform.slow = 0
+        world.platform.stale_reads_until = -1
+        world.platform.answers_to_lose = 0
+        for host in world.hosts_by_name.values():
+            host.thaw()
+        for upstream in world.upstreams_by_name.values():
+            upstream.silent.clear()
+            upstream.lies_idle = False
+            replaced = upstream.name in UPSTREAMS and upstream.service != SERVICE
+            if replaced or not upstream.alive:
+                self.excused.update(upstream.flows)
+                upstream.restart(SERVICE)
+            upstream.alive = True
+            upstream.state = UpstreamState.READY
+        self._start_dead_hosts()
+
+    def _start_dead_hosts(self) -> None:
+        for name in HOSTS:
+            if not self.world.hosts_by_name[name].alive:
+                self.run.remember_trace(self.world.hosts_by_name[name])
+                self.world.start_host(name)
+
+    def _drained(self) -> set[str]:
+        """Return the upstreams that some live host takes for drained."""
+        return {
+            str(upstream.upstream_id)
+            for host in self.world.live_hosts()
+            if host.trace.view is not None
+            for service in host.trace.view.services_by_number.values()
+            for upstream in service.upstreams
+            if upstream.drained
+        }
+
+    def _undrain_enough(self) -> list[str]:
+        faults = []
+        for name in sorted(self._drained())[1:]:
+            faults += self._change(f'undrain upstream {name} of {SERVICE}')
+        self.wait(IN_FORCE_SECONDS)
+        return faults
+
+    def _drain_one(self) -> tuple[set[str], list[str]]:
+        free = [name for name in UPSTREAMS if name not in self._drained()]
+        if not free:
+            return set(), ['every upstream is drained']
+        faults = self._change(f'drain upstream {free[0]} of {SERVICE}')
+        return self._drained() | {free[0]}, faults
+
+    def _change(self, text: str) -> list[str]:
+        """Make a change in the healed world; it must be accepted."""
+        act(self.run, Action(0, 'statement', (text,)))
+        before = len(self.run.accepted)
+        for _ in range(20):
+            self.wait(0.25)
+            if len(self.run.accepted) > before:
+                return []
+        return [f'not accepted: {text}']
+
+    def _fresh_calls(self) -> list[CallRecord]:
+        """Make check-ins one after another and wait until all have ended."""
+        records: list[CallRecord] = []
+        for _ in range(FRESH_CALLS):
+            call = RequestCall(self.world, SERVICE, 'checkin', FRESH_SECONDS)
+            records.append(call.record)
+            self.wait(0.3)
+        self.wait(FRESH_SECONDS + 1)
+        return records
+
+    def _late_calls(self, records: list[CallRecord]) -> list[str]:
+        late = [
+            one.result.value
+            for one in records
+            if one.result is not Result.ANSWERED
+            or one.finished - one.started > FRESH_SECONDS
+        ]
+        return [f'fresh check-ins not answered in time: {late}'] if late else []
+
+    def _flow_faults(self, seen_before: dict[object, int]) -> list[str]:
+        return [
+            f'flow of {one.endpoint}: {fault}'
+            for one in self.world.flows
+            if one.flow_id not in self.excused
+            and (fault := _flow_fault(one, seen_before[one.endpoint]))
+        ]
+
+
+def _generation(body: bytes) -> int:
+    return int(msgspec.json.decode(body)['generation'])
+
+
+def _flow_fault(flow: FlowCaller, seen_before: int) -> str:
+    if flow.flow_id is None:
+        return 'never opened'
+    if flow.broken is not None:
+        return f'broken at {flow.broken_at:.2f} by {flow.broken}'
+    return '' if flow.seen > seen_before else f'no progress after {flow.seen}'
