Repeat the recording of an answer in a lease until it succeeds

Cause: in experiments/ownership a recording that the object API refused or lost was dropped, which made leases that are run again look worse.

Change: the holder repeats the update with backoff.

--- a/experiments/ownership.py
+++ b/experiments/ownership.py
@@ -672,6 +672,9 @@
                 for request in waiting:
                     if request.index not in host.memory.sent:
                         self._decide(host, request, relayed=False, fresh=True)
+            case _ if reply.call.update is not None and reply.call.update.done:
+                # Repeating is safe: an update names the token that it follows.
+                self._retry_call(host, reply.call, reply.call.update)
             case ApiOutcome.THROTTLED | ApiOutcome.TIMED_OUT if not waiting:
                 host.memory.waiting.pop(key, None)
             case ApiOutcome.THROTTLED:
