--- a/experiments/ownership.py
+++ b/experiments/ownership.py
@@ -163,7 +163,7 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """A request with what befell it; ``severity`` scales its fault."""
+    """A request and its outcome; ``severity`` scales its fault."""
 
     index: RequestIndex
     flow: Flow
--- a/experiments/slots.py
+++ b/experiments/slots.py
@@ -124,7 +124,7 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """A request with what befell it."""
+    """A request and its outcome."""
 
     number: int
     kind: Kind
@@ -250,7 +250,7 @@
 
 @dataclass(slots=True)
 class TokenHost:
-    """Waiting work, free tokens and known wishes of one host."""
+    """Waiting work and free tokens of one host, and what others asked of it."""
 
     waiting: list[tuple[tuple[int, float], int, Request]] = field(default_factory=list)
     free: deque[UpstreamIndex] = field(default_factory=deque)
@@ -577,7 +577,7 @@
                 self._cluster.message(passed, CONTROL_BYTES)
 
     def _use(self, index: HostIndex, upstream: UpstreamIndex) -> None:
-        """Use a token that was passed, so that it does not wander further.
+        """Use a token that was passed, so that it is not passed on at once.
 
         Only more urgent work of another host takes precedence.
         """
