Start each attempt at most once in both upstream stand-ins

Cause: the stand-ins forgot refused, cancelled and (in standins/) finished attempts, so a repeated Run could start work that was reported as not run. A process also vouched for attempts of the process before it: it answered CancelRun of an unknown attempt with "not started".

Change: an attempt has a state (assembling, running, finished, refused) that is kept until its deadline plus 1 s. A repeated Run is ignored while it runs, gets the answer again once it has finished, and is refused again once it was refused or cancelled. An unknown attempt counts as started when cancelled. The bench of test_standins gave one attempt id to requests of two flows and undid the swapped places at each retransmission; it now uses fresh ids.

--- a/scenarios/_upstream.py
+++ b/scenarios/_upstream.py
@@ -21,6 +21,8 @@
     from scenarios._world import World
 
 ENTRY = struct.Struct('!Q')
+# Attempts are remembered this long after their deadline.
+_KEPT_SECONDS = 1.0
 
 
 @dataclass
@@ -45,11 +47,38 @@
 
 
 @dataclass
-class _Parts:
+class _Assembling:
+    """Some parts of the attempt are there."""
+
     total: int
     bodies: dict[int, bytes] = field(default_factory=dict)
 
 
+@dataclass
+class _Running:
+    """The attempt holds a slot; the answer goes where its last copy came from."""
+
+    host: 'VirtualHost'
+    path: int
+
+
+@dataclass
+class _Finished:
+    """The attempt ran; its answer is sent again when asked."""
+
+    answer: tuple[bytes, ...]
+
+
+@dataclass
+class _Refused:
+    """The attempt was refused or cancelled and is never started."""
+
+    error: ErrorKind
+
+
+_Attempt = _Assembling | _Running | _Finished | _Refused
+
+
 class VirtualUpstream:
     """Runs requests in slots and pushes numbered entries to long flows."""
 
@@ -85,8 +114,7 @@
         self.opened_times: list[float] = []
         self.misrouted = 0
         self.shed = 0
-        self._parts: dict[AttemptId, _Parts] = {}
-        self._seen: set[AttemptId] = set()
+        self._attempts_by_id: dict[AttemptId, _Attempt] = {}
 
     @property
     def started_total(self) -> int:
@@ -99,8 +127,7 @@
         self.service = service or self.service
         self.flows.clear()
         self.running.clear()
-        self._parts.clear()
-        self._seen.clear()
+        self._attempts_by_id.clear()
 
     def receive(self, host: 'VirtualHost', path: int, message: Any) -> None:
         """Take a message of a host that arrived on one of its paths."""
@@ -116,8 +143,7 @@
             case messages.Run():
                 self._run(host, path, message)
             case messages.CancelRun(attempt_id=attempt_id):
-                started = attempt_id in self._seen
-                self._reply(host, path, messages.RunCancelled(attempt_id, started))
+                self._reply(host, path, self._cancel(attempt_id))
 
     def packet(
         self,
@@ -186,26 +212,47 @@
         return service == self.service and incarnation == self.incarnation
 
     def _run(self, host: 'VirtualHost', path: int, message: messages.Run) -> None:
+        attempt_id = message.attempt_id
+        if not self._meant_for_us(message.service, message.incarnation):
+            error = ErrorKind.UPSTREAM_REPLACED
+            self._reply(host, path, messages.RunRefused(attempt_id, error))
+            return
+        match self._attempts_by_id.get(attempt_id):
+            case _Running() as running:
+                running.host, running.path = host, path
+            case _Finished(answer):
+                # One answer for each copy of the request, not for each part.
+                if message.part == 0:
+                    self._send_answer(host, path, attempt_id, answer)
+            case _Refused(error):
+                self._reply(host, path, messages.RunRefused(attempt_id, error))
+            case _Assembling() as assembling:
+                self._add_part(host, path, message, assembling)
+            case None:
+                assembling = _Assembling(message.parts)
+                self._remember(attempt_id, assembling, message.deadline_ms)
+                self._add_part(host, path, message, assembling)
+
+    def _add_part(
+        self,
+        host: 'VirtualHost',
+        path: int,
+        message: messages.Run,
+        assembling: _Assembling,
+    ) -> None:
         attempt_id = message.attempt_id
         error = self._refusal(message)
         if error is not None:
+            self._remember(attempt_id, _Refused(error), message.deadline_ms)
             self._reply(host, path, messages.RunRefused(attempt_id, error))
             return
-        if attempt_id in self._seen:
-            return
-        parts = self._parts.setdefault(attempt_id, _Parts(message.parts))
-        parts.bodies[message.part] = message.body
-        if len(parts.bodies) < parts.total:
-            return
-        body = b''.join(parts.bodies[number] for number in range(parts.total))
-        self._parts.pop(attempt_id)
-        self._start(host, path, message, body)
+        bodies = assembling.bodies
+        bodies[message.part] = message.body
+        if len(bodies) == assembling.total:
+            body = b''.join(bodies[number] for number in range(assembling.total))
+            self._start(host, path, message, body)
 
     def _refusal(self, message: messages.Run) -> ErrorKind | None:
-        if not self._meant_for_us(message.service, message.incarnation):
-            return ErrorKind.UPSTREAM_REPLACED
-        if message.attempt_id in self._seen:
-            return None
         if self.fails_at_once or len(self.running) >= self.slots:
             self.shed += 1
             return ErrorKind.QUEUE_FULL
@@ -213,6 +260,37 @@
             return ErrorKind.DEADLINE_PASSED
         return None
 
+    def _cancel(self, attempt_id: AttemptId) -> messages.RunCancelled:
+        """Cancel an attempt unless it started.
+
+        An attempt that is not known may have run at an earlier process.
+        """
+        match self._attempts_by_id.get(attempt_id):
+            case _Assembling() | _Refused():
+                self._attempts_by_id[attempt_id] = _Refused(ErrorKind.CANCELLED)
+                return messages.RunCancelled(attempt_id, started=False)
+            case _:
+                return messages.RunCancelled(attempt_id, started=True)
+
+    def _remember(
+        self,
+        attempt_id: AttemptId,
+        attempt: _Attempt,
+        deadline_ms: int,
+    ) -> None:
+        """Keep an attempt until its deadline and a while longer."""
+        if attempt_id not in self._attempts_by_id:
+            left = deadline_ms / 1000 - self.world.time.wall()
+            self.world.time.call_later(
+                max(0, left) + _KEPT_SECONDS,
+                lambda: self._forget(attempt_id),
+            )
+        self._attempts_by_id[attempt_id] = attempt
+
+    def _forget(self, attempt_id: AttemptId) -> None:
+        if not isinstance(self._attempts_by_id.get(attempt_id), _Running):
+            self._attempts_by_id.pop(attempt_id, None)
+
     def _start(
         self,
         host: 'VirtualHost',
@@ -229,21 +307,23 @@
         record = RunRecord(
             token, message.kind_id, self.name, now, deadline, now + duration
         )
-        if not self._forgets_attempts:
-            self._seen.add(message.attempt_id)
+        running = _Running(host, path)
+        if self._forgets_attempts:
+            self._attempts_by_id.pop(message.attempt_id)
+        else:
+            self._remember(message.attempt_id, running, message.deadline_ms)
         self.running.append(record)
         self.world.runs.append(record)
         incarnation = self.incarnation
         self.world.time.call_later(
             duration,
-            lambda: self._finish(host, path, message.attempt_id, record, incarnation),
+            lambda: self._finish(message.attempt_id, running, record, incarnation),
         )
 
     def _finish(
         self,
-        host: 'VirtualHost',
-        path: int,
         attempt_id: AttemptId,
+        running: _Running,
         record: RunRecord,
         incarnation: int,
     ) -> None:
@@ -253,6 +333,19 @@
         self.finished += 1
         half = len(record.token) // 2
         answer = (record.token[:half], record.token[half:])
+        if self.world.time.now > record.deadline + _KEPT_SECONDS:
+            self._attempts_by_id.pop(attempt_id, None)
+        elif not self._forgets_attempts:
+            self._attempts_by_id[attempt_id] = _Finished(answer)
+        self._send_answer(running.host, running.path, attempt_id, answer)
+
+    def _send_answer(
+        self,
+        host: 'VirtualHost',
+        path: int,
+        attempt_id: AttemptId,
+        answer: tuple[bytes, ...],
+    ) -> None:
         for part, body in enumerate(answer):
             reply = messages.RunAnswer(attempt_id, part, len(answer), body)
             self._reply(host, path, reply)
--- a/standins/_upstream/_runs.py
+++ b/standins/_upstream/_runs.py
@@ -20,6 +20,8 @@
 from standins._upstream._state import PROGRAM, AnswerOrder, Context
 
 _MS: Final = 1000
+# Attempts are remembered this long after their deadline.
+_KEPT_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,42 +40,65 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AssemblyExpired:
-    """The deadline of a request passed; its parts are dropped."""
+class AttemptExpired:
+    """The deadline of an attempt passed a while ago; it is forgotten."""
 
     attempt_id: AttemptId
 
 
 @dataclass(slots=True)
-class Assembly:
+class Assembling:
     """Parts of a request that is not yet complete."""
 
     bodies_by_part: dict[int, bytes] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class CurrentRun:
-    """A run that holds a slot."""
+@dataclass(slots=True)
+class Running:
+    """A run that holds a slot; ``source`` sent the last copy of the attempt."""
 
     source: Endpoint
     attempt_id: AttemptId
     token: str
     body: bytes
+    keep_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The attempt ran; its answer is sent again when asked."""
+
+    parts: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The run was cancelled after it had started; there is no answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotStarted:
+    """The attempt was refused or cancelled and is never started."""
+
+    error: ErrorKind
+
+
+Attempt = Assembling | Running | Finished | Cancelled | NotStarted
 
 
 class RunsPart:
-    """Runs requests; remembers nothing about those that ended."""
+    """Starts each attempt at most once; remembers it a while after its deadline."""
 
     def __init__(self, context: Context) -> None:
         """Take the state shared by the parts."""
         self._context = context
-        self._assemblies_by_attempt: dict[AttemptId, Assembly] = {}
-        self._runs_by_id: dict[int, CurrentRun] = {}
+        self._attempts_by_id: dict[AttemptId, Attempt] = {}
+        self._runs_by_id: dict[int, Running] = {}
         self._next_run_id = 1
 
     def handle(
         self,
-        event: MessageReceived | RunDone | PartDue | AssemblyExpired,
+        event: MessageReceived | RunDone | PartDue | AttemptExpired,
     ) -> Iterator[Effect]:
         """Assemble, start, end and cancel runs."""
         match event:
@@ -85,8 +110,9 @@
                 yield from self._end(run_id)
             case PartDue(target, answer):
                 yield Send(target, answer)
-            case AssemblyExpired(expired):
-                self._assemblies_by_attempt.pop(expired, None)
+            case AttemptExpired(expired):
+                if not isinstance(self._attempts_by_id.get(expired), Running):
+                    self._attempts_by_id.pop(expired, None)
         self._context.running = len(self._runs_by_id)
 
     def _take_part(self, source: Endpoint, message: messages.Run) -> Iterator[Effect]:
@@ -97,18 +123,36 @@
             refusal = messages.RunRefused(attempt_id, ErrorKind.UPSTREAM_REPLACED)
             yield Send(source, refusal)
             return
-        assembly = self._assemblies_by_attempt.get(attempt_id)
-        if assembly is None:
-            assembly = Assembly()
-            self._assemblies_by_attempt[attempt_id] = assembly
-            left = message.deadline_ms / _MS - self._context.clock.wall()
-            yield After(max(0, left), AssemblyExpired(attempt_id))
-        assembly.bodies_by_part[message.part] = message.body
-        if len(assembly.bodies_by_part) == message.parts:
-            self._assemblies_by_attempt.pop(attempt_id)
-            body = b''.join(
-                assembly.bodies_by_part[part] for part in range(message.parts)
-            )
+        match self._attempts_by_id.get(attempt_id):
+            case Running() as running:
+                running.source = source
+            case Finished(parts):
+                # One answer for each copy of the request, not for each part.
+                if message.part == 0:
+                    yield from self._answer(source, attempt_id, parts)
+            case Cancelled():
+                yield Send(source, messages.RunCancelled(attempt_id, started=True))
+            case NotStarted(error):
+                yield Send(source, messages.RunRefused(attempt_id, error))
+            case Assembling() as assembling:
+                yield from self._add_part(source, message, assembling)
+            case None:
+                assembling = Assembling()
+                self._attempts_by_id[attempt_id] = assembling
+                left = message.deadline_ms / _MS - self._context.clock.wall()
+                yield After(max(0, left) + _KEPT_SECONDS, AttemptExpired(attempt_id))
+                yield from self._add_part(source, message, assembling)
+
+    def _add_part(
+        self,
+        source: Endpoint,
+        message: messages.Run,
+        assembling: Assembling,
+    ) -> Iterator[Effect]:
+        bodies = assembling.bodies_by_part
+        bodies[message.part] = message.body
+        if len(bodies) == message.parts:
+            body = b''.join(bodies[part] for part in range(message.parts))
             yield from self._start(source, message, body)
 
     def _start(
@@ -121,19 +165,24 @@
         token = head.token if head else ''
         if head and head.service != self._context.settings.service:
             yield Record('misrouted', {'what': 'run', 'named': head.service})
+        attempt_id = message.attempt_id
         error = self._refusal(message)
         if error is not None:
+            self._attempts_by_id[attempt_id] = NotStarted(error)
             yield Record('run_refused', {'token': token, 'error': error.name})
-            yield Send(source, messages.RunRefused(message.attempt_id, error))
+            yield Send(source, messages.RunRefused(attempt_id, error))
             return
         run_id = self._next_run_id
         self._next_run_id += 1
-        self._runs_by_id[run_id] = CurrentRun(source, message.attempt_id, token, body)
+        keep_until = message.deadline_ms / _MS + _KEPT_SECONDS
+        running = Running(source, attempt_id, token, body, keep_until)
+        self._runs_by_id[run_id] = running
+        self._attempts_by_id[attempt_id] = running
         yield Record(
             'run_started',
             {
                 'token': token,
-                'attempt_id': message.attempt_id,
+                'attempt_id': attempt_id,
                 'late_ms': self._context.clock.wall() * _MS - message.deadline_ms,
             },
         )
@@ -161,10 +210,25 @@
         if run is None:
             return
         yield Record('run_ended', {'token': run.token, 'attempt_id': run.attempt_id})
+        answer = _bodies.build_answer(run.body, self._context.settings.answer_size)
+        parts = tuple(_bodies.split_parts(answer))
+        self._close(run, Finished(parts))
+        yield from self._answer(run.source, run.attempt_id, parts)
+
+    def _close(self, run: Running, attempt: Finished | Cancelled) -> None:
+        if self._context.clock.wall() < run.keep_until:
+            self._attempts_by_id[run.attempt_id] = attempt
+        else:
+            self._attempts_by_id.pop(run.attempt_id, None)
+
+    def _answer(
+        self,
+        source: Endpoint,
+        attempt_id: AttemptId,
+        parts: tuple[bytes, ...],
+    ) -> Iterator[Effect]:
         settings = self._context.settings
         rng = self._context.clock.rng
-        answer = _bodies.build_answer(run.body, settings.answer_size)
-        parts = _bodies.split_parts(answer)
         numbered = list(enumerate(parts))
         match settings.answer_order:
             case AnswerOrder.REVERSED:
@@ -175,25 +239,35 @@
                 # The list is in this order already.
                 numbered.sort()
         for place, body in numbered:
-            message = messages.RunAnswer(run.attempt_id, place, len(parts), body)
+            message = messages.RunAnswer(attempt_id, place, len(parts), body)
             if settings.answer_delay:
                 delay = rng.random() * settings.answer_delay
-                yield After(delay, PartDue(run.source, message))
+                yield After(delay, PartDue(source, message))
             else:
-                yield Send(run.source, message)
+                yield Send(source, message)
 
     def _cancel(self, source: Endpoint, attempt_id: AttemptId) -> Iterator[Effect]:
-        dropped = self._assemblies_by_attempt.pop(attempt_id, None) is not None
-        for run_id, run in tuple(self._runs_by_id.items()):
-            if run.attempt_id == attempt_id:
-                self._runs_by_id.pop(run_id)
-                yield Record(
-                    'run_cancelled',
-                    {'token': run.token, 'attempt_id': attempt_id},
-                )
-        # An attempt that is not known may have ended before: only an attempt
-        # that was still being assembled is known not to have started.
-        yield Send(source, messages.RunCancelled(attempt_id, started=not dropped))
+        started = True
+        match self._attempts_by_id.get(attempt_id):
+            case Assembling() | NotStarted():
+                started = False
+                self._attempts_by_id[attempt_id] = NotStarted(ErrorKind.CANCELLED)
+            case Running() as run:
+                self._stop_run(run)
+                self._close(run, Cancelled())
+                fields = {'token': run.token, 'attempt_id': attempt_id}
+                yield Record('run_cancelled', fields)
+            case _:
+                # An attempt that is not known may have run at an earlier process.
+                started = True
+        yield Send(source, messages.RunCancelled(attempt_id, started=started))
+
+    def _stop_run(self, stopped: Running) -> None:
+        self._runs_by_id = {
+            run_id: run
+            for run_id, run in self._runs_by_id.items()
+            if run is not stopped
+        }
 
 
 register(
@@ -201,6 +275,6 @@
         PROGRAM,
         'runs',
         RunsPart,
-        frozenset((MessageReceived, RunDone, PartDue, AssemblyExpired)),
+        frozenset((MessageReceived, RunDone, PartDue, AttemptExpired)),
     ),
 )
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -86,6 +86,7 @@
         }
         self.attempts = itertools.count(1)
         self.places: dict[AttemptId, tuple[FlowId, Any]] = {}
+        self.ids: dict[tuple[FlowId, Any], AttemptId] = {}
 
     def give(self, program: str, event: Any) -> None:
         for effect in self.programs[program].dispatch(event):
@@ -119,8 +120,7 @@
                 opened = messages.Opened(nonce, flow_id)
                 self.give('caller', MessageReceived(HOST, opened))
             case messages.Request(flow_id, number, deadline_ms, part, parts, body):
-                key = AttemptId(number * 1000 + 1)
-                self.places[key] = (flow_id, number)
+                key = self.attempt_id(flow_id, number)
                 run = messages.Run(
                     key, SERVICE, INCARNATION, KIND, deadline_ms, part, parts, body
                 )
@@ -137,6 +137,14 @@
                 broken = messages.FlowBroken(flow_id, error)
                 self.give('caller', MessageReceived(HOST, broken))
 
+    def attempt_id(self, flow_id: FlowId, number: Any) -> AttemptId:
+        """Return the attempt of a request; repeated parts belong to the same one."""
+        place = (flow_id, number)
+        if place not in self.ids:
+            self.ids[place] = AttemptId(next(self.attempts))
+            self.places[self.ids[place]] = place
+        return self.ids[place]
+
     def counts(self) -> _records.Counts:
         return _records.count(
             _records.read_caller_log(self.line.logs.get('caller', [])),
@@ -305,6 +313,57 @@
     ]
 
 
+def test_attempt_is_started_at_most_once() -> None:
+    """Guards against a second run when the host sends a part again."""
+    bench = Bench(slots=2, answer_size=10, service_time=0.1)
+    assert bench.replies(_run(1, deadline_ms=3000)) == []
+    assert bench.replies(_run(1, deadline_ms=3000)) == []
+    assert bench.upstream_context.running == 1
+    bench.give('upstream', MessageReceived(HOST, _run(3, deadline_ms=3000)))
+    bench.places[AttemptId(3)] = (FlowId(b''), 3)
+    bench.line.run(0.2)
+    again = bench.replies(_run(3, deadline_ms=3000))
+    assert [type(one) for one in again] == [messages.RunAnswer]
+    assert bench.replies(_run(3, deadline_ms=3000)) == again
+    # Forgotten one second after the deadline, when it cannot start any more.
+    bench.line.run(3.9)
+    assert bench.replies(_run(3, deadline_ms=3000)) == [
+        messages.RunRefused(AttemptId(3), ErrorKind.DEADLINE_PASSED),
+    ]
+
+
+def test_refused_attempt_is_never_started() -> None:
+    """Guards against a repeated part that starts what was reported as not run."""
+    bench = Bench(slots=1, service_time=0.1)
+    bench.give('upstream', MessageReceived(HOST, _run(1)))
+    bench.places[AttemptId(1)] = (FlowId(b''), 1)
+    refused = messages.RunRefused(AttemptId(2), ErrorKind.QUEUE_FULL)
+    assert bench.replies(_run(2)) == [refused]
+    bench.line.run(0.5)
+    assert bench.upstream_context.running == 0
+    assert bench.replies(_run(2)) == [refused]
+    assert bench.upstream_context.running == 0
+
+
+def test_cancelled_attempt_is_never_started() -> None:
+    """Guards against a repeated part that starts what was cancelled."""
+    bench = Bench()
+    cancelled = messages.RunCancelled(AttemptId(1), started=False)
+    assert bench.replies(_run(1, parts=2)) == []
+    assert bench.replies(messages.CancelRun(AttemptId(1))) == [cancelled]
+    assert bench.replies(_run(1, parts=2, part=1)) == [
+        messages.RunRefused(AttemptId(1), ErrorKind.CANCELLED),
+    ]
+    assert bench.replies(messages.CancelRun(AttemptId(1))) == [cancelled]
+
+
+def test_unknown_attempt_is_not_reported_as_not_started() -> None:
+    """Guards against a new process that vouches for the one before it."""
+    assert Bench().replies(messages.CancelRun(AttemptId(1))) == [
+        messages.RunCancelled(AttemptId(1), started=True),
+    ]
+
+
 def test_controls_change_what_a_probe_sees() -> None:
     """Guards against faults of upstreams that scenarios switch on in vain."""
     bench = Bench()
