Send unanswered attempts again; give waiting requests an early verdict

Cause: a lost Run or RunAnswer occupied a slot in the owner's view until the deadline. Requests that waited in the queue got their verdict at the deadline or a tick later, too late to reach the caller in time.

Change: the owner sends the parts of an unanswered attempt again with the same attempt id, first after three mean service times (at least 100 ms), then with doubled delays and jitter, never past the deadline. Once a part of the answer is there, one part of the request asks for the rest. A refusal of an attempt that was sent more than once counts as "not run" only with an error that an upstream gives for its own incarnation, and only before the deadline, after which the upstream may have forgotten the attempt; otherwise the outcome is UPSTREAM_LOST. Answers to repeated attempts raise the mean service time by a bounded step. A waiting request is refused 150 ms (at most a quarter of its time) before its deadline.

The test of the retry budget counted Run messages; it now counts attempts, and bounds the copies.

--- a/src/lycheedeal/admission/__init__.py
+++ b/src/lycheedeal/admission/__init__.py
@@ -11,6 +11,7 @@
 from lycheedeal.admission._retries import (
     RetryBudget,
     backoff_ms,
+    resend_delay_ms,
     spread_retry_after,
 )
 from lycheedeal.kernel import (
@@ -33,6 +34,7 @@
     'ServiceQueue',
     'Shed',
     'backoff_ms',
+    'resend_delay_ms',
     'spread_retry_after',
 )
 
--- a/src/lycheedeal/admission/_queue.py
+++ b/src/lycheedeal/admission/_queue.py
@@ -13,6 +13,7 @@
 
 # Nothing is handed over closer to its deadline than a datagram may take.
 SEND_MARGIN_MS: Final = 5
+_RESENT_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +105,25 @@
         line = self._lines_by_kind[assignment.request.kind_id]
         line.account.settle(assignment.expected_ms, now_ms - assignment.sent_ms)
 
-    def observe_answer(self, assignment: Assignment, now_ms: int) -> None:
-        """Learn from an answer; call besides ``release``."""
+    def observe_answer(
+        self,
+        assignment: Assignment,
+        now_ms: int,
+        *,
+        sent_once: bool = True,
+    ) -> None:
+        """Learn from an answer; call besides ``release``.
+
+        An attempt that was sent again may have waited for a lost datagram.
+        It raises the mean by a bounded step: ignored altogether, it could
+        not correct a mean that is too short for the first copy to be answered.
+        """
         self.pool.answered(assignment.slots)
         line = self._lines_by_kind[assignment.request.kind_id]
-        line.observe_service(now_ms - assignment.sent_ms)
+        elapsed: float = now_ms - assignment.sent_ms
+        if not sent_once:
+            elapsed = min(elapsed, _RESENT_FACTOR * line.service_ms)
+        line.observe_service(elapsed)
 
     def observe_refusal(self, assignment: Assignment, now_ms: int) -> None:
         """Learn from a refusal before the start; call besides ``release``."""
--- a/src/lycheedeal/admission/_retries.py
+++ b/src/lycheedeal/admission/_retries.py
@@ -11,6 +11,10 @@
 _LARGEST_BALANCE: Final = 50
 _FIRST_DELAY_MS: Final = 25
 _LONGEST_DELAY_MS: Final = 2000
+# An answer that takes this many mean service times was probably lost.
+_RESEND_FACTOR: Final = 3
+# Timers run on ticks of 100 ms, so a shorter delay would have no effect.
+_SHORTEST_RESEND_MS: Final = 100
 
 
 class RetryBudget:
@@ -38,6 +42,16 @@
     return round(mean * rng.uniform(0.5, 1.5))
 
 
+def resend_delay_ms(rng: random.Random, service_ms: float, copies: int) -> int:
+    """Return the delay before an attempt is sent again, with jitter.
+
+    ``copies`` is the number of times that it was sent; each one doubles the
+    delay. The jitter only adds, so that no copy is sent too early.
+    """
+    first = max(_RESEND_FACTOR * service_ms, _SHORTEST_RESEND_MS)
+    return round(first * (1 << min(copies - 1, 8)) * rng.uniform(1, 1.25))
+
+
 def spread_retry_after(rng: random.Random, error: ErrorKind) -> int:
     """Return the caller's delay for an error, spread by 50% either way.
 
--- a/src/lycheedeal/requests/_attempts.py
+++ b/src/lycheedeal/requests/_attempts.py
@@ -15,7 +15,9 @@
     """A request handed to an upstream.
 
     ``open`` is true until the upstream or its loss ended the attempt; the
-    slot may be freed earlier or later than that.
+    slot may be freed earlier or later than that. ``copies`` counts how often
+    the parts were sent, ``sent_ms`` is the time of the last one.
+    ``cancelling`` is set once the upstream was asked to cancel.
     """
 
     attempt_id: AttemptId
@@ -23,6 +25,9 @@
     assignment: Assignment
     upstream: Endpoint
     incarnation: Incarnation
+    sent_ms: int
+    copies: int = 1
+    cancelling: bool = False
     open: bool = True
     holds_slot: bool = True
     buffer: PartBuffer | None = None
@@ -52,6 +57,7 @@
             assignment,
             slots.upstream.endpoint,
             slots.incarnation,
+            assignment.sent_ms,
         )
         self._attempts_by_id[attempt_id] = attempt
         record.attempts.append(attempt)
--- a/src/lycheedeal/requests/_dispatcher.py
+++ b/src/lycheedeal/requests/_dispatcher.py
@@ -1,6 +1,7 @@
 """Hands queued requests to upstreams and frees slots."""
 
 from collections.abc import Iterator
+from itertools import islice
 from typing import Final
 
 from lycheedeal.admission import (
@@ -10,6 +11,7 @@
     RetryBudget,
     ServiceQueue,
     Shed,
+    resend_delay_ms,
 )
 from lycheedeal.errors import ErrorKind
 from lycheedeal.kernel import Effect, Publish, QueueMeasured, SendToUpstream
@@ -19,8 +21,8 @@
 from lycheedeal.requests._ledger import Ledger
 from lycheedeal.requests._parts import split
 from lycheedeal.requests._records import Record
-from lycheedeal.requests._states import RequestState
-from lycheedeal.requests._timers import OverdueDue, SlotDue, Timers
+from lycheedeal.requests._states import ACTIVE, RequestState
+from lycheedeal.requests._timers import OverdueDue, ResendDue, SlotDue, Timers
 
 # The upstream was asked to cancel at the deadline; if its reply is lost, the
 # slot is freed after this time, and a refusal tells if it is still in use.
@@ -91,7 +93,26 @@
         """Ask the upstreams to cancel the open attempts of a record."""
         for attempt in record.attempts:
             if attempt.open:
-                yield SendToUpstream(attempt.upstream, CancelRun(attempt.attempt_id))
+                yield from self.cancel_run(attempt)
+
+    def cancel_run(self, attempt: Attempt) -> Iterator[Effect]:
+        """Ask the upstream to cancel an attempt; it is not sent again."""
+        attempt.cancelling = True
+        yield SendToUpstream(attempt.upstream, CancelRun(attempt.attempt_id))
+
+    def resend(self, attempt: Attempt) -> Iterator[Effect]:
+        """Send an unanswered attempt again; the upstream starts it only once."""
+        now_ms = self._ledger.now_ms()
+        if not attempt.open or attempt.cancelling or _is_too_late(attempt, now_ms):
+            return
+        if attempt.record.state not in ACTIVE:
+            return
+        attempt.copies += 1
+        attempt.sent_ms = now_ms
+        self._resend_later(attempt)
+        # Once a part of the answer is there, one part asks for all of it again.
+        parts = None if attempt.buffer is None else 1
+        yield from islice(_run_parts(attempt), parts)
 
     def free_slot(self, attempt: Attempt) -> Iterator[Effect]:
         """Free the slot of an attempt and dispatch what waits for it."""
@@ -154,6 +175,19 @@
             usual = _OVERDUE_FACTOR * queue.service_ms(record.kind.kind_id)
             delay = round(max(usual, _SHORTEST_OVERDUE_MS))
             self._timers.set(attempt.assignment.sent_ms + delay, OverdueDue(attempt))
+        self._resend_later(attempt)
+
+    def _resend_later(self, attempt: Attempt) -> None:
+        queue = self.queue(attempt.record.service)
+        usual = queue.service_ms(attempt.record.kind.kind_id)
+        delay = resend_delay_ms(self._ledger.context.rng, usual, attempt.copies)
+        due_ms = attempt.sent_ms + delay
+        if not _is_too_late(attempt, due_ms):
+            self._timers.set(due_ms, ResendDue(attempt))
+
+
+def _is_too_late(attempt: Attempt, when_ms: int) -> bool:
+    return when_ms > attempt.record.deadline_ms - SEND_MARGIN_MS
 
 
 def _run_parts(attempt: Attempt) -> Iterator[Effect]:
--- a/src/lycheedeal/requests/_owner.py
+++ b/src/lycheedeal/requests/_owner.py
@@ -24,6 +24,8 @@
 from lycheedeal.requests._timers import (
     DeadlineDue,
     OverdueDue,
+    QueueTimeDue,
+    ResendDue,
     RetryDue,
     SlotDue,
     Timer,
@@ -31,6 +33,7 @@
 )
 
 _LONGEST_DEADLINE_MS: Final = 60_000
+_WAITING: Final = frozenset((RequestState.ASSEMBLING, RequestState.QUEUED))
 
 
 class RequestOwner:
@@ -148,6 +151,7 @@
         if self.ledger.table.add(record):
             yield from self._add_part(record, message)
             if record.state in ACTIVE:
+                self._timers.set(record.wait_until_ms, QueueTimeDue(record))
                 self._timers.set(record.deadline_ms, DeadlineDue(key))
 
     def _service(self, fields: FlowFields) -> Service | None:
@@ -208,18 +212,28 @@
     def _run_timer(self, timer: Timer) -> Iterator[Effect]:
         match timer:
             case DeadlineDue(key):
-                record = self.ledger.table.find(key)
-                if record is not None and record.state in ACTIVE:
-                    yield from self._deadline_passed(record)
+                yield from self._deadline_passed(key)
+            case QueueTimeDue(record):
+                yield from self._queue_time_passed(record)
             case OverdueDue(attempt):
                 yield from self.replies.overdue(attempt)
+            case ResendDue(attempt):
+                yield from self.dispatcher.resend(attempt)
             case RetryDue(record):
                 if record.state is RequestState.QUEUED and record.queued is None:
                     yield from self.dispatcher.enqueue(record)
             case SlotDue(attempt):
                 yield from self.dispatcher.free_slot(attempt)
 
-    def _deadline_passed(self, record: Record) -> Iterator[Effect]:
+    def _queue_time_passed(self, record: Record) -> Iterator[Effect]:
+        if record.state in _WAITING and not has_open(record):
+            self.dispatcher.withdraw(record)
+            yield from self.dispatcher.not_run(record, ErrorKind.DEADLINE_PASSED)
+
+    def _deadline_passed(self, key: RequestKey) -> Iterator[Effect]:
+        record = self.ledger.table.find(key)
+        if record is None or record.state not in ACTIVE:
+            return
         self.dispatcher.withdraw(record)
         if has_open(record):
             yield from self.dispatcher.cancel_runs(record)
--- a/src/lycheedeal/requests/_records.py
+++ b/src/lycheedeal/requests/_records.py
@@ -21,6 +21,8 @@
 
 GRACE_MS: Final = 10_000
 _SECOND_MS: Final = 1000
+# A timer may run a tick of 100 ms late; the rest is for the way to the caller.
+_VERDICT_LEAD_MS: Final = 150
 # Measured without bodies: 0.6 KB for an answered request (1.5 KB until its
 # timers have run) and 0.27 KB for a remembered refusal.
 _MOST_RECORDS: Final = 40_000
@@ -54,6 +56,12 @@
     retries: int = 0
     reserved: int = 0
 
+    @property
+    def wait_until_ms(self) -> int:
+        """Latest time for a verdict that can reach the caller before its deadline."""
+        lead = (self.deadline_ms - self.arrived_ms) // 4
+        return self.deadline_ms - min(lead, _VERDICT_LEAD_MS)
+
 
 class RecordTable:
     """Bounded table of records and of compactly remembered refusals."""
--- a/src/lycheedeal/requests/_replies.py
+++ b/src/lycheedeal/requests/_replies.py
@@ -5,8 +5,8 @@
 
 from lycheedeal.admission import backoff_ms
 from lycheedeal.errors import ErrorKind
-from lycheedeal.kernel import Effect, SendToUpstream, UpstreamChanged
-from lycheedeal.messages import CancelRun, RunAnswer, RunCancelled, RunRefused
+from lycheedeal.kernel import Effect, UpstreamChanged
+from lycheedeal.messages import RunAnswer, RunCancelled, RunRefused
 from lycheedeal.model import Endpoint, UpstreamState
 from lycheedeal.requests._attempts import Attempt, has_open
 from lycheedeal.requests._dispatcher import Dispatcher
@@ -19,6 +19,14 @@
 # Bounds the load that a request makes which every upstream refuses.
 _MOST_SENDS: Final = 16
 _MOST_RETRIES: Final = 3
+_NOT_STARTED: Final = frozenset(
+    (
+        ErrorKind.CANCELLED,
+        ErrorKind.DEADLINE_PASSED,
+        ErrorKind.QUEUE_FULL,
+        ErrorKind.UPSTREAM_REFUSED,
+    ),
+)
 
 
 class ReplyHandler:
@@ -42,7 +50,8 @@
         body = buffer.join()
         now_ms = self._ledger.now_ms()
         queue = self._dispatcher.queue(record.service)
-        queue.observe_answer(attempt.assignment, now_ms)
+        sent_once = attempt.copies == 1
+        queue.observe_answer(attempt.assignment, now_ms, sent_once=sent_once)
         self._end(attempt)
         self._dispatcher.withdraw(record)
         yield from self._ledger.answer(record, upstream, body)
@@ -50,15 +59,22 @@
         yield from self._dispatcher.free_slot(attempt)
 
     def refused(self, upstream: Endpoint, message: RunRefused) -> Iterator[Effect]:
-        """Take back a request that the upstream refused before the start."""
+        """Take back a request that the upstream refused before the start.
+
+        If the refusal does not prove that no copy was started, the attempt
+        is given up instead.
+        """
         attempt = self._dispatcher.attempts.find(message.attempt_id, upstream)
         if attempt is None or attempt.buffer is not None:
             return
         if message.error is not ErrorKind.DEADLINE_PASSED:
             queue = self._dispatcher.queue(attempt.record.service)
             queue.observe_refusal(attempt.assignment, self._ledger.now_ms())
-        self._end(attempt)
-        yield from self._after_not_run(attempt, message.error)
+        if self._proves_not_run(attempt, message.error):
+            self._end(attempt)
+            yield from self._after_not_run(attempt, message.error)
+        else:
+            yield from self._give_up(attempt, ErrorKind.UPSTREAM_LOST)
         yield from self._dispatcher.free_slot(attempt)
 
     def cancelled(self, upstream: Endpoint, message: RunCancelled) -> Iterator[Effect]:
@@ -90,7 +106,7 @@
         if not attempt.open or record.state is not RequestState.SENT:
             return
         if self._may_retry(record):
-            yield SendToUpstream(attempt.upstream, CancelRun(attempt.attempt_id))
+            yield from self._dispatcher.cancel_run(attempt)
             self._retry_later(record)
 
     def _collect(self, attempt: Attempt, message: RunAnswer) -> bool:
@@ -110,6 +126,20 @@
         buffer.add(message.part, message.body)
         return True
 
+    def _proves_not_run(self, attempt: Attempt, error: ErrorKind) -> bool:
+        """Tell whether a refusal of any copy says that no copy was started.
+
+        An upstream process gives the errors below only for attempts that name
+        its own incarnation, and never for one that it started, until it
+        forgets it after the deadline. Any other error may come from a process
+        that took the place of the one that an earlier copy reached.
+        """
+        if attempt.copies == 1:
+            return True
+        if self._ledger.now_ms() >= attempt.record.deadline_ms:
+            return False
+        return error in _NOT_STARTED
+
     def _end(self, attempt: Attempt) -> None:
         attempt.open = False
         self._dispatcher.attempts.remove(attempt)
@@ -120,13 +150,18 @@
             return
         if record.cancelled:
             yield from self._dispatcher.not_run(record, ErrorKind.CANCELLED)
-        elif error is ErrorKind.DEADLINE_PASSED or record.sends >= _MOST_SENDS:
+        elif error is ErrorKind.DEADLINE_PASSED or self._is_last_try(record):
             yield from self._dispatcher.not_run(record, ErrorKind.UPSTREAM_REFUSED)
         else:
             self._ledger.table.move(record, RequestState.QUEUED)
             record.queued = attempt.assignment.request
             self._dispatcher.queue(record.service).put_back(attempt.assignment)
 
+    def _is_last_try(self, record: Record) -> bool:
+        """Tell whether a refused request has no time or tries left to wait."""
+        late = self._ledger.now_ms() >= record.wait_until_ms
+        return late or record.sends >= _MOST_SENDS
+
     def _give_up(self, attempt: Attempt, error: ErrorKind) -> Iterator[Effect]:
         """Close an attempt that may have run; a late answer still counts."""
         record = attempt.record
--- a/src/lycheedeal/requests/_timers.py
+++ b/src/lycheedeal/requests/_timers.py
@@ -17,6 +17,13 @@
     key: RequestKey
 
 
+@dataclass(frozen=True, slots=True)
+class QueueTimeDue:
+    """A request that still waits is given its verdict ahead of the deadline."""
+
+    record: Record
+
+
 @dataclass(frozen=True, slots=True)
 class OverdueDue:
     """An attempt of an idempotent request takes unusually long."""
@@ -24,6 +31,13 @@
     attempt: Attempt
 
 
+@dataclass(frozen=True, slots=True)
+class ResendDue:
+    """The parts of an attempt are sent again if it is still unanswered."""
+
+    attempt: Attempt
+
+
 @dataclass(frozen=True, slots=True)
 class RetryDue:
     """The delay before a retry is over."""
@@ -38,7 +52,7 @@
     attempt: Attempt
 
 
-Timer = DeadlineDue | OverdueDue | RetryDue | SlotDue
+Timer = DeadlineDue | OverdueDue | QueueTimeDue | ResendDue | RetryDue | SlotDue
 
 
 class Timers:
--- a/tests/unit/test_requests_machine.py
+++ b/tests/unit/test_requests_machine.py
@@ -96,12 +96,47 @@
 
 @dataclass
 class UpstreamModel:
-    """Runs an attempt at most once; remembers refused and cancelled ones."""
+    """Starts an attempt at most once in a process.
+
+    ``refused`` holds what was refused or cancelled before the start,
+    ``answers`` what is sent again; a cancelled run has no answer. All is
+    forgotten by a restart, and by one second after the deadline.
+    """
 
     incarnation: model.Incarnation = model.Incarnation(1)
     parts: dict[model.AttemptId, dict[int, bytes]] = field(default_factory=dict)
     running: dict[model.AttemptId, bytes] = field(default_factory=dict)
-    closed: set[model.AttemptId] = field(default_factory=set)
+    refused: dict[model.AttemptId, ErrorKind] = field(default_factory=dict)
+    answers: dict[model.AttemptId, list[bytes]] = field(default_factory=dict)
+    deadlines: dict[model.AttemptId, int] = field(default_factory=dict)
+
+    def restart(self) -> None:
+        """Become a new process."""
+        self.incarnation = model.Incarnation(self.incarnation + 1)
+        for table in (
+            self.parts,
+            self.running,
+            self.refused,
+            self.answers,
+            self.deadlines,
+        ):
+            table.clear()
+
+    def forget(self, now_ms: float) -> None:
+        """Drop what is more than a second past its deadline and not running."""
+        for attempt_id, deadline_ms in tuple(self.deadlines.items()):
+            if now_ms > deadline_ms + 1000 and attempt_id not in self.running:
+                self.deadlines.pop(attempt_id)
+                for table in (self.parts, self.refused, self.answers):
+                    table.pop(attempt_id, None)
+
+
+@dataclass(eq=False)
+class Datagram:
+    """A message on its way; ``delivered`` if another copy of it arrived."""
+
+    effect: kernel.SendToUpstream
+    delivered: bool = False
 
 
 class OwnerMachine(RuleBasedStateMachine):
@@ -117,7 +152,7 @@
         self.plugin = self.kernel.plugins_by_name['requests']
         self.models = {one.endpoint: UpstreamModel() for one in UPSTREAMS}
         self.sent: list[messages.Request] = []
-        self.to_upstreams: list[kernel.SendToUpstream] = []
+        self.to_upstreams: list[Datagram] = []
         self.to_owner: list[kernel.UpstreamMessage] = []
         self.ran: Counter[RequestKey] = Counter()
         self.told: dict[RequestKey, Told] = {}
@@ -147,9 +182,9 @@
             match effect:
                 case kernel.SendToUpstream(_, messages.Run(deadline_ms=deadline_ms)):
                     assert deadline_ms > self.clock.now * 1000
-                    self.to_upstreams.append(effect)
+                    self.to_upstreams.append(Datagram(effect))
                 case kernel.SendToUpstream():
-                    self.to_upstreams.append(effect)
+                    self.to_upstreams.append(Datagram(effect))
                 case kernel.SendToCaller(_, messages.Outcome() as outcome):
                     self.tell_outcome(outcome)
                 case kernel.SendToCaller(_, messages.Answer() as answer):
@@ -219,10 +254,10 @@
     @rule(choice=st.integers(0, 1000), keep=st.booleans())
     def deliver_to_upstream(self, choice: int, keep: bool) -> None:
         index = choice % len(self.to_upstreams)
-        effect = self.to_upstreams[index]
+        datagram = self.to_upstreams[index]
         if not keep:
             self.to_upstreams.pop(index)
-        self.receive(effect.upstream, effect.message)
+        self.receive(datagram)
 
     @precondition(lambda self: self.to_upstreams)
     @rule(choice=st.integers(0, 1000), keep=st.booleans(), busy=st.integers(0, 3))
@@ -232,8 +267,8 @@
         if not keep:
             self.to_upstreams.clear()
         random.Random(choice).shuffle(pending)
-        for effect in pending:
-            self.receive(effect.upstream, effect.message, busy == 1)
+        for datagram in pending:
+            self.receive(datagram, busy == 1)
 
     @precondition(lambda self: self.to_owner)
     @rule(choice=st.integers(0, 1000), keep=st.booleans())
@@ -246,42 +281,81 @@
         for event in pending:
             self.dispatch(event)
 
-    def receive(
-        self, upstream: model.Endpoint, message: object, busy: bool = False
-    ) -> None:
+    def receive(self, datagram: Datagram, busy: bool = False) -> None:
+        datagram.delivered = True
+        upstream = datagram.effect.upstream
         runner = self.models[upstream]
-        match message:
-            case messages.Run() if message.attempt_id not in runner.closed:
-                self.receive_run(upstream, message, busy)
+        runner.forget(self.clock.now * 1000)
+        match datagram.effect.message:
+            case messages.Run() as run:
+                self.receive_run(upstream, run, busy)
             case messages.CancelRun(attempt_id):
-                if attempt_id in runner.running or attempt_id not in runner.closed:
-                    started = runner.running.pop(attempt_id, None) is not None
-                    runner.closed.add(attempt_id)
-                    self.reply(upstream, messages.RunCancelled(attempt_id, started))
+                self.receive_cancel(upstream, attempt_id)
+
+    def receive_cancel(
+        self, upstream: model.Endpoint, attempt_id: model.AttemptId
+    ) -> None:
+        runner = self.models[upstream]
+        not_started = attempt_id in runner.parts or attempt_id in runner.refused
+        if not_started:
+            runner.parts.pop(attempt_id, None)
+            runner.refused[attempt_id] = ErrorKind.CANCELLED
+        if runner.running.pop(attempt_id, None) is not None:
+            runner.answers[attempt_id] = []
+        cancelled = messages.RunCancelled(attempt_id, started=not not_started)
+        self.reply(upstream, cancelled)
 
     def receive_run(
         self, upstream: model.Endpoint, run: messages.Run, busy: bool
     ) -> None:
         runner = self.models[upstream]
+        attempt_id = run.attempt_id
         assert run.service == SERVICE.name
+        if run.incarnation != runner.incarnation:
+            error = ErrorKind.UPSTREAM_REPLACED
+            self.reply(upstream, messages.RunRefused(attempt_id, error))
+        elif attempt_id in runner.refused:
+            error = runner.refused[attempt_id]
+            self.reply(upstream, messages.RunRefused(attempt_id, error))
+        elif attempt_id in runner.answers:
+            if run.part == 0:
+                self.send_answer(upstream, attempt_id)
+        elif attempt_id not in runner.running:
+            self.receive_part(upstream, run, busy)
+
+    def receive_part(
+        self, upstream: model.Endpoint, run: messages.Run, busy: bool
+    ) -> None:
+        runner = self.models[upstream]
+        attempt_id = run.attempt_id
+        runner.deadlines[attempt_id] = run.deadline_ms
         late = run.deadline_ms <= self.clock.now * 1000
-        if busy or late or run.incarnation != runner.incarnation or runner.running:
+        if busy or late or runner.running:
             error = ErrorKind.DEADLINE_PASSED if late else ErrorKind.UPSTREAM_REFUSED
-            runner.closed.add(run.attempt_id)
-            self.reply(upstream, messages.RunRefused(run.attempt_id, error))
+            runner.parts.pop(attempt_id, None)
+            runner.refused[attempt_id] = error
+            self.reply(upstream, messages.RunRefused(attempt_id, error))
             return
-        parts = runner.parts.setdefault(run.attempt_id, {})
+        parts = runner.parts.setdefault(attempt_id, {})
         parts[run.part] = run.body
         if len(parts) == run.parts:
-            runner.closed.add(run.attempt_id)
+            runner.parts.pop(attempt_id)
             body = b''.join(parts[part] for part in range(run.parts))
-            runner.running[run.attempt_id] = body
+            runner.running[attempt_id] = body
             name = body.split(b'|')[0].decode().split(':')
             key = (FLOWS[int(name[0])], model.RequestNumber(int(name[1])))
             self.ran[key] += 1
             expected = b''.join(one.body for one in self.sent if key == _key(one))
             assert body == expected
 
+    def send_answer(
+        self, upstream: model.Endpoint, attempt_id: model.AttemptId
+    ) -> None:
+        chunks = self.models[upstream].answers[attempt_id]
+        for part, chunk in enumerate(chunks):
+            answer = messages.RunAnswer(attempt_id, part, len(chunks), chunk)
+            self.reply(upstream, answer)
+
     def reply(self, upstream: model.Endpoint, message: Reply) -> None:
         self.to_owner.append(kernel.UpstreamMessage(upstream, 0, message))
 
@@ -292,9 +366,8 @@
         runner = self.models[upstream]
         for attempt_id, body in runner.running.items():
             chunks = [b'answer to ' + body, *([b'tail'] * (parts - 1))]
-            for part, chunk in enumerate(chunks):
-                answer = messages.RunAnswer(attempt_id, part, parts, chunk)
-                self.reply(upstream, answer)
+            runner.answers[attempt_id] = chunks
+            self.send_answer(upstream, attempt_id)
         runner.running.clear()
 
     @precondition(lambda self: self.to_owner)
@@ -318,16 +391,38 @@
         if self.to_owner:
             self.to_owner.pop(choice % len(self.to_owner))
 
-    @rule(index=st.integers(0, 1), gone=st.booleans())
-    def lose_upstream(self, index: int, gone: bool) -> None:
-        runner = self.models[UPSTREAMS[index].endpoint]
+    @rule(index=st.integers(0, 1), gone=st.booleans(), noticed=st.booleans())
+    def lose_upstream(self, index: int, gone: bool, noticed: bool) -> None:
+        """Report an upstream as gone, or replace its process, noticed or not."""
         if gone:
             self.report(index, model.UpstreamState.GONE)
         else:
-            runner.running.clear()
-            runner.parts.clear()
-            runner.incarnation = model.Incarnation(runner.incarnation + 1)
-        self.report(index, model.UpstreamState.READY)
+            self.replace(UPSTREAMS[index].endpoint)
+        if gone or noticed:
+            self.report(index, model.UpstreamState.READY)
+
+    @precondition(lambda self: any(one.running for one in self.models.values()))
+    @rule(choice=st.integers(0, 1000))
+    def replace_while_running(self, choice: int) -> None:
+        """Makes copies that reach another process than the first one common."""
+        self.wait(0.3, tick=True)
+        for upstream, runner in self.models.items():
+            if runner.running:
+                self.replace(upstream)
+        self.deliver_all_to_upstreams(choice, keep=False, busy=0)
+        self.deliver_all_to_owner(choice, keep=False)
+
+    def replace(self, upstream: model.Endpoint) -> None:
+        """Start a new process; the network's own copies do not outlive the old one.
+
+        A copy that the owner sent again does.
+        """
+        self.models[upstream].restart()
+        self.to_upstreams = [
+            one
+            for one in self.to_upstreams
+            if not one.delivered or one.effect.upstream != upstream
+        ]
 
     @rule(seconds=st.sampled_from((0.1, 0.6, 0.01)), tick=st.booleans())
     def wait(self, seconds: float, tick: bool) -> None:
--- a/tests/unit/test_requests_plugin.py
+++ b/tests/unit/test_requests_plugin.py
@@ -1,6 +1,7 @@
 """Routing, limits and stop of the requests plug-in."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -240,7 +241,10 @@
         for _ in range(35):
             host.clock.now += 0.1
             sent += host.dispatch(kernel.Tick(host.clock.now))
-        attempts += len(runs(sent))
+        copies = Counter(run.attempt_id for run in runs(sent))
+        attempts += len(copies)
+        # Copies of one attempt are no retries: the upstream starts only one.
+        assert max(copies.values()) <= 4
     assert 300 < attempts <= 300 + 30 + 3
 
 
@@ -278,3 +282,112 @@
     assert [
         one.message.body for one in told if isinstance(one, kernel.SendToCaller)
     ] == [b'done']
+
+
+def tick(host: Host, seconds: float) -> list[kernel.Effect]:
+    """Let time pass and return the effects of every tick."""
+    effects = []
+    for _ in range(round(seconds * 10)):
+        host.clock.now += 0.1
+        effects += host.dispatch(kernel.Tick(host.clock.now))
+    return effects
+
+
+def test_unanswered_attempt_is_sent_again_until_the_deadline() -> None:
+    """Guards against a lost datagram that occupies a slot until the deadline."""
+    host = Host()
+    first = host.request()
+    times = []
+    for _ in range(30):
+        again = tick(host, 0.1)
+        assert {run.attempt_id for run in runs(again)} <= {runs(first)[0].attempt_id}
+        times += [host.clock.now - 1_000_000] * len(runs(again))
+    # Mean service time 50 ms: after 150 ms, then twice as long each time.
+    assert 0.1 < times[0] < 0.3
+    assert 2 <= len(times) <= 3
+    assert times[1] - times[0] < times[2] - times[1] if times[2:] else True
+    assert times[-1] < 1
+
+
+def test_answered_attempt_is_not_sent_again() -> None:
+    """Guards against copies of work that is done or cancelled."""
+    host = Host()
+    first = host.request()
+    answer = messages.RunAnswer(runs(first)[0].attempt_id, 0, 1, b'done')
+    host.dispatch(kernel.UpstreamMessage(upstream_of(first), 0, answer))
+    cancelled = host.request(number=2)
+    host.dispatch(
+        kernel.CallerMessage(
+            CALLER,
+            SERVICE.address,
+            messages.CancelRequest(FLOWS[0], model.RequestNumber(2)),
+        )
+    )
+    assert len(runs(cancelled)) == 1
+    assert not runs(tick(host, 2))
+
+
+def test_missing_part_of_an_answer_is_asked_for_with_one_part() -> None:
+    """Guards against a whole request sent again for a part of its answer."""
+    host = Host()
+    first = host.request(body=bytes(40_000))
+    assert len(runs(first)) == 2
+    part = messages.RunAnswer(runs(first)[0].attempt_id, 0, 2, b'done')
+    host.dispatch(kernel.UpstreamMessage(upstream_of(first), 0, part))
+    assert [run.part for run in runs(tick(host, 0.2))] == [0]
+
+
+@pytest.mark.parametrize(
+    ('error', 'told'),
+    [
+        (ErrorKind.UPSTREAM_REPLACED, [ErrorKind.UPSTREAM_LOST]),
+        (ErrorKind.NOT_READY, [ErrorKind.UPSTREAM_LOST]),
+        (ErrorKind.QUEUE_FULL, []),
+        (ErrorKind.DEADLINE_PASSED, [ErrorKind.UPSTREAM_REFUSED]),
+    ],
+)
+def test_refusal_of_a_copy_counts_only_if_it_is_a_proof(
+    error: ErrorKind, told: list[ErrorKind]
+) -> None:
+    """Guards against "not run" when an earlier copy ran at another process."""
+    host = Host()
+    first = host.request()
+    assert runs(tick(host, 0.2))
+    refusal = messages.RunRefused(runs(first)[0].attempt_id, error)
+    event = kernel.UpstreamMessage(upstream_of(first), 0, refusal)
+    assert outcomes(host.dispatch(event)) == told
+
+
+def test_only_copy_refused_by_another_process_is_sent_elsewhere() -> None:
+    """Guards against an unknown outcome of a request that did not run."""
+    host = Host()
+    first = host.request()
+    attempt_id = runs(first)[0].attempt_id
+    refusal = messages.RunRefused(attempt_id, ErrorKind.UPSTREAM_REPLACED)
+    event = kernel.UpstreamMessage(upstream_of(first), 0, refusal)
+    second = host.dispatch(event)
+    assert len(runs(second)) == 1
+    assert runs(second)[0].attempt_id != attempt_id
+
+
+def test_refusal_after_the_deadline_is_no_proof() -> None:
+    """Guards against a refusal by an upstream that has forgotten the attempt."""
+    host = Host()
+    first = host.request()
+    tick(host, 0.8)
+    host.clock.now += 3
+    error = ErrorKind.DEADLINE_PASSED
+    refusal = messages.RunRefused(runs(first)[0].attempt_id, error)
+    event = kernel.UpstreamMessage(upstream_of(first), 0, refusal)
+    assert outcomes(host.dispatch(event)) == [ErrorKind.UPSTREAM_LOST]
+
+
+def test_waiting_request_gets_its_verdict_before_the_deadline() -> None:
+    """Guards against a verdict that arrives when the caller has given up."""
+    host = Host()
+    for number in range(3):
+        host.request(number=number)
+    early = tick(host, 0.9)
+    assert outcomes(early) == [ErrorKind.DEADLINE_PASSED]
+    late = tick(host, 0.2)
+    assert outcomes(late) == [ErrorKind.NO_ANSWER, ErrorKind.NO_ANSWER]
