Refuse new requests of services that this host no longer observes

Cause: after ownership had moved, a request on an old flow waited on a host without upstreams for its service, until its deadline.

Change: the owner refuses the first part of such a request with OWNER_LEAVING (not run, remembered), so that the caller opens a new flow. Requests that were accepted before go on.

Measured: unit test of the plug-in; tests/unit/test_requests_plugin.py passes.

--- a/src/lycheedeal/requests/__init__.py
+++ b/src/lycheedeal/requests/__init__.py
@@ -3,6 +3,7 @@
 from lycheedeal.kernel import (
     CallerMessage,
     MembersChanged,
+    OwnerReady,
     PeerMessage,
     PluginSpec,
     Resumed,
@@ -29,6 +30,7 @@
                 UpstreamChanged,
                 ViewChanged,
                 MembersChanged,
+                OwnerReady,
                 StopStarted,
                 Tick,
                 Resumed,
--- a/src/lycheedeal/requests/_owner.py
+++ b/src/lycheedeal/requests/_owner.py
@@ -12,6 +12,7 @@
     Endpoint,
     FlowFields,
     Service,
+    ServiceNumber,
     WorkKind,
 )
 from lycheedeal.requests._attempts import has_open
@@ -37,11 +38,16 @@
 
 
 class RequestOwner:
-    """All requests that this process incarnation owns."""
+    """All requests that this process incarnation owns.
+
+    ``observed`` holds the services whose upstreams this host observes; None
+    until that is known.
+    """
 
     def __init__(self, context: Context) -> None:
         """Start without requests and without a configuration."""
         self.view: ConfigurationView | None = None
+        self.observed: frozenset[ServiceNumber] | None = None
         self.stopping = False
         self.ledger = Ledger(context)
         self._timers = Timers()
@@ -173,9 +179,21 @@
             return ErrorKind.OWNER_LEAVING
         if self.view is None:
             return ErrorKind.NOT_READY
+        return self._configuration_fault(service, kind)
+
+    def _configuration_fault(
+        self,
+        service: Service | None,
+        kind: WorkKind | None,
+    ) -> ErrorKind | None:
         if service is None:
             return ErrorKind.UNKNOWN_SERVICE
-        return None if kind else ErrorKind.UNKNOWN_KIND
+        if kind is None:
+            return ErrorKind.UNKNOWN_KIND
+        if self.observed is None or service.number in self.observed:
+            return None
+        # Ownership moved on; without upstreams the request would only wait.
+        return ErrorKind.OWNER_LEAVING
 
     def _add_part(self, record: Record, message: Request) -> Iterator[Effect]:
         buffer = record.buffer
--- a/src/lycheedeal/requests/_plugin.py
+++ b/src/lycheedeal/requests/_plugin.py
@@ -10,6 +10,7 @@
     Effect,
     Event,
     MembersChanged,
+    OwnerReady,
     PeerMessage,
     Publish,
     Refused,
@@ -87,6 +88,8 @@
                 yield from self._view_changed(view)
             case MembersChanged(members):
                 self._router.change_members(members)
+            case OwnerReady(services):
+                self._owner.observed = frozenset(services)
             case StopStarted():
                 self._owner.stopping = True
 
--- a/tests/unit/test_requests_plugin.py
+++ b/tests/unit/test_requests_plugin.py
@@ -391,3 +391,21 @@
     assert outcomes(early) == [ErrorKind.DEADLINE_PASSED]
     late = tick(host, 0.2)
     assert outcomes(late) == [ErrorKind.NO_ANSWER, ErrorKind.NO_ANSWER]
+
+
+def test_request_of_a_service_owned_elsewhere_by_now_is_refused() -> None:
+    """Guards against requests of old flows that wait without upstreams."""
+    host = Host()
+    host.dispatch(kernel.OwnerReady((SERVICE.number,)))
+    first = host.request(parts=2)
+    taken = host.request(number=2)
+    assert len(runs(taken)) == 1
+    host.dispatch(kernel.OwnerReady(()))
+    refused = host.request(number=3)
+    assert outcomes(refused) == [ErrorKind.OWNER_LEAVING]
+    # What was accepted goes on, and the refusal holds after a return.
+    assert len(runs(first + host.request(parts=2, part=1))) == 1
+    host.dispatch(kernel.OwnerReady((SERVICE.number,)))
+    again = host.request(number=3)
+    assert outcomes(again) == [ErrorKind.OWNER_LEAVING]
+    assert not runs(refused + again)
