--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/kernel/_kernel.py
@@ -41,6 +41,9 @@
     | internal.WorkRemaining
     | internal.ChangeRequested
     | internal.ChangeDecided
+    | internal.ShardRejected
+    | internal.StatusRequested
+    | internal.StatusKnown
 )
 
 
