Test that a fault trial can fail

Cause: a trial that passes whatever the hosts do would prove nothing. Change: trials with a mechanism switched off must report the broken guarantee; trials without faults must not.

--- /dev/null
+++ b/tests/scenarios/test_fault_trial.py
@@ -0,0 +1,78 @@
+"""The checks of a fault trial must see what they are there to see."""
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from typing import Any
+
+import pytest
+
+from tests.scenarios.fault_trial import HOSTS, SERVICE, FaultTrial
+from tests.scenarios.test_mechanisms import (
+    any_generation_applies,
+    drains_ignored,
+    no_identity_check,
+    steering_by_hash,
+)
+
+Switch = Callable[[], AbstractContextManager[Any]]
+DRAIN = f'statement "drain upstream {SERVICE}-1 of {SERVICE}"'
+# Makes other hosts than the openers forward the feeds.
+KILLS = tuple(f'kill host {host}' for host in HOSTS[:-1])
+
+CASES: tuple[tuple[Switch, tuple[str, ...], str], ...] = (
+    (no_identity_check, (f'reuse address of {SERVICE}-1 as reparo',), 'misrouted'),
+    (
+        any_generation_applies,
+        (f'recreate configuration of {SERVICE}',),
+        'reverted',
+    ),
+    (drains_ignored, (DRAIN,), f'new work on drained {SERVICE}-1'),
+    (steering_by_hash, ('wait 7s', *KILLS), 'flow of'),
+)
+
+
+@pytest.mark.parametrize(
+    ('switch', 'steps', 'expected'),
+    CASES,
+    ids=[switch.__name__ for switch, _, _ in CASES],
+)
+def test_trial_fails_without_mechanism(
+    switch: Switch,
+    steps: tuple[str, ...],
+    expected: str,
+) -> None:
+    """Guards against a trial that passes whatever the hosts do."""
+    with switch():
+        trial = FaultTrial(3)
+        for step in (*steps, 'wait 3s'):
+            trial.do(step)
+        found = trial.violations_at_end()
+    assert any(one.startswith(expected) for one in found)
+
+
+def test_trial_without_faults_passes() -> None:
+    """Guards against checks that fail in a healthy world."""
+    trial = FaultTrial(3)
+    trial.do('wait 5s')
+    assert not trial.violations()
+    assert not trial.violations_at_end()
+
+
+def test_crash_of_an_upstream_breaks_only_its_flows() -> None:
+    """Guards against an excuse that covers flows of other upstreams."""
+    trial = FaultTrial(3)
+    trial.do('wait 7s')
+    own = set(trial.world.upstreams_by_name[f'{SERVICE}-1'].flows)
+    trial.do(f'crash upstream {SERVICE}-1')
+    trial.do('wait 3s')
+    assert own
+    assert trial.excused == own
+    assert not trial.violations_at_end()
+
+
+def test_last_host_is_never_killed() -> None:
+    """Guards against a trial in which accepted configuration is lost by design."""
+    trial = FaultTrial(3)
+    for name in tuple(trial.world.hosts_by_name):
+        trial.do(f'kill host {name}')
+    assert len(trial.world.live_hosts()) == 1
