--- a/scenarios/_language.py
+++ b/scenarios/_language.py
@@ -19,7 +19,7 @@
     zones: tuple[str, ...]
     upstreams: int
     seconds: float
-    spill: bool
+    spill: str
 
 
 @dataclass(frozen=True)
@@ -152,7 +152,7 @@
                 tuple(map(str, names[1:])),
                 int(count),
                 _seconds(duration) if duration else 0.05,
-                spill is not None,
+                str(spill or ''),
             ),
         )
 
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -20,6 +20,11 @@
     '<': operator.lt,
     '>': operator.gt,
 }
+_SPILL_CLAUSES = {
+    '': '',
+    'spill': ' spill balanced',
+    'spill-when-down': ' spill when-down',
+}
 _SAMPLE_SECONDS = 0.25
 _SETTLE_SECONDS = 6.0
 
@@ -140,7 +145,7 @@
 
 
 def _create_service(run_state: Run, service: ServiceLine, index: int) -> None:
-    spill = ' spill balanced' if service.spill else ''
+    spill = _SPILL_CLAUSES[service.spill]
     address = f'192.0.2.{index + 1}:443'
     execute(run_state, f'create service {service.name} at {address}{spill}')
     for kind in run_state.scenario.kinds:
--- a/src/lycheedeal/cli/_hosts.py
+++ b/src/lycheedeal/cli/_hosts.py
@@ -7,7 +7,7 @@
 from lycheedeal.model import Endpoint
 from lycheedeal.settings import parse_endpoints
 
-ADMIN_VARIABLE: Final = 'LYCHEEDEAL_ADMIN'
+ADMIN_VARIABLE: Final = 'LYCHEEDEAL_HOSTS'
 _MAX_TIMEOUT: Final = 300
 
 
--- a/src/lycheedeal/health/_pool.py
+++ b/src/lycheedeal/health/_pool.py
@@ -53,14 +53,18 @@
         upstreams: Iterable[Upstream],
         now: float,
     ) -> Iterator[Effect]:
-        """Take the upstreams to observe; the others are gone."""
+        """Take the upstreams to observe; the others get no new work.
+
+        A removed upstream still finishes what it runs, so it is published
+        as draining and not as gone.
+        """
         self.service = service
         wanted = {upstream.upstream_id: upstream for upstream in upstreams}
         for upstream_id, old in tuple(self._records_by_id.items()):
             upstream = wanted.get(upstream_id)
             if upstream is None or upstream.endpoint != old.upstream.endpoint:
                 self._records_by_id.pop(upstream_id)
-                yield self._change(old, UpstreamState.GONE, 0)
+                yield self._change(old, UpstreamState.DRAINING, 0)
         for upstream_id, upstream in wanted.items():
             known = self._records_by_id.get(upstream_id)
             if known is None:
@@ -110,6 +114,7 @@
         for upstream_id, observed in self._records_by_id.items():
             verdict = observed.decide(now, may_be_out=upstream_id in out)
             if verdict != observed.verdict and verdict.state != UpstreamState.UNKNOWN:
+                yield from _log_change(observed, verdict.state)
                 observed.verdict = verdict
                 yield self._change(observed, verdict.state, verdict.weight)
 
@@ -187,3 +192,12 @@
     if record.silent_since is None:
         return record.ejection.since
     return record.silent_since
+
+
+def _log_change(record: UpstreamRecord, state: UpstreamState) -> Iterator[Effect]:
+    before = None if record.verdict is None else record.verdict.state
+    if state is not before:
+        is_out = state in {UpstreamState.GONE, UpstreamState.EJECTED}
+        level = LogLevel.WARNING if is_out else LogLevel.INFO
+        text = f'upstream {record.upstream.upstream_id} is {state.value}'
+        yield Log('health', level, text)
--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lycheedeal.errors import ErrorKind
 from lycheedeal.messages._caller import CancelRequest, Open, Request
 from lycheedeal.model import (
     Endpoint,
@@ -48,9 +49,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayedClose:
-    """Tells the owner that a flow id names that the flow has ended."""
+    """Tells the owner that a flow id names that the flow has ended.
+
+    ``error`` is set if the flow was broken.
+    """
 
     flow_id: FlowId
+    error: ErrorKind | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheedeal/steering/_forwarding.py
+++ b/src/lycheedeal/steering/_forwarding.py
@@ -80,7 +80,7 @@
         """Stop counting a flow that this host opened."""
         fields = yield from self._parse(message.flow_id)
         if fields is not None:
-            self._state.counter.closed(fields.service, message.flow_id)
+            yield from self._closed(message.flow_id, fields, message.error)
 
     def _ended(
         self,
@@ -90,10 +90,19 @@
     ) -> Iterator[Effect]:
         self._state.routes.remove(flow_id)
         if fields.owner == self._state.own:
-            self._state.counter.closed(fields.service, flow_id)
+            yield from self._closed(flow_id, fields, error)
         else:
-            yield SendToPeer(fields.owner, RelayedClose(flow_id))
-        yield Publish(FlowClosed(fields.service, flow_id, error))
+            yield SendToPeer(fields.owner, RelayedClose(flow_id, error))
+
+    def _closed(
+        self,
+        flow_id: FlowId,
+        fields: FlowFields,
+        error: ErrorKind | None,
+    ) -> Iterator[Effect]:
+        """Publish the end of a flow once, on the host that opened it."""
+        if self._state.counter.closed(fields.service, flow_id):
+            yield Publish(FlowClosed(fields.service, flow_id, error))
 
     def _parse(
         self,
--- a/src/lycheedeal/steering/_plugin.py
+++ b/src/lycheedeal/steering/_plugin.py
@@ -32,9 +32,10 @@
     FlowRejected,
     RelayedClose,
 )
-from lycheedeal.model import FlowIdCodec, ServiceNumber, SpillRule, UpstreamState
+from lycheedeal.model import FlowIdCodec, ServiceNumber, SpillRule
 from lycheedeal.steering._counts import FlowCounter
 from lycheedeal.steering._forwarding import Forwarder
+from lycheedeal.steering._losses import LossWatcher
 from lycheedeal.steering._opening import FlowOpener
 from lycheedeal.steering._routes import ROTATION_SECONDS, RouteTable
 from lycheedeal.steering._state import SteeringState
@@ -61,6 +62,7 @@
         self._zones = ZoneBalance(self._state)
         self._opener = FlowOpener(self._state, self._zones)
         self._forwarder = Forwarder(self._state)
+        self._losses = LossWatcher(self._state)
         self._owned: frozenset[ServiceNumber] = frozenset()
         self._owned_until: dict[ServiceNumber, float] = {}
         self._next_report = 0.0
@@ -90,15 +92,14 @@
     def _environment(self, event: Event) -> Iterator[Effect]:
         match event:
             case ViewChanged(view=view):
-                self._state.view = view
+                self._state.set_view(view)
                 yield from self._claim_services()
             case MembersChanged(members=members):
                 self._state.set_members(members)
                 yield from self._claim_services()
             case UpstreamChanged():
                 self._state.set_upstream(event)
-                if event.state is UpstreamState.GONE:
-                    self._state.counter.close_all(event.service, event.endpoint)
+                yield from self._losses.upstream_changed(event)
             case HostsListed(members=members):
                 self._zones.hosts_listed(members)
             case StopStarted():
@@ -135,6 +136,7 @@
             self._state.count_orphans()
             yield from self._report_counts()
             yield Publish(self._upstreams_in_use())
+            yield from self._losses.tick(now)
             yield from self._claim_services()
         if now >= self._next_zone_report:
             self._next_zone_report = now + _ZONE_REPORT_SECONDS
--- a/src/lycheedeal/steering/_state.py
+++ b/src/lycheedeal/steering/_state.py
@@ -45,6 +45,17 @@
         """Return the first hosts of the zone in the order of ownership."""
         return self._ranking.candidates(service)
 
+    def set_view(self, view: ConfigurationView) -> None:
+        """Take the configuration; forget upstreams that it does not name."""
+        self.view = view
+        for number, known in tuple(self._upstreams_by_service.items()):
+            service = view.services_by_number.get(number)
+            named = {one.endpoint for one in service.upstreams} if service else set()
+            kept = {place: one for place, one in known.items() if place in named}
+            self._upstreams_by_service[number] = kept
+            if not kept:
+                del self._upstreams_by_service[number]
+
     def set_members(self, members: tuple[Member, ...]) -> None:
         """Replace the hosts that may own services."""
         self.members = members
--- a/src/lycheedeal/steering/_zones.py
+++ b/src/lycheedeal/steering/_zones.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -134,7 +135,8 @@
     ) -> Zone | None:
         rates = {zone: report.rate for zone, report in fresh.items()}
         rates[self._own_zone] = own_rate
-        surplus = _surplus_by_zone(service, rates)
+        usable = {one.endpoint for one in self._state.open_upstreams(service.number)}
+        surplus = _surplus_by_zone(service, rates, usable)
         rng = self._state.context.rng
         own_share = rates[self._own_zone] / max(sum(rates.values()), 1e-9)
         if rng.random() * own_share >= surplus[self._own_zone]:
@@ -145,11 +147,15 @@
         return rng.choices(list(deficits), list(deficits.values()))[0]
 
 
-def _surplus_by_zone(service: Service, rates: dict[Zone, float]) -> dict[Zone, float]:
-    """Return share of arrivals less share of slots for each known zone."""
+def _surplus_by_zone(
+    service: Service,
+    rates: dict[Zone, float],
+    usable: AbstractSet[Endpoint],
+) -> dict[Zone, float]:
+    """Return share of arrivals less share of usable slots for each known zone."""
     slots: Counter[Zone] = Counter()
     for upstream in service.upstreams:
-        if not upstream.drained and upstream.zone in rates:
+        if upstream.endpoint in usable and upstream.zone in rates:
             slots[upstream.zone] += upstream.slots
     total_rate = max(sum(rates.values()), 1e-9)
     total_slots = max(slots.total(), 1)
