Do not start runs that would outlive their caller

Cause: a request was dispatched if the rest of its time covered the mean service time, or half of its own time when fresh. Many such runs passed their deadline; the owner cancelled them and took their slot for free, the upstream refused the next request because it was still running, and that refusal was taken for the work of another owner: the limit of the upstream fell to one of two slots for ten answers.

Change: the rest must cover the mean plus two mean deviations of the service time, or half of the usual time of the kind. A refusal that an own overrun explains pauses the upstream but leaves the limit.

--- a/src/lycheedeal/admission/_lines.py
+++ b/src/lycheedeal/admission/_lines.py
@@ -12,6 +12,8 @@
 _FIRST_ESTIMATE_MS: Final = 50
 _FIRST_BUDGET_MS: Final = 1000
 _SMOOTHING: Final = 0.1
+# Covers the whole range if service times are spread evenly.
+_DEVIATIONS: Final = 2
 # Removed requests may linger until they outnumber the waiting ones.
 _COMPACTION_SLACK: Final = 64
 
@@ -31,7 +33,8 @@
     """Waiting requests of one kind, oldest first, with measured averages.
 
     ``service_ms`` is the mean time that an upstream needs for this kind,
-    ``budget_ms`` the mean time from arrival to deadline.
+    ``deviation_ms`` its mean deviation, and ``budget_ms`` the mean time from
+    arrival to deadline.
     """
 
     def __init__(self, kind: WorkKind) -> None:
@@ -40,9 +43,15 @@
         self.account = FloorAccount(kind.floor)
         self.count = 0
         self.service_ms: float = _FIRST_ESTIMATE_MS
+        self.deviation_ms: float = 0
         self.budget_ms: float = _FIRST_BUDGET_MS
         self._requests: deque[QueuedRequest] = deque()
 
+    @property
+    def long_service_ms(self) -> float:
+        """Time within which an upstream ends nearly all requests of this kind."""
+        return self.service_ms + _DEVIATIONS * self.deviation_ms
+
     def reconfigure(self, kind: WorkKind) -> None:
         """Take over a changed priority or floor."""
         self.kind = kind
@@ -98,7 +107,9 @@
 
     def observe_service(self, elapsed_ms: float) -> None:
         """Record how long an upstream took for a request of this kind."""
-        self.service_ms += _SMOOTHING * (elapsed_ms - self.service_ms)
+        error = elapsed_ms - self.service_ms
+        self.service_ms += _SMOOTHING * error
+        self.deviation_ms += _SMOOTHING * (abs(error) - self.deviation_ms)
 
     def _added(self, request: QueuedRequest) -> None:
         request.waiting = True
--- a/src/lycheedeal/admission/_queue.py
+++ b/src/lycheedeal/admission/_queue.py
@@ -99,9 +99,20 @@
         line.account.charge(line.service_ms)
         return Assignment(request, slots, line.service_ms, now_ms)
 
-    def release(self, assignment: Assignment, now_ms: int) -> None:
-        """Free the slot of an assignment that ended in any way."""
+    def release(
+        self,
+        assignment: Assignment,
+        now_ms: int,
+        *,
+        ended: bool = True,
+    ) -> None:
+        """Free the slot of an assignment that ended in any way.
+
+        ``ended`` is false if the upstream may still run it.
+        """
         assignment.slots.in_flight -= 1
+        if not ended:
+            assignment.slots.overran()
         line = self._lines_by_kind[assignment.request.kind_id]
         line.account.settle(assignment.expected_ms, now_ms - assignment.sent_ms)
 
@@ -163,10 +174,11 @@
     def _too_late(self, line: KindLine, request: QueuedRequest, now_ms: int) -> bool:
         """Tell whether a request would only waste the slot.
 
-        A request that has used half of its time is dropped if the rest is
-        shorter than the mean service time. Fresh ones always get a chance,
-        so that a high estimate can correct itself.
+        A request is dropped if the rest of its time is shorter than nearly all
+        service times: a run that outlives its caller also holds its slot.
+        Requests with half of the usual time left always get a chance, so that
+        a high estimate can correct itself.
         """
-        budget = request.deadline_ms - request.arrived_ms
-        needed = max(SEND_MARGIN_MS, min(line.service_ms, budget / 2))
+        budget = max(request.deadline_ms - request.arrived_ms, line.budget_ms)
+        needed = max(SEND_MARGIN_MS, min(line.long_service_ms, budget / 2))
         return request.deadline_ms - now_ms < needed
--- a/src/lycheedeal/admission/_slots.py
+++ b/src/lycheedeal/admission/_slots.py
@@ -32,7 +32,8 @@
 
     ``limit`` is the number of slots that this owner takes for its own; it
     falls below the configured number when another owner uses some of them.
-    ``capacity`` is what follows for requests in flight.
+    ``capacity`` is what follows for requests in flight. ``overruns`` counts
+    own requests that were given up and may still occupy a slot.
     """
 
     upstream: Upstream
@@ -44,6 +45,7 @@
     in_flight: int = 0
     dispatched: int = 0
     refusals: int = 0
+    overruns: int = 0
     paused_until_ms: int = 0
     configured: bool = True
 
@@ -58,6 +60,10 @@
             and self.upstream.slots > 0
         )
 
+    def overran(self) -> None:
+        """Note that an own request was given up and may still be running."""
+        self.overruns = min(self.overruns + 1, self.upstream.slots)
+
     def ramped_limit(self) -> int:
         """Return the number of own requests that may be in flight."""
         return max(1, min(int(self.limit), ceil(self.upstream.slots * self.weight)))
@@ -112,6 +118,7 @@
         if not known.usable or known.incarnation != incarnation:
             known.dispatched = self._most_dispatched()
             known.limit = known.upstream.slots
+            known.overruns = 0
         known.state = state
         known.incarnation = incarnation
         known.weight = weight
@@ -149,8 +156,15 @@
             self._refresh()
 
     def refused(self, slots: UpstreamSlots, now_ms: int) -> None:
-        """Lower the own limit and pause; the pause is spread over owners."""
-        slots.limit = max(1, slots.limit * _LIMIT_FACTOR)
+        """Lower the own limit and pause; the pause is spread over owners.
+
+        A slot that an own overrun may occupy is no sign of another owner, so
+        that the limit stays.
+        """
+        if slots.overruns:
+            slots.overruns -= 1
+        else:
+            slots.limit = max(1, slots.limit * _LIMIT_FACTOR)
         pause = min(_PAUSE_MS << min(slots.refusals, 8), _LONGEST_PAUSE_MS)
         slots.refusals += 1
         slots.paused_until_ms = now_ms + round(pause * self._rng.uniform(0.5, 1.5))
--- a/src/lycheedeal/requests/_dispatcher.py
+++ b/src/lycheedeal/requests/_dispatcher.py
@@ -114,12 +114,15 @@
         parts = None if attempt.buffer is None else 1
         yield from islice(_run_parts(attempt), parts)
 
-    def free_slot(self, attempt: Attempt) -> Iterator[Effect]:
-        """Free the slot of an attempt and dispatch what waits for it."""
+    def free_slot(self, attempt: Attempt, *, ended: bool = True) -> Iterator[Effect]:
+        """Free the slot of an attempt and dispatch what waits for it.
+
+        ``ended`` is false if the upstream may still run it.
+        """
         if attempt.holds_slot:
             attempt.holds_slot = False
             queue = self.queue(attempt.record.service)
-            queue.release(attempt.assignment, self._ledger.now_ms())
+            queue.release(attempt.assignment, self._ledger.now_ms(), ended=ended)
             yield from self.pump(attempt.record.service.number)
 
     def not_run(self, record: Record, error: ErrorKind) -> Iterator[Effect]:
--- a/src/lycheedeal/requests/_owner.py
+++ b/src/lycheedeal/requests/_owner.py
@@ -241,7 +241,7 @@
                 if record.state is RequestState.QUEUED and record.queued is None:
                     yield from self.dispatcher.enqueue(record)
             case SlotDue(attempt):
-                yield from self.dispatcher.free_slot(attempt)
+                yield from self.dispatcher.free_slot(attempt, ended=False)
 
     def _queue_time_passed(self, record: Record) -> Iterator[Effect]:
         if record.state in _WAITING and not has_open(record):
--- a/src/lycheedeal/requests/_replies.py
+++ b/src/lycheedeal/requests/_replies.py
@@ -87,7 +87,8 @@
         else:
             self._end(attempt)
             yield from self._after_not_run(attempt, ErrorKind.UPSTREAM_REFUSED)
-        yield from self._dispatcher.free_slot(attempt)
+        ended = not message.started
+        yield from self._dispatcher.free_slot(attempt, ended=ended)
 
     def upstream_changed(self, event: UpstreamChanged) -> Iterator[Effect]:
         """Give up the attempts at an upstream that is gone or was replaced."""
--- a/tests/unit/test_admission_queue.py
+++ b/tests/unit/test_admission_queue.py
@@ -252,3 +252,47 @@
         change(queue, one, model.UpstreamState.GONE)
     shed = list(queue.push(request(1, URGENT, 1000), 1000))
     assert [one.error for one in shed] == [ErrorKind.NO_UPSTREAM]
+
+
+def test_request_that_would_outlive_its_caller_is_not_dispatched() -> None:
+    """Guards against runs that end after the deadline and hold a slot until then."""
+    queue = ready_queue()
+    for number in range(200):
+        list(queue.push(request(number, URGENT, 1000), 1000))
+        step = queue.take(1000)
+        assert isinstance(step, Assignment)
+        ended_ms = 1000 + (25 if number % 2 else 75)
+        queue.observe_answer(step, ended_ms)
+        queue.release(step, ended_ms)
+    deadline_ms = 1000 + DEADLINE_MS
+    # The mean is 50 ms, but half of the runs take 75 ms.
+    for left_ms, expected in ((70, Shed), (120, Assignment)):
+        list(queue.push(request(900, URGENT, 1000), deadline_ms - left_ms))
+        assert isinstance(queue.take(deadline_ms - left_ms), expected)
+    short = replace(request(901, URGENT, 1000), deadline_ms=1040)
+    list(queue.push(short, 1000))
+    assert isinstance(queue.take(1000), Shed)
+
+
+def test_refusal_after_an_own_overrun_keeps_the_limit() -> None:
+    """Guards against slots left idle because an own run outlived its deadline."""
+    queue = ready_queue(replace(SERVICE, upstreams=UPSTREAMS[:1]))
+    for number in range(4):
+        list(queue.push(request(number, URGENT, 1000), 1000))
+    overrun, running = queue.take(1000), queue.take(1000)
+    assert isinstance(overrun, Assignment)
+    assert isinstance(running, Assignment)
+    queue.release(overrun, 1001, ended=False)
+    refused = queue.take(1001)
+    assert isinstance(refused, Assignment)
+    queue.observe_refusal(refused, 1002)
+    queue.put_back(refused)
+    queue.release(refused, 1002)
+    assert queue.take(1002) is None
+    again = queue.take(1200)
+    assert isinstance(again, Assignment)
+    # The next refusal has no such explanation.
+    queue.observe_refusal(again, 1201)
+    queue.put_back(again)
+    queue.release(again, 1201)
+    assert queue.take(1900) is None
