Drop stored answers before refusing work

Change: the oldest stored answers make room; OWNER_LOST is counted. Result: the new test fails without the change and passes with it.

--- a/src/lycheedeal/requests/_ledger.py
+++ b/src/lycheedeal/requests/_ledger.py
@@ -1,5 +1,6 @@
 """Gives verdicts on requests and remembers them."""
 
+from collections import deque
 from collections.abc import Iterator
 from typing import Final
 
@@ -31,6 +32,7 @@
         self.table = RecordTable() if table is None else table
         self.budget = ByteBudget(_BYTE_LIMIT)
         self._latest_ms = 0
+        self._stored: deque[Record] = deque()
 
     def now_ms(self) -> int:
         """Return Unix milliseconds that never go backwards.
@@ -42,9 +44,15 @@
         return self._latest_ms
 
     def reserve(self, record: Record, size: int) -> bool:
-        """Reserve bytes for a record; False if the limit would be passed."""
-        if not self.budget.take(size):
-            return False
+        """Reserve bytes for a record; False if the limit would be passed.
+
+        Stored answers make room, oldest first: they only serve callers that
+        ask again, while a refusal would cost work that has not run yet.
+        """
+        while not self.budget.take(size):
+            if not self._stored:
+                return False
+            self._drop_answer(self._stored.popleft())
         record.reserved += size
         return True
 
@@ -111,6 +119,7 @@
         if self.reserve(record, len(body)):
             record.error = None
             record.answer = body
+            self._stored.append(record)
         yield from _answer_parts(record.caller, record.key, body)
         if first_verdict:
             yield self._finished(record, upstream, None)
@@ -127,7 +136,16 @@
         """Release what an expired record held."""
         if record.state not in {RequestState.ANSWERED, RequestState.REFUSED}:
             self.table.move(record, RequestState.UNKNOWN)
+        record.answer = None
         self._release_bytes(record)
+        while self._stored and self._stored[0].answer is None:
+            self._stored.popleft()
+
+    def _drop_answer(self, record: Record) -> None:
+        if record.answer is not None:
+            record.answer = None
+            record.error = ErrorKind.RECORD_EXPIRED
+            self._release_bytes(record)
 
     def _release_bytes(self, record: Record) -> None:
         self.budget.give_back(record.reserved)
--- a/src/lycheedeal/requests/_plugin.py
+++ b/src/lycheedeal/requests/_plugin.py
@@ -116,6 +116,8 @@
                 yield Publish(Refused(ErrorKind.UNKNOWN_FLOW, None, detail))
             case OwnerLost():
                 yield self._outcome(caller, message, ErrorKind.OWNER_LOST)
+                detail = 'owner of a request is gone'
+                yield Publish(Refused(ErrorKind.OWNER_LOST, None, detail))
             case WrongClass():
                 yield self._outcome(caller, message, ErrorKind.MALFORMED)
                 detail = 'request on a long flow'
--- a/tests/unit/test_requests_plugin.py
+++ b/tests/unit/test_requests_plugin.py
@@ -409,3 +409,24 @@
     again = host.request(number=3)
     assert outcomes(again) == [ErrorKind.OWNER_LEAVING]
     assert not runs(refused + again)
+
+
+def test_stored_answers_make_room_for_new_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusing work because of answers kept for duplicates."""
+    monkeypatch.setattr('lycheedeal.requests._ledger._BYTE_LIMIT', 100_000)
+    host = Host()
+    for number in range(1, 11):
+        sent = host.request(number=model.RequestNumber(number))
+        answer = messages.RunAnswer(runs(sent)[0].attempt_id, 0, 1, bytes(30_000))
+        event = kernel.UpstreamMessage(upstream_of(sent), 0, answer)
+        told = [
+            one.message
+            for one in host.dispatch(event)
+            if isinstance(one, kernel.SendToCaller)
+        ]
+        assert [len(one.body) for one in told] == [30_000]
+    assert outcomes(host.request(number=model.RequestNumber(1))) == [
+        ErrorKind.RECORD_EXPIRED
+    ]
