Restore a recreated object by a statement in fault trials

Cause: the trial put the stored object back itself and read the generation of every stored object, which raised for the new status objects of the zones. Change: a trial ends with 'restore configuration' if an object was recreated; the statement is also a rule, so it may come during any other fault.

--- a/tests/scenarios/fault_trial.py
+++ b/tests/scenarios/fault_trial.py
@@ -7,8 +7,6 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
-import msgspec
-
 from lycheedeal.model import FlowId, UpstreamState
 from scenarios import parse
 from scenarios._callers import CallRecord, FlowCaller, RequestCall, Result
@@ -62,8 +60,7 @@
     # Host processes with a planned stop; a restart ends it.
     _stopping: set[str] = field(default_factory=set)
     run: Run = field(init=False)
-    # Stored objects with the highest generation before they were recreated.
-    _stored_by_key: dict[str, bytes] = field(default_factory=dict)
+    _recreated: bool = False
     _first_generations: dict[int, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -121,6 +118,7 @@
         # Planned stops that were under way have ended by now.
         self._start_dead_hosts()
         self.wait(HEAL_SECONDS / 2)
+        self._restore_stored()
         found = self._undrain_enough()
         drained, drain_faults = self._drain_one()
         found += drain_faults
@@ -164,7 +162,7 @@
             case ('statement', _):
                 return bool(self.world.live_hosts())
             case ('recreate', _):
-                self._remember_objects()
+                self._recreated = True
                 return True
             case ('crash' | 'revive' | 'reuse', name, *_):
                 self.excused.update(upstreams[name].flows)
@@ -172,23 +170,19 @@
             case _:
                 return True
 
-    def _remember_objects(self) -> None:
-        for key, (_, body) in self.world.platform.objects.items():
-            known = self._stored_by_key.get(key, body)
-            self._stored_by_key[key] = max(known, body, key=_generation)
+    def _restore_stored(self) -> None:
+        """Restore a recreated object, as an operator would.
 
-    def _restore_objects(self) -> None:
-        """Undo a recreated object, as an operator of the platform would."""
-        self._remember_objects()
-        objects = self.world.platform.objects
-        for key, body in self._stored_by_key.items():
-            version, stored = objects[key]
-            if stored != body:
-                objects[key] = (version + 1, body)
+        The change is refused if the stored object is not older; a restore that
+        was needed and failed shows at the next change.
+        """
+        if self._recreated:
+            text = f'restore configuration of {SERVICE}'
+            act(self.run, Action(0, 'statement', (text,)))
+            self.wait(IN_FORCE_SECONDS)
 
     def _heal(self) -> None:
         world = self.world
-        self._restore_objects()
         world.network.cuts.clear()
         world.network.loss = 0
         world.network.duplication = 0
@@ -278,10 +272,6 @@
         ]
 
 
-def _generation(body: bytes) -> int:
-    return int(msgspec.json.decode(body)['generation'])
-
-
 def _flow_fault(flow: FlowCaller, seen_before: int) -> str:
     if flow.flow_id is None:
         return 'never opened'
--- a/tests/scenarios/test_fault_pairs.py
+++ b/tests/scenarios/test_fault_pairs.py
@@ -92,6 +92,10 @@
 
     # Operators
 
+    @rule()
+    def restore_configuration(self) -> None:
+        self.trial.do(f'statement "restore configuration of {SERVICE}"')
+
     @rule(upstream=upstreams)
     def drain(self, upstream: str) -> None:
         self.trial.do(f'statement "drain upstream {upstream} of {SERVICE}"')
