Push back kinds instead of a priority bound

Cause: a pushback carried one priority bound, which had to spare a kind with a floor. Long flows of a kind above the bound were refused too, although they use no slots.

Change: Pushback lists the kinds to refuse; long kinds are never listed.

--- a/src/lycheedeal/admission/_load.py
+++ b/src/lycheedeal/admission/_load.py
@@ -7,7 +7,9 @@
 from lycheedeal.admission._slots import UpstreamPool
 from lycheedeal.model import KindId
 
-_LIFO_DEPTH_PER_SLOT: Final = 4
+# Bounds the wait in order of arrival to three service times. With four, the
+# backlog left by a flood settled just below the bound and stayed for seconds.
+_LIFO_DEPTH_PER_SLOT: Final = 3
 _PLACES_PER_SLOT: Final = 64
 _FEWEST_PLACES: Final = 64
 _FEWEST_FLOOR_PLACES: Final = 4
--- a/src/lycheedeal/admission/_plugin.py
+++ b/src/lycheedeal/admission/_plugin.py
@@ -29,6 +29,7 @@
 from lycheedeal.model import (
     ConfigurationView,
     Endpoint,
+    KindId,
     Service,
     ServiceNumber,
     WorkKind,
@@ -125,7 +126,7 @@
         """Tell whether another owner asked to refuse work that is not relayed yet."""
         return asked.relayed_by is None and self._pushbacks.refuses(
             service.number,
-            kind.priority,
+            kind.kind_id,
             self._context.wall_ms(),
         )
 
@@ -147,21 +148,14 @@
         ttl = max(ttl, SHORTEST_PUSHBACK_MS)
         now_ms = self._context.wall_ms()
         if self._pushbacks.may_send(asked.relayed_by, service.number, ttl, now_ms):
-            bound = _served_priority(service, measured)
-            yield SendToPeer(asked.relayed_by, Pushback(service.number, bound, ttl))
-
-
-def _served_priority(service: Service, measured: QueueMeasured) -> int:
-    """Return the largest priority number of a kind that is still served.
-
-    A kind with a floor may be served while a more urgent one is not; the
-    bound must not cut it off.
-    """
-    return max(
-        (
-            kind.priority
-            for kind in service.kinds
-            if kind.kind_id not in measured.saturated
-        ),
-        default=-1,
+            kinds = _refused_kinds(service, measured)
+            yield SendToPeer(asked.relayed_by, Pushback(service.number, kinds, ttl))
+
+
+def _refused_kinds(service: Service, measured: QueueMeasured) -> tuple[KindId, ...]:
+    """Return the kinds to push back; long flows use no slots."""
+    return tuple(
+        kind.kind_id
+        for kind in service.kinds
+        if kind.kind_id in measured.saturated and not kind.long
     )
--- a/src/lycheedeal/admission/_pushback.py
+++ b/src/lycheedeal/admission/_pushback.py
@@ -1,41 +1,49 @@
 """Pushback between owners and relaying hosts."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from lycheedeal.messages import Pushback
-from lycheedeal.model import Endpoint, ServiceNumber
+from lycheedeal.model import Endpoint, KindId, ServiceNumber
 
 LONGEST_PUSHBACK_MS: Final = 1000
 SHORTEST_PUSHBACK_MS: Final = 50
 _LARGEST_TABLE: Final = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class _Received:
+    """A pushback in force; the time is in Unix milliseconds."""
+
+    kinds: frozenset[KindId]
+    until_ms: int
+
+
 class PushbackTable:
     """Pushbacks in force on this host, and those it sent to others."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._bounds_by_service: dict[ServiceNumber, tuple[int, int]] = {}
+        self._received_by_service: dict[ServiceNumber, _Received] = {}
         self._sent_until_ms: dict[tuple[Endpoint, ServiceNumber], int] = {}
 
     def accept(self, message: Pushback, now_ms: int) -> None:
         """Put a received pushback in force; the latest one counts."""
         ttl = min(message.ttl_ms, LONGEST_PUSHBACK_MS)
-        if len(self._bounds_by_service) >= _LARGEST_TABLE:
-            self._bounds_by_service.clear()
-        bound = (message.max_priority, now_ms + ttl)
-        self._bounds_by_service[message.service] = bound
-
-    def refuses(self, service: ServiceNumber, priority: int, now_ms: int) -> bool:
-        """Tell whether a pushback covers new work of this priority."""
-        bound = self._bounds_by_service.get(service)
-        if bound is None:
+        if len(self._received_by_service) >= _LARGEST_TABLE:
+            self._received_by_service.clear()
+        received = _Received(frozenset(message.kinds), now_ms + ttl)
+        self._received_by_service[message.service] = received
+
+    def refuses(self, service: ServiceNumber, kind_id: KindId, now_ms: int) -> bool:
+        """Tell whether a pushback covers new work of this kind."""
+        received = self._received_by_service.get(service)
+        if received is None:
             return False
-        max_priority, until_ms = bound
-        if now_ms >= until_ms:
-            self._bounds_by_service.pop(service)
+        if now_ms >= received.until_ms:
+            self._received_by_service.pop(service)
             return False
-        return priority > max_priority
+        return kind_id in received.kinds
 
     def may_send(
         self,
--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from lycheedeal.messages._caller import CancelRequest, Open, Request
-from lycheedeal.model import Endpoint, FlowId, Member, ServiceNumber, Zone
+from lycheedeal.model import Endpoint, FlowId, KindId, Member, ServiceNumber, Zone
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,10 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Pushback:
-    """Asks a host to refuse new flows whose priority number is above a bound."""
+    """Asks a host to refuse new flows of some kinds.
+
+    The kinds are listed, since a kind with a floor may be served while a
+    more urgent one is not.
+    """
 
     service: ServiceNumber
-    max_priority: int
+    kinds: tuple[KindId, ...]
     ttl_ms: int
 
 
--- a/tests/unit/test_admission_plugin.py
+++ b/tests/unit/test_admission_plugin.py
@@ -98,21 +98,36 @@
     assert (event.relayed_by, event.caller, event.service) == (PEER, CALLER, SERVICE)
 
 
-def test_pushback_covers_lower_kinds_until_it_expires() -> None:
-    """Guards against urgent work pushed back and a pushback without end."""
+def test_pushback_covers_its_kinds_until_it_expires() -> None:
+    """Guards against other work pushed back and a pushback without end."""
     host = Host(VIEW)
-    pushback = Pushback(SERVICE.number, max_priority=1, ttl_ms=60_000)
+    pushback = Pushback(SERVICE.number, kinds=(BULK,), ttl_ms=60_000)
     host.dispatch(kernel.PeerMessage(PEER, pushback))
     assert refusal(host.open(BULK)).error is ErrorKind.PUSHED_BACK
     admitted(host.open(URGENT))
+    admitted(host.open(FEED))
     admitted(host.relayed(BULK))
     host.clock.now += 1
     admitted(host.open(BULK))
 
 
+def test_most_urgent_kind_is_pushed_back_alone() -> None:
+    """Guards against a flood of urgent work that relays cannot cut off.
+
+    A less urgent kind with a floor is still served, and stays admitted.
+    """
+    measured = kernel.QueueMeasured(SERVICE.number, frozenset((URGENT,)), drain_ms=800)
+    owner = Host(VIEW, measured)
+    pushback = Pushback(SERVICE.number, (URGENT,), 400)
+    assert kernel.SendToPeer(PEER, pushback) in owner.relayed(URGENT)
+    relay = Host(VIEW, kernel.PeerMessage(PEER, pushback))
+    assert refusal(relay.open(URGENT)).error is ErrorKind.PUSHED_BACK
+    admitted(relay.open(BULK))
+
+
 def test_retry_delays_are_spread() -> None:
     """Guards against callers that were refused together and return together."""
-    host = Host(VIEW, kernel.PeerMessage(PEER, Pushback(SERVICE.number, 1, 500)))
+    host = Host(VIEW, kernel.PeerMessage(PEER, Pushback(SERVICE.number, (BULK,), 500)))
     delays = [refusal(host.open(BULK)).retry_after_ms for _ in range(200)]
     assert min(delays) < 1300
     assert max(delays) > 2700
@@ -127,7 +142,7 @@
     host = Host(VIEW, measured)
     effects = host.relayed(BULK)
     assert refusal(effects).error is ErrorKind.PUSHED_BACK
-    assert kernel.SendToPeer(PEER, Pushback(SERVICE.number, 1, 400)) in effects
+    assert kernel.SendToPeer(PEER, Pushback(SERVICE.number, (BULK,), 400)) in effects
     admitted(host.relayed(URGENT))
     admitted(host.relayed(FEED))
     again = [one for one in host.relayed(BULK) if isinstance(one, kernel.SendToPeer)]
