Test that lost datagrams matter without resending and memory of attempts

Cause: nothing showed that lossy-upstream-link can fail.

Change: it must miss "served checkin" when nothing is sent again, and "ran_twice" when upstreams forget the attempts they started.

--- a/tests/scenarios/test_mechanisms.py
+++ b/tests/scenarios/test_mechanisms.py
@@ -18,6 +18,7 @@
 from lycheedeal.kernel import CallerPacket, Effect, SendPacketToUpstream
 from lycheedeal.model import ConfigurationView, FlowClass, FlowId, Service
 from lycheedeal.requests._attempts import AttemptTable
+from lycheedeal.requests._dispatcher import Dispatcher
 from lycheedeal.requests._routing import Owned, Router
 from lycheedeal.steering import RouteTable
 from lycheedeal.steering._forwarding import Forwarder
@@ -169,6 +170,18 @@
         yield
 
 
+@contextmanager
+def nothing_sent_again() -> Iterator[None]:
+    with patch.object(Dispatcher, 'resend', lambda *_: iter(())):
+        yield
+
+
+@contextmanager
+def forgetful_upstreams() -> Iterator[None]:
+    with patch.object(VirtualUpstream, '_forgets_attempts', True):
+        yield
+
+
 CASES: tuple[tuple[str, Switch, str], ...] = (
     ('flows-survive-planned-changes', steering_by_hash, 'count flows_broken'),
     ('address-reused', no_identity_check, 'count misrouted'),
@@ -179,6 +192,8 @@
     ('leaving-upstreams', leaving_not_heard, 'work_after bitacora-api-2'),
     ('planned-stops-under-load', stop_by_kill, 'count outcome_unknown'),
     ('configuration-recreated', any_generation_applies, 'count reverted'),
+    ('lossy-upstream-link', nothing_sent_again, 'served checkin'),
+    ('lossy-upstream-link', forgetful_upstreams, 'count ran_twice'),
     ('silent-connection', paths_never_switched, 'count flows_broken'),
 )
 
