--- a/src/lycheedeal/messages/_peer.py
+++ b/src/lycheedeal/messages/_peer.py
@@ -9,6 +9,7 @@
     FlowId,
     Generation,
     HostId,
+    KindId,
     Member,
     RejectedShard,
     ServiceNumber,
@@ -84,10 +85,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Pushback:
-    """Asks a host to refuse new flows whose priority number is above a bound."""
+    """Asks a host to refuse new flows of some kinds.
+
+    The kinds are listed, since a kind with a floor may be served while a
+    more urgent one is not.
+    """
 
     service: ServiceNumber
-    max_priority: int
+    kinds: tuple[KindId, ...]
     ttl_ms: int
 
 
