Recreate complete old content in fault trials

Cause: the first version of a shard has no upstreams, so every change made on top of it was refused as invalid and could not be accepted and lost. Change: an object recreated in a trial has the content after set-up.

--- a/tests/scenarios/fault_trial.py
+++ b/tests/scenarios/fault_trial.py
@@ -69,6 +69,11 @@
         self.run = Run(scenario, World(self.seed))
         set_up(self.run)
         schedule(self.run)
+        # A recreated object then has old but complete content; without
+        # upstreams every change to it would be refused as invalid.
+        platform = self.world.platform
+        for key, (_, body) in platform.objects.items():
+            platform.first_bodies[key] = body
         for host in self.world.live_hosts():
             self._first_generations.update(host.trace.generations)
 
