Hold changes on a booting host until it has heard its neighbours

Ruled out: the regression check, which works once a neighbour was heard. Change: changes wait for 1.5 s after the first list of members, at most 5 s after the start, and again after a pause.

--- a/src/lycheedeal/configuration/_plugin.py
+++ b/src/lycheedeal/configuration/_plugin.py
@@ -4,6 +4,7 @@
 
 from lycheedeal import messages
 from lycheedeal.configuration._applier import Applier
+from lycheedeal.configuration._hold import ChangeHold
 from lycheedeal.configuration._pending import PendingChanges
 from lycheedeal.configuration._refresh import Refresher
 from lycheedeal.configuration._spreading import Spreader
@@ -34,6 +35,7 @@
         self._refresher = Refresher(context.settings, context.rng)
         self._applier = Applier(context, self.store, self._spreader)
         self._pending = PendingChanges(context, self.store, self._applier)
+        self._hold = ChangeHold(context.clock.monotonic())
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Take one event and yield the effects it calls for."""
@@ -44,9 +46,11 @@
             case Tick():
                 yield from self._tick(now)
             case Resumed():
+                self._hold.resume(now)
                 yield from self._spreader.send_digest(now)
                 yield from self._refresher.resume(now)
             case MembersChanged():
+                self._hold.members_known(now)
                 yield from self._spreader.change_members(event)
                 yield from self._refresher.change_members(event, now)
             case GossipReceived(message):
@@ -57,7 +61,8 @@
                 self._refresher.take_reply(event, now)
                 yield from self._pending.take_reply(event, now)
             case ChangeRequested():
-                yield from self._pending.begin(event, now)
+                if not self._hold.keeps(event, now):
+                    yield from self._pending.begin(event, now)
             case _:
                 return
 
@@ -65,6 +70,8 @@
         yield from self._refresher.tick(now, configured=len(self.store) > 0)
         yield from self._spreader.tick(now)
         yield from self._pending.tick(now)
+        for event in self._hold.released(now):
+            yield from self._pending.begin(event, now)
 
     def _hear(
         self,
--- a/tests/scenarios/test_mechanisms.py
+++ b/tests/scenarios/test_mechanisms.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lycheedeal.configuration._hold import ChangeHold
 from lycheedeal.configuration._store import Age, ShardStore
 from lycheedeal.errors import ErrorAnswer, ErrorKind, Verdict
 from lycheedeal.health._record import UpstreamRecord
@@ -158,6 +159,12 @@
         yield
 
 
+@contextmanager
+def changes_not_held() -> Iterator[None]:
+    with patch.object(ChangeHold, 'keeps', lambda *_: False):
+        yield
+
+
 @contextmanager
 def paths_never_switched() -> Iterator[None]:
     original = VirtualHost._run_control
@@ -194,6 +201,7 @@
     ('configuration-recreated', any_generation_applies, 'count reverted'),
     ('lossy-upstream-link', nothing_sent_again, 'served checkin'),
     ('lossy-upstream-link', forgetful_upstreams, 'count ran_twice'),
+    ('configuration-change-after-boot', changes_not_held, 'count accepted'),
     ('silent-connection', paths_never_switched, 'count flows_broken'),
 )
 
