Let a scenario send a statement to a named host

Cause: the scenario of a change after a boot hit the booted host only by chance, and a recreated object had content on which no change is valid. Change: statement ... on HOST; recreated objects have the content after set-up.

--- a/scenarios/_platform.py
+++ b/scenarios/_platform.py
@@ -29,7 +29,7 @@
         self._time = network.time
         self.objects: dict[str, tuple[int, bytes]] = {}
         self.calls: Counter[str] = Counter()
-        self.first_bodies: dict[str, bytes] = {}
+        self.old_bodies: dict[str, bytes] = {}
         self.hosts_body = b'[]'
         self.down_until = -1.0
         self.slow = 0.0
@@ -125,7 +125,7 @@
         if version != call.version:
             return ApiReplied(call.call_id, ApiStatus.CONFLICT, call.key, version)
         self.objects[call.key] = (version + 1, call.body)
-        self.first_bodies.setdefault(call.key, call.body)
+        self.old_bodies.setdefault(call.key, call.body)
         self._notify(call.key)
         return ApiReplied(call.call_id, ApiStatus.OK, call.key, version + 1)
 
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -140,6 +140,11 @@
     world.learn_services()
     world.network.loss = scenario.loss
     world.network.duplication = scenario.duplication
+    # A recreated object has the content after set-up; the very first one names
+    # no upstreams, so that every change on it would be invalid.
+    world.platform.old_bodies = {
+        key: body for key, (_, body) in world.platform.objects.items()
+    }
     run_state.start = world.time.now
     run_state.accepted.clear()
 
@@ -294,8 +299,10 @@
         case 'freeze':
             world.hosts_by_name[words[0]].freeze(words[1])
         case 'statement':
-            number = world.statement(words[0])
-            run_state._statements[number] = words[0]
+            text, name = words
+            host = world.hosts_by_name[name] if name else None
+            number = world.statement(text, host)
+            run_state._statements[number] = text
         case 'flood':
             _flood(run_state, *words)
         case _:
@@ -357,7 +364,7 @@
     shard = int(shard_of(ServiceName(service)))
     for key in tuple(platform.objects):
         if key.endswith(f'/{shard}'):
-            platform.recreate(key, platform.first_bodies[key])
+            platform.recreate(key, platform.old_bodies[key])
 
 
 def _act_on_network(run_state: Run, action: Action) -> None:
--- a/tests/scenarios/fault_trial.py
+++ b/tests/scenarios/fault_trial.py
@@ -73,7 +73,7 @@
         # upstreams every change to it would be refused as invalid.
         platform = self.world.platform
         for key, (_, body) in platform.objects.items():
-            platform.first_bodies[key] = body
+            platform.old_bodies[key] = body
         for host in self.world.live_hosts():
             self._first_generations.update(host.trace.generations)
 
@@ -164,7 +164,7 @@
                 return True
             case ('freeze', name, _):
                 return hosts[name].alive
-            case ('statement', _):
+            case ('statement', _, _):
                 return bool(self.world.live_hosts())
             case ('recreate', _):
                 self._recreated = True
@@ -183,7 +183,7 @@
         """
         if self._recreated:
             text = f'restore configuration of {SERVICE}'
-            act(self.run, Action(0, 'statement', (text,)))
+            act(self.run, Action(0, 'statement', (text, None)))
             self.wait(IN_FORCE_SECONDS)
 
     def _heal(self) -> None:
@@ -241,7 +241,7 @@
 
     def _change(self, text: str) -> list[str]:
         """Make a change in the healed world; it must be accepted."""
-        act(self.run, Action(0, 'statement', (text,)))
+        act(self.run, Action(0, 'statement', (text, None)))
         before = len(self.run.accepted)
         for _ in range(20):
             self.wait(0.25)
