Share the options of programs that ask hosts; keep exceptions in one module

Cause: two commands declared the same options, two packages their own errors. Change: host_options; UsageError and ServiceNotFoundError move to exceptions.

--- a/src/lycheedeal/cli/_burn_command.py
+++ b/src/lycheedeal/cli/_burn_command.py
@@ -6,7 +6,6 @@
 from typing import Any, ClassVar, Final
 
 from cleo.commands.command import Command
-from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
 from lycheedeal.cli import _hosts as hosts
@@ -19,6 +18,7 @@
     table_lines,
     write_lines,
 )
+from lycheedeal.exceptions import UsageError
 from lycheedeal.model import Endpoint
 from lycheedeal.telemetry import burn_rate
 
@@ -42,20 +42,7 @@
     """Collects burn rates and shows a table."""
 
     help = _HELP
-    options: ClassVar[list[Option]] = [
-        option(
-            'host',
-            description=f'admin addresses, IP:PORT,... [{hosts.ADMIN_VARIABLE}]',
-            flag=False,
-        ),
-        option('output', description='text or json', flag=False, default='text'),
-        option(
-            'timeout',
-            description='seconds to wait for the answers',
-            flag=False,
-            default='5',
-        ),
-    ]
+    options: ClassVar[list[Option]] = hosts.host_options('5')
 
     def handle(self) -> int:
         """Return the exit code."""
@@ -65,7 +52,7 @@
                 hosts.parse_hosts(self.option('host')),
                 hosts.parse_timeout(self.option('timeout')),
             )
-        except hosts.UsageError as error:
+        except UsageError as error:
             self.line_error(f'lychee-burn: {error}')
             return ExitCode.USAGE
         attempts = asyncio.run(collecting)
--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar, Final
 
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
+from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
@@ -20,6 +20,7 @@
     write_lines,
 )
 from lycheedeal.cli._statement import Outcome, send_statement
+from lycheedeal.exceptions import UsageError
 
 _HELP: Final = """\
 Statements:
@@ -63,20 +64,7 @@
     arguments: ClassVar[list[Argument]] = [
         argument('statement', 'words of one statement', multiple=True),
     ]
-    options: ClassVar[list[Option]] = [
-        option(
-            'host',
-            description=f'admin addresses, IP:PORT,... [{hosts.ADMIN_VARIABLE}]',
-            flag=False,
-        ),
-        option('output', description='text or json', flag=False, default='text'),
-        option(
-            'timeout',
-            description='seconds to wait for one answer',
-            flag=False,
-            default='15',
-        ),
-    ]
+    options: ClassVar[list[Option]] = hosts.host_options('15')
 
     def handle(self) -> int:
         """Return the exit code."""
@@ -87,7 +75,7 @@
                 ' '.join(self.argument('statement')),
                 hosts.parse_timeout(self.option('timeout')),
             )
-        except hosts.UsageError as error:
+        except UsageError as error:
             self.line_error(f'lycheectl: {error}')
             return ExitCode.USAGE
         try:
--- a/src/lycheedeal/cli/_hosts.py
+++ b/src/lycheedeal/cli/_hosts.py
@@ -3,7 +3,11 @@
 import os
 from typing import Final
 
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
 from lycheedeal.cli._output import OutputForm
+from lycheedeal.exceptions import UsageError
 from lycheedeal.model import Endpoint
 from lycheedeal.settings import parse_endpoints
 
@@ -11,10 +15,6 @@
 _MAX_TIMEOUT: Final = 300
 
 
-class UsageError(Exception):
-    """An option of a command is invalid."""
-
-
 def parse_hosts(text: str | None) -> tuple[Endpoint, ...]:
     """Return admin addresses from the option or from the environment."""
     source = '--host' if text else ADMIN_VARIABLE
@@ -44,3 +44,21 @@
         return OutputForm(text)
     except ValueError as error:
         raise UsageError(f'--output: {text!r} is neither text nor json') from error
+
+
+def host_options(timeout: str) -> list[Option]:
+    """Return the options of programs that ask hosts; ``timeout`` in seconds."""
+    return [
+        option(
+            'host',
+            description=f'admin addresses, IP:PORT,... [{ADMIN_VARIABLE}]',
+            flag=False,
+        ),
+        option('output', description='text or json', flag=False, default='text'),
+        option(
+            'timeout',
+            description='seconds to wait for an answer',
+            flag=False,
+            default=timeout,
+        ),
+    ]
--- a/src/lycheedeal/exceptions.py
+++ b/src/lycheedeal/exceptions.py
@@ -61,3 +61,15 @@
     """A plug-in is unknown or registered twice."""
 
     kind = ErrorKind.INVALID_SETTINGS
+
+
+class ServiceNotFoundError(LycheedealError):
+    """A statement names a service that does not exist."""
+
+    kind = ErrorKind.NOT_FOUND
+
+
+class UsageError(LycheedealError):
+    """An option of a command is invalid."""
+
+    kind = ErrorKind.INVALID_SETTINGS
--- a/src/lycheedeal/operators/_answers.py
+++ b/src/lycheedeal/operators/_answers.py
@@ -7,7 +7,7 @@
 
 from lycheedeal import model
 from lycheedeal.errors import ErrorKind, answer_for
-from lycheedeal.exceptions import LycheedealError
+from lycheedeal.exceptions import ServiceNotFoundError
 from lycheedeal.kernel import StatusKnown
 from lycheedeal.operators import _statements as statements
 from lycheedeal.operators._knowledge import HeardDigest, Knowledge, Refusal
@@ -21,12 +21,6 @@
 _Row = dict[str, Any]
 
 
-class ServiceNotFoundError(LycheedealError):
-    """A query names a service that is not configured."""
-
-    kind = ErrorKind.NOT_FOUND
-
-
 def answer_query(
     query: statements.Query,
     knowledge: Knowledge,
--- a/src/lycheedeal/runtime/_sockets.py
+++ b/src/lycheedeal/runtime/_sockets.py
@@ -22,7 +22,6 @@
     UpstreamMessage,
     UpstreamPacket,
 )
-
 from lycheedeal.model import Endpoint, FlowId
 from lycheedeal.steering import RouteTable
 from lycheedeal.wire import (
