Count flows of the route table as they come and go

Cause: counting scanned the whole table twice in 5 s; at 300,000 flows a scan took 34 ms, that is 1.3% of a core and a stall of the loop. Change: counts by upstream and owner are kept with the entries.

--- a/src/lycheedeal/steering/_routes.py
+++ b/src/lycheedeal/steering/_routes.py
@@ -38,6 +38,8 @@
         self._young: dict[int, int] = {}
         self._old: dict[int, int] = {}
         self._shift = 0
+        self._young_counts: Counter[int] = Counter()
+        self._old_counts: Counter[int] = Counter()
         self._upstreams: list[Endpoint] = []
         self._owners: list[FlowOwner] = []
         self._indexes: dict[tuple[Endpoint, FlowOwner], int] = {}
@@ -64,7 +66,8 @@
             index = self._old.pop(key, None)
             if index is None:
                 return None
-            self._young[key] = index
+            self._old_counts[index] -= 1
+            self._put(key, index)
         return self._upstreams[index]
 
     def add(self, flow_id: bytes, fields: FlowFields) -> None:
@@ -76,18 +79,20 @@
             self._sample_more()
             if key & (self.scale - 1):
                 return
-        self._young[key] = self._index(fields)
+        self._discard(key)
+        self._put(key, self._index(fields))
 
     def remove(self, flow_id: bytes) -> None:
         """Forget a flow."""
         key = int.from_bytes(flow_id[-_TAG_SIZE:])
-        self._young.pop(key, None)
-        self._old.pop(key, None)
+        self._discard(key)
 
     def rotate(self) -> None:
         """Drop flows not seen since the last rotation; call periodically."""
         self._old = self._young
+        self._old_counts = self._young_counts
         self._young = {}
+        self._young_counts = Counter()
         if self._shift and len(self._old) < self._max_flows // 4:
             self._shift -= 1
 
@@ -98,12 +103,11 @@
         """Return the estimated number of flows by upstream.
 
         Flows of ``live_owners`` are left out, since those count them exactly.
-        Takes time in proportion to the size of the table.
+        Takes time by the number of upstreams and owners, not of flows: a scan
+        of 300,000 flows took 34 ms.
         """
-        entries = Counter(self._young.values())
-        entries.update(self._old.values())
         totals: Counter[Endpoint] = Counter()
-        for index, count in entries.items():
+        for index, count in (self._young_counts + self._old_counts).items():
             if self._owners[index] not in live_owners:
                 totals[self._upstreams[index]] += count * self.scale
         return totals
@@ -113,6 +117,20 @@
         mask = self.scale - 1
         self._young = {key: to for key, to in self._young.items() if not key & mask}
         self._old = {key: to for key, to in self._old.items() if not key & mask}
+        self._young_counts = Counter(self._young.values())
+        self._old_counts = Counter(self._old.values())
+
+    def _put(self, key: int, index: int) -> None:
+        self._young[key] = index
+        self._young_counts[index] += 1
+
+    def _discard(self, key: int) -> None:
+        index = self._young.pop(key, None)
+        if index is not None:
+            self._young_counts[index] -= 1
+        index = self._old.pop(key, None)
+        if index is not None:
+            self._old_counts[index] -= 1
 
     def _index(self, fields: FlowFields) -> int:
         owner = FlowOwner(fields.owner, fields.owner_incarnation)
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -136,6 +136,26 @@
     assert table.lookup(idle) is None
 
 
+def test_counts_follow_use_removal_and_rotation() -> None:
+    """Guards against counts that drift from the entries they stand for."""
+    table = RouteTable(1000)
+    codec = model.FlowIdCodec(KEY)
+    rng = random.Random(1)
+    ids = [codec.mint(fields(nonce, nonce % 3 + 1)) for nonce in range(60)]
+    for _ in range(600):
+        nonce = rng.randrange(60)
+        match rng.randrange(8):
+            case 0:
+                table.remove(ids[nonce])
+            case 1:
+                table.rotate()
+            case 2 | 3:
+                table.lookup(ids[nonce])
+            case _:
+                table.add(ids[nonce], fields(nonce, nonce % 3 + 1))
+        assert table.counts(frozenset()).total() == len(table)
+
+
 def test_flows_of_live_owners_are_not_counted_twice() -> None:
     """Guards against an owner that counts a flow by report and by its packets."""
     table = RouteTable(1000)
