Split the kernel's dispatch from the catalogue of events

Change: lycheedeal.dispatch holds Kernel, Publish, Clock and the registry without a codec; lycheedeal.kernel keeps the catalogue of our own protocol. Identifier types move to lycheedeal.ids.

--- /dev/null
+++ b/src/lycheedeal/dispatch/__init__.py
@@ -0,0 +1,21 @@
+"""Kernel that any set of events and plug-ins can use; it imports no codec."""
+
+from lycheedeal.dispatch._clock import Clock
+from lycheedeal.dispatch._kernel import Kernel, Plugin, Publish
+from lycheedeal.dispatch._registry import (
+    PluginSpec,
+    load_plugins,
+    register,
+    registered,
+)
+
+__all__ = (
+    'Clock',
+    'Kernel',
+    'Plugin',
+    'PluginSpec',
+    'Publish',
+    'load_plugins',
+    'register',
+    'registered',
+)
--- a/src/lycheedeal/kernel/_kernel.py
+++ b/src/lycheedeal/dispatch/_kernel.py
@@ -2,73 +2,48 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator
-from typing import Protocol, TypeVar
+from dataclasses import dataclass
+from typing import Any, Generic, Protocol, TypeVar
 
+from lycheedeal.dispatch._registry import PluginSpec
 from lycheedeal.exceptions import PluginError
-from lycheedeal.kernel import _inputs as inputs
-from lycheedeal.kernel import _internal as internal
-from lycheedeal.kernel._context import Context
-from lycheedeal.kernel._effects import Effect, Publish
-from lycheedeal.kernel._registry import PluginSpec
-
-Event = (
-    inputs.Started
-    | inputs.Tick
-    | inputs.Resumed
-    | inputs.StopRequested
-    | inputs.CallerMessage
-    | inputs.CallerPacket
-    | inputs.UpstreamPacket
-    | inputs.PeerMessage
-    | inputs.UpstreamMessage
-    | inputs.GossipReceived
-    | inputs.ApiReplied
-    | inputs.ApiChanged
-    | inputs.StatementReceived
-    | internal.ViewChanged
-    | internal.MembersChanged
-    | internal.HostsListed
-    | internal.UpstreamChanged
-    | internal.OpenAdmitted
-    | internal.OwnerReady
-    | internal.UpstreamsInUse
-    | internal.FlowOpened
-    | internal.FlowClosed
-    | internal.QueueMeasured
-    | internal.RequestFinished
-    | internal.Refused
-    | internal.StopStarted
-    | internal.WorkRemaining
-    | internal.ChangeRequested
-    | internal.ChangeDecided
-    | internal.ShardRejected
-    | internal.StatusRequested
-    | internal.StatusKnown
-)
-
-
-class Plugin(Protocol):
+
+_ContextT = TypeVar('_ContextT')
+_EventT = TypeVar('_EventT')
+_EventT_contra = TypeVar('_EventT_contra', contravariant=True)
+_EffectT = TypeVar('_EffectT')
+_EffectT_co = TypeVar('_EffectT_co', covariant=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Dispatches an event to the other plug-ins before anything else."""
+
+    event: Any
+
+
+class Plugin(Protocol[_EventT_contra, _EffectT_co]):
     """A part of the core with its own state."""
 
-    def handle(self, event: Event) -> Iterator[Effect]:
+    def handle(self, event: _EventT_contra) -> Iterator[_EffectT_co]:
         """Take one event and yield the effects it calls for."""
 
 
-_PluginT = TypeVar('_PluginT', bound=Plugin)
+_PluginT = TypeVar('_PluginT')
 
 
-class Kernel:
+class Kernel(Generic[_ContextT, _EventT, _EffectT]):
     """Holds the plug-ins of one process incarnation.
 
     Everything runs in the calling thread; nothing waits. Events published
     by plug-ins are handled in order before ``dispatch`` returns.
     """
 
-    def __init__(self, context: Context, specs: Iterable[PluginSpec]) -> None:
+    def __init__(self, context: _ContextT, specs: Iterable[PluginSpec]) -> None:
         """Build the plug-ins from their specs."""
         self.context = context
-        self.plugins_by_name: dict[str, Plugin] = {}
-        self._plugins_by_event: dict[type, list[Plugin]] = {}
+        self.plugins_by_name: dict[str, Any] = {}
+        self._plugins_by_event: dict[type, list[Plugin[_EventT, _EffectT]]] = {}
         for spec in specs:
             plugin = spec.factory(context)
             self.plugins_by_name[spec.name] = plugin
@@ -82,10 +57,10 @@
                 return plugin
         raise PluginError(f'no plug-in of type {plugin_type.__name__} is loaded')
 
-    def dispatch(self, event: Event) -> list[Effect]:
+    def dispatch(self, event: _EventT) -> list[_EffectT]:
         """Return the effects of an event and of all events it published."""
         pending = deque((event,))
-        effects: list[Effect] = []
+        effects: list[_EffectT] = []
         while pending:
             for effect in self._handle(pending.popleft()):
                 if isinstance(effect, Publish):
@@ -94,6 +69,6 @@
                     effects.append(effect)
         return effects
 
-    def _handle(self, event: Event) -> Iterator[Effect]:
+    def _handle(self, event: _EventT) -> Iterator[_EffectT]:
         for plugin in self._plugins_by_event.get(type(event), ()):
             yield from plugin.handle(event)
--- a/src/lycheedeal/kernel/_registry.py
+++ b/src/lycheedeal/dispatch/_registry.py
@@ -3,25 +3,9 @@
 import importlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import Any, Final
 
 from lycheedeal.exceptions import PluginError
-from lycheedeal.kernel._context import Context
-
-if TYPE_CHECKING:
-    from lycheedeal.kernel._kernel import Plugin
-
-DEFAULT_PLUGINS: Final = (
-    'configuration',
-    'membership',
-    'health',
-    'admission',
-    'steering',
-    'requests',
-    'status',
-    'operators',
-    'telemetry',
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +13,7 @@
     """What the kernel needs to know about a plug-in."""
 
     name: str
-    factory: 'Callable[[Context], Plugin]'
+    factory: Callable[[Any], Any]
     events: frozenset[type]
 
 
@@ -48,7 +32,7 @@
     return tuple(_specs_by_name)
 
 
-def load_plugins(names: Iterable[str] = DEFAULT_PLUGINS) -> tuple[PluginSpec, ...]:
+def load_plugins(names: Iterable[str]) -> tuple[PluginSpec, ...]:
     """Import plug-ins by name and return their specs in the given order.
 
     A name without a dot is a subpackage of ``lycheedeal``; others are
--- a/src/lycheedeal/model/_ids.py
+++ b/src/lycheedeal/ids.py
@@ -1,4 +1,4 @@
-"""Identifier types."""
+"""Identifier types shared by all parts; importing them costs almost nothing."""
 
 from typing import NamedTuple, NewType
 
--- a/src/lycheedeal/kernel/__init__.py
+++ b/src/lycheedeal/kernel/__init__.py
@@ -1,6 +1,14 @@
 """Decision core: events in, effects out, no input or output of its own."""
 
-from lycheedeal.kernel._context import Clock, Context
+from lycheedeal.dispatch import Clock, PluginSpec, Publish, register, registered
+from lycheedeal.kernel._catalog import (
+    DEFAULT_PLUGINS,
+    Event,
+    Kernel,
+    Plugin,
+    load_plugins,
+)
+from lycheedeal.kernel._context import Context
 from lycheedeal.kernel._effects import (
     ApiCall,
     CallApi,
@@ -10,7 +18,6 @@
     Log,
     LogLevel,
     Observe,
-    Publish,
     Reply,
     SendPacketToCaller,
     SendPacketToUpstream,
@@ -61,14 +68,6 @@
     ViewChanged,
     WorkRemaining,
 )
-from lycheedeal.kernel._kernel import Event, Kernel, Plugin
-from lycheedeal.kernel._registry import (
-    DEFAULT_PLUGINS,
-    PluginSpec,
-    load_plugins,
-    register,
-    registered,
-)
 
 __all__ = (
     'DEFAULT_PLUGINS',
--- /dev/null
+++ b/src/lycheedeal/kernel/_catalog.py
@@ -0,0 +1,70 @@
+"""Events, plug-ins and kernel of the daemon that speaks our own protocol."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from lycheedeal import dispatch
+from lycheedeal.kernel import _inputs as inputs
+from lycheedeal.kernel import _internal as internal
+from lycheedeal.kernel._context import Context
+from lycheedeal.kernel._effects import Effect
+
+DEFAULT_PLUGINS: Final = (
+    'configuration',
+    'membership',
+    'health',
+    'admission',
+    'steering',
+    'requests',
+    'status',
+    'operators',
+    'telemetry',
+)
+
+Event = (
+    inputs.Started
+    | inputs.Tick
+    | inputs.Resumed
+    | inputs.StopRequested
+    | inputs.CallerMessage
+    | inputs.CallerPacket
+    | inputs.UpstreamPacket
+    | inputs.PeerMessage
+    | inputs.UpstreamMessage
+    | inputs.GossipReceived
+    | inputs.ApiReplied
+    | inputs.ApiChanged
+    | inputs.StatementReceived
+    | internal.ViewChanged
+    | internal.MembersChanged
+    | internal.HostsListed
+    | internal.UpstreamChanged
+    | internal.OpenAdmitted
+    | internal.OwnerReady
+    | internal.UpstreamsInUse
+    | internal.FlowOpened
+    | internal.FlowClosed
+    | internal.QueueMeasured
+    | internal.RequestFinished
+    | internal.Refused
+    | internal.StopStarted
+    | internal.WorkRemaining
+    | internal.ChangeRequested
+    | internal.ChangeDecided
+    | internal.ShardRejected
+    | internal.StatusRequested
+    | internal.StatusKnown
+)
+
+Plugin = dispatch.Plugin[Event, Effect]
+
+
+class Kernel(dispatch.Kernel[Context, Event, Effect]):
+    """Kernel with the events and effects of this daemon."""
+
+
+def load_plugins(
+    names: Iterable[str] = DEFAULT_PLUGINS,
+) -> tuple[dispatch.PluginSpec, ...]:
+    """Import plug-ins by name and return their specs in the given order."""
+    return dispatch.load_plugins(names)
--- a/src/lycheedeal/kernel/_context.py
+++ b/src/lycheedeal/kernel/_context.py
@@ -2,21 +2,11 @@
 
 import random
 from dataclasses import dataclass
-from typing import Protocol
 
+from lycheedeal.dispatch import Clock
 from lycheedeal.model import HostSettings, Incarnation, Member
 
 
-class Clock(Protocol):
-    """Source of time; a test hands in a virtual one."""
-
-    def monotonic(self) -> float:
-        """Return seconds that never go backwards."""
-
-    def wall(self) -> float:
-        """Return Unix time in seconds."""
-
-
 @dataclass(frozen=True, slots=True)
 class Context:
     """Inputs of the decision core for one process incarnation.
--- a/src/lycheedeal/kernel/_effects.py
+++ b/src/lycheedeal/kernel/_effects.py
@@ -2,14 +2,12 @@
 
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from lycheedeal import messages
+from lycheedeal.dispatch import Publish
 from lycheedeal.model import Endpoint, FlowId, QueryId
 
-if TYPE_CHECKING:
-    from lycheedeal.kernel._kernel import Event
-
 CallerOutput = (
     messages.Opened
     | messages.OpenRefused
@@ -167,13 +165,6 @@
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Publish:
-    """Dispatches an event to the other plug-ins before anything else."""
-
-    event: 'Event'
-
-
 @dataclass(frozen=True, slots=True)
 class Exit:
     """Ends the process with this status."""
--- a/src/lycheedeal/model/__init__.py
+++ b/src/lycheedeal/model/__init__.py
@@ -29,7 +29,7 @@
     FlowSummary,
     summarize_flow,
 )
-from lycheedeal.model._ids import (
+from lycheedeal.ids import (
     AttemptId,
     ChangeId,
     Endpoint,
--- a/src/lycheedeal/model/_changes.py
+++ b/src/lycheedeal/model/_changes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lycheedeal.model._ids import Endpoint, ServiceName, UpstreamId, Zone
+from lycheedeal.ids import Endpoint, ServiceName, UpstreamId, Zone
 from lycheedeal.model._states import SpillRule
 
 
--- a/src/lycheedeal/model/_configuration.py
+++ b/src/lycheedeal/model/_configuration.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from lycheedeal.model._ids import (
+from lycheedeal.ids import (
     ChangeId,
     Endpoint,
     Generation,
--- a/src/lycheedeal/model/_flow_id.py
+++ b/src/lycheedeal/model/_flow_id.py
@@ -14,7 +14,7 @@
 
 from lycheedeal.errors import ErrorKind
 from lycheedeal.exceptions import DecodeError
-from lycheedeal.model._ids import Endpoint, FlowId, Incarnation, KindId, ServiceNumber
+from lycheedeal.ids import Endpoint, FlowId, Incarnation, KindId, ServiceNumber
 from lycheedeal.model._states import FlowClass
 
 _LAYOUT_VERSION: Final = 1
--- a/src/lycheedeal/model/_member.py
+++ b/src/lycheedeal/model/_member.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from lycheedeal.model._ids import Endpoint, HostId, Incarnation, Zone
+from lycheedeal.ids import Endpoint, HostId, Incarnation, Zone
 
 
 @unique
--- a/src/lycheedeal/model/_settings.py
+++ b/src/lycheedeal/model/_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lycheedeal.model._ids import Endpoint, HostId, Region, Zone
+from lycheedeal.ids import Endpoint, HostId, Region, Zone
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheedeal/model/_status.py
+++ b/src/lycheedeal/model/_status.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lycheedeal.model._ids import Generation, HostId, ShardIndex, Zone
+from lycheedeal.ids import Generation, HostId, ShardIndex, Zone
 
 
 @dataclass(frozen=True, slots=True)
