--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Fills target/deps with the libraries and the compiled package.
+set -eu
+deps=target/deps
+mkdir -p "$deps"
+if [ ! -e target/libraries ] || [ deploy/requirements.txt -nt target/libraries ]; then
+    python3 -m pip install -q -U --target "$deps" -r deploy/requirements.txt
+    touch target/libraries
+fi
+rm -rf "$deps/lycheedeal"
+cp -R src/lycheedeal "$deps/lycheedeal"
+cp deploy/relay.py "$deps/relay.py"
+python3 -m compileall -q "$deps/lycheedeal"
--- a/src/lycheedeal/dispatch/_kernel.py
+++ b/src/lycheedeal/dispatch/_kernel.py
@@ -43,7 +43,7 @@
         """Build the plug-ins from their specs."""
         self.context = context
         self.plugins_by_name: dict[str, Any] = {}
-        self._plugins_by_event: dict[type, list[Plugin[_EventT, _EffectT]]] = {}
+        self._plugins_by_event: dict[type, list[Any]] = {}
         for spec in specs:
             plugin = spec.factory(context)
             self.plugins_by_name[spec.name] = plugin
--- /dev/null
+++ b/src/lycheedeal/hosting/__init__.py
@@ -0,0 +1,24 @@
+"""Process around the packet relay; the front end is handed in."""
+
+from lycheedeal.hosting._host import (
+    Dispatch,
+    FrontEnd,
+    Host,
+    SystemClock,
+    bind_datagrams,
+    read_batch,
+)
+from lycheedeal.hosting._http import Answer, HttpServer
+from lycheedeal.hosting._logs import LogWriter
+
+__all__ = (
+    'Answer',
+    'Dispatch',
+    'FrontEnd',
+    'Host',
+    'HttpServer',
+    'LogWriter',
+    'SystemClock',
+    'bind_datagrams',
+    'read_batch',
+)
--- /dev/null
+++ b/src/lycheedeal/hosting/_http.py
@@ -0,0 +1,94 @@
+"""Small HTTP server for readiness and metrics."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+import httptools
+
+from lycheedeal.ids import Endpoint
+
+# Requests of the platform are tiny; a connection that sends more is closed.
+_MAX_REQUEST_BYTES: Final = 8192
+
+
+@dataclass(slots=True)
+class Answer:
+    """Answer to one request."""
+
+    status: HTTPStatus
+    body: bytes = b''
+    content_type: str = 'text/plain'
+
+
+Handler = Callable[[str], Answer]
+
+
+class HttpServer:
+    """Answers GET requests at one address."""
+
+    def __init__(self, endpoint: Endpoint, handler: Handler) -> None:
+        """Hand the path of each request to a handler."""
+        self._endpoint = endpoint
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raises OSError if the address is taken."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self._handler),
+            self._endpoint.ip,
+            self._endpoint.port,
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; requests are answered in order."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = ''
+        self._received = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self._transport is None:
+            return
+        self._received += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._transport.close()
+        if self._received > _MAX_REQUEST_BYTES:
+            self._transport.close()
+
+    def on_url(self, url: bytes) -> None:
+        self._path = url.decode('latin-1')
+
+    def on_message_complete(self) -> None:
+        if self._transport is None:
+            return
+        self._received = 0
+        answer = self._handler(self._path.partition('?')[0])
+        keep = self._parser.should_keep_alive()
+        head = (
+            f'HTTP/1.1 {answer.status.value} {answer.status.phrase}\r\n'
+            f'Content-Type: {answer.content_type}\r\n'
+            f'Content-Length: {len(answer.body)}\r\n'
+            f'Connection: {"keep-alive" if keep else "close"}\r\n\r\n'
+        )
+        self._transport.write(head.encode() + answer.body)
+        if not keep:
+            self._transport.close()
--- /dev/null
+++ b/src/lycheedeal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter between the users' platform and the packet relay."""
--- /dev/null
+++ b/src/lycheedeal/platform/_front_end.py
@@ -0,0 +1,181 @@
+"""Front end for the users' platform: packets, store and readiness."""
+
+import asyncio
+import importlib
+import socket
+from http import HTTPStatus
+from typing import Final
+
+from lycheedeal import relay
+from lycheedeal.exceptions import DecodeError, SettingsError
+from lycheedeal.hosting import (
+    Answer,
+    Dispatch,
+    HttpServer,
+    bind_datagrams,
+    read_batch,
+)
+from lycheedeal.ids import UpstreamId
+from lycheedeal.platform._objects import intended_number
+from lycheedeal.platform._packets import (
+    MAX_PACKET_BYTES,
+    caller_ip,
+    decode_packet,
+    encode_forwarded,
+    encode_reset,
+)
+from lycheedeal.platform._settings import (
+    PlatformSettings,
+    load_settings,
+    modification_time,
+)
+from lycheedeal.platform._store import StoreClient
+
+# The platform may change the settings file without a signal.
+_LOOK_SECONDS: Final = 2.0
+
+
+class PlatformFrontEnd:
+    """Translates between the platform and the core."""
+
+    def __init__(
+        self,
+        path: str,
+        settings: PlatformSettings,
+        counters: relay.Counters,
+    ) -> None:
+        """Open nothing before ``start``; ``path`` is read again later."""
+        self._path = path
+        self._modified_at = modification_time(path)
+        self._next_look = 0.0
+        self._settings = settings
+        self._counters = counters
+        self._dispatch: Dispatch | None = None
+        self._packets: socket.socket | None = None
+        self._store = StoreClient(settings.store, self._report)
+        self._ready = False
+        self._servers = (
+            HttpServer(settings.readiness, self._answer),
+            HttpServer(settings.metrics, self._answer),
+        )
+        self._intended_by_id: dict[UpstreamId, int] = {}
+
+    async def start(self, dispatch: Dispatch) -> None:
+        """Open all sockets; raises OSError if an address is taken."""
+        self._dispatch = dispatch
+        self._packets = bind_datagrams(self._settings.packets)
+        asyncio.get_running_loop().add_reader(self._packets, self._read_packets)
+        for server in self._servers:
+            await server.start()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._store.close()
+        for server in self._servers:
+            server.close()
+        if self._packets is not None:
+            asyncio.get_running_loop().remove_reader(self._packets)
+            self._packets.close()
+
+    def forward(self, packet: relay.Packet, upstream: relay.Upstream) -> None:
+        """Send a packet to its upstream, marked with the upstream's token."""
+        upstream_id = upstream.listing.upstream_id
+        intended = self._intended_by_id.get(upstream_id)
+        if intended is None:
+            intended = intended_number(upstream_id)
+            self._intended_by_id[upstream_id] = intended
+        datagram = encode_forwarded(packet.raw, upstream.token, intended)
+        self._send(datagram, upstream.listing.endpoint)
+
+    def reset(self, packet: relay.Packet) -> None:
+        """Send a reset from the route's address to the caller."""
+        address = caller_ip(packet), self._settings.caller_port
+        self._send(encode_reset(packet), address)
+
+    def list_objects(self, kind: relay.StoreKind) -> None:
+        """Ask the store for all objects of a kind."""
+        self._store.list_objects(kind)
+
+    def watch_objects(
+        self,
+        kind: relay.StoreKind,
+        revision: relay.Revision,
+        wait_seconds: float,
+    ) -> None:
+        """Wait for changes of a kind."""
+        self._store.watch_objects(kind, revision, wait_seconds)
+
+    def stop_reading(self, kind: relay.StoreKind) -> None:
+        """Give up the call in progress for a kind."""
+        self._store.stop(kind)
+
+    def set_ready(self, ready: bool) -> None:
+        """Answer readiness probes from now on."""
+        self._ready = ready
+
+    def reload(self) -> None:
+        """Read the settings again and apply those that can change at run time.
+
+        A file that cannot be used is logged and changes nothing.
+        """
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            self._report(relay.SettingsRead(None, error.detail))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._store.endpoint = settings.store
+        self._report(relay.SettingsRead(settings.relay, ''))
+
+    def tick(self, now: float) -> None:
+        """Notice settings that changed without a signal."""
+        if now >= self._next_look:
+            self._next_look = now + _LOOK_SECONDS
+            modified_at = modification_time(self._path)
+            if modified_at != self._modified_at:
+                self._modified_at = modified_at
+                self.reload()
+
+    def _report(self, event: relay.Event) -> None:
+        if self._dispatch is not None:
+            self._dispatch(event)
+
+    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        if self._packets is None:
+            return
+        try:
+            self._packets.sendto(datagram, address)
+        except OSError as error:
+            # The link is full or the address unreachable: a lost datagram.
+            self._counters.add('send_errors', type(error).__name__)
+
+    def _read_packets(self) -> None:
+        if self._packets is None or self._dispatch is None:
+            return
+        for raw in read_batch(self._packets, MAX_PACKET_BYTES + 1):
+            try:
+                packet = decode_packet(raw)
+            except DecodeError as error:
+                self._counters.add('packets', error.kind.name.lower())
+                continue
+            self._dispatch(relay.PacketArrived(packet))
+
+    def _answer(self, path: str) -> Answer:
+        match path:
+            case '/readyz':
+                ready = self._ready
+                return Answer(
+                    HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+                )
+            case '/metrics':
+                return Answer(HTTPStatus.OK, _metrics_text(self._counters))
+        return Answer(HTTPStatus.NOT_FOUND)
+
+
+def _metrics_text(counters: relay.Counters) -> bytes:
+    # Loaded at the first scrape: the metrics library takes 50 ms of a core.
+    metrics = importlib.import_module('lycheedeal.hosting.metrics')
+    text: bytes = metrics.render(counters)
+    return text
--- /dev/null
+++ b/src/lycheedeal/platform/_settings.py
@@ -0,0 +1,123 @@
+"""Settings of the relay on the platform, from the file of our template."""
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any
+
+from lycheedeal import relay
+from lycheedeal.exceptions import SettingsError
+from lycheedeal.ids import Endpoint, HostId, Zone
+
+
+@dataclass(slots=True)
+class PlatformSettings:
+    """Settings of the core, and the addresses of this front end."""
+
+    relay: relay.RelaySettings
+    packets: Endpoint
+    readiness: Endpoint
+    metrics: Endpoint
+    caller_port: int
+    store: Endpoint
+
+
+def load_settings(path: str) -> PlatformSettings:
+    """Return the settings in a file; raises SettingsError with all faults."""
+    try:
+        with open(path, encoding='utf-8') as settings_file:
+            fields = json.load(settings_file)
+    except (OSError, ValueError) as error:
+        raise SettingsError((f'{path}: {error}',)) from error
+    if not isinstance(fields, dict):
+        raise SettingsError((f'{path}: not an object',))
+    return _Reader(fields).settings()
+
+
+def modification_time(path: str) -> float:
+    """Return when a file was changed, in Unix seconds; 0 if it is missing."""
+    try:
+        return os.stat(path).st_mtime
+    except FileNotFoundError:
+        return 0
+
+
+class _Reader:
+    """Reads fields one by one and collects what is wrong."""
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self._fields = fields
+        self._faults: list[str] = []
+
+    def settings(self) -> PlatformSettings:
+        packets = self._endpoint('packets')
+        peer_port = self._port('peer_port')
+        settings = PlatformSettings(
+            relay=relay.RelaySettings(
+                host_id=HostId(self._text('host')),
+                zone=Zone(self._text('zone')),
+                peer=Endpoint(self._text('ip'), peer_port),
+                strength=self._number('core_share'),
+                seeds=tuple(self._seeds(peer_port)),
+                stop_seconds=self._number('stop_seconds'),
+            ),
+            packets=packets,
+            readiness=self._endpoint('readiness'),
+            metrics=Endpoint(self._text('ip'), self._port('metrics_port')),
+            caller_port=packets.port,
+            store=self._endpoint('store'),
+        )
+        if self._faults:
+            raise SettingsError(tuple(self._faults))
+        return settings
+
+    def _text(self, name: str) -> str:
+        text = self._fields.get(name)
+        if isinstance(text, str) and text:
+            return text
+        self._faults.append(f'{name}: a text is needed, not {text!r}')
+        return ''
+
+    def _number(self, name: str) -> float:
+        number = self._fields.get(name)
+        if isinstance(number, int | float) and not isinstance(number, bool):
+            if number > 0:
+                return float(number)
+        self._faults.append(f'{name}: a number above 0 is needed, not {number!r}')
+        return 1
+
+    def _port(self, name: str) -> int:
+        port = self._fields.get(name)
+        if isinstance(port, int) and not isinstance(port, bool):
+            if 0 < port <= 0xFFFF:
+                return port
+        self._faults.append(f'{name}: a port is needed, not {port!r}')
+        return 1
+
+    def _endpoint(self, name: str) -> Endpoint:
+        text = self._fields.get(name)
+        endpoint = _parse_endpoint(text)
+        if endpoint is None:
+            self._faults.append(f'{name}: ip:port is needed, not {text!r}')
+            return Endpoint('', 1)
+        return endpoint
+
+    def _seeds(self, peer_port: int) -> list[Endpoint]:
+        seeds = self._fields.get('seeds') or []
+        if not isinstance(seeds, list):
+            self._faults.append(f'seeds: a list is needed, not {seeds!r}')
+            return []
+        parsed = (_parse_endpoint(seed) for seed in seeds)
+        # Hosts hear each other at their own port, the same on all of them.
+        return [Endpoint(seed.ip, peer_port) for seed in parsed if seed]
+
+
+def _parse_endpoint(text: object) -> Endpoint | None:
+    if not isinstance(text, str):
+        return None
+    ip, _, port = text.rpartition(':')
+    try:
+        relay.route_key(ip, int(port))
+    except ValueError:
+        return None
+    return Endpoint(ip, int(port))
--- /dev/null
+++ b/src/lycheedeal/relay/__init__.py
@@ -0,0 +1,157 @@
+"""Packet relay for callers that own the bytes of their flows.
+
+A token in each packet names the upstream, so any host forwards the packets of
+an established flow without state. The decision core of this package takes
+events and returns effects; a front end decodes packets and objects and carries
+the effects out.
+"""
+
+from typing import Final
+
+from lycheedeal import dispatch
+from lycheedeal.relay._context import Counters, RelayContext, RelaySettings
+from lycheedeal.relay._effects import (
+    Detail,
+    Effect,
+    Exit,
+    Forward,
+    ListObjects,
+    Part,
+    Record,
+    Reset,
+    SendPeer,
+    SetReady,
+    StopReading,
+    WatchObjects,
+)
+from lycheedeal.relay._events import (
+    Beacon,
+    CallFailed,
+    ChangesAnswered,
+    ContentChanged,
+    ContentConfirmed,
+    ContentPart,
+    DutyChanged,
+    Event,
+    Greeting,
+    ListAnswered,
+    LoadReport,
+    PacketArrived,
+    PeerMessage,
+    PeerSpoke,
+    RefreshWanted,
+    Roster,
+    RoutesChanged,
+    SettingsRead,
+    SnapshotWanted,
+    Started,
+    StopRequested,
+    Tick,
+    UpstreamsChanged,
+)
+from lycheedeal.relay._records import (
+    ConfigurationVersion,
+    Entry,
+    FlowKey,
+    Listing,
+    Packet,
+    PacketKind,
+    Peer,
+    Revision,
+    Route,
+    RouteKey,
+    RouteName,
+    Source,
+    StoreFault,
+    StoreKind,
+    Token,
+    Upstream,
+    UpstreamState,
+    flow_text,
+    route_key,
+)
+from lycheedeal.relay._table import UpstreamTable, token_of
+
+RELAY_PLUGINS: Final = (
+    'lycheedeal.relay.reading',
+    'lycheedeal.relay.zone',
+    'lycheedeal.relay.routes',
+    'lycheedeal.relay.upstreams',
+    'lycheedeal.relay.forwarding',
+    'lycheedeal.relay.lifecycle',
+)
+
+
+class RelayKernel(dispatch.Kernel[RelayContext, Event, Effect]):
+    """Kernel with the events and effects of the relay."""
+
+
+def build_kernel(context: RelayContext) -> RelayKernel:
+    """Return a kernel with the plug-ins of the relay."""
+    return RelayKernel(context, dispatch.load_plugins(RELAY_PLUGINS))
+
+
+__all__ = (
+    'RELAY_PLUGINS',
+    'Beacon',
+    'CallFailed',
+    'ChangesAnswered',
+    'ConfigurationVersion',
+    'ContentChanged',
+    'ContentConfirmed',
+    'ContentPart',
+    'Counters',
+    'Detail',
+    'DutyChanged',
+    'Effect',
+    'Entry',
+    'Event',
+    'Exit',
+    'FlowKey',
+    'Forward',
+    'Greeting',
+    'ListAnswered',
+    'ListObjects',
+    'Listing',
+    'LoadReport',
+    'Packet',
+    'PacketArrived',
+    'PacketKind',
+    'Part',
+    'Peer',
+    'PeerMessage',
+    'PeerSpoke',
+    'Record',
+    'RefreshWanted',
+    'RelayContext',
+    'RelayKernel',
+    'RelaySettings',
+    'Reset',
+    'Revision',
+    'Roster',
+    'Route',
+    'RouteKey',
+    'RouteName',
+    'RoutesChanged',
+    'SendPeer',
+    'SetReady',
+    'SettingsRead',
+    'SnapshotWanted',
+    'Source',
+    'Started',
+    'StopReading',
+    'StopRequested',
+    'StoreFault',
+    'StoreKind',
+    'Tick',
+    'Token',
+    'Upstream',
+    'UpstreamState',
+    'UpstreamTable',
+    'UpstreamsChanged',
+    'WatchObjects',
+    'build_kernel',
+    'flow_text',
+    'route_key',
+    'token_of',
+)
--- /dev/null
+++ b/src/lycheedeal/relay/_copies.py
@@ -0,0 +1,180 @@
+"""Copy of the store's content that hosts of a zone pass to each other."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import Final
+
+from lycheedeal.ids import HostId
+from lycheedeal.relay._events import ContentChanged, ContentPart
+from lycheedeal.relay._records import (
+    ConfigurationVersion,
+    Entry,
+    Listing,
+    Revision,
+    Route,
+    Source,
+    StoreKind,
+)
+
+# Keeps a datagram below 1,400 bytes; an entry takes about 100.
+_ENTRIES_PER_PART: Final = 10
+# Changes whose parts are still arriving; a sender has few at a time.
+_MAX_PARTIAL: Final = 16
+
+
+def entry_name(entry: Entry) -> str:
+    """Return the name under which the store holds an entry."""
+    match entry:
+        case Route(name=name):
+            return name
+        case Listing(upstream_id=upstream_id):
+            return upstream_id
+
+
+@dataclass(slots=True)
+class ContentCopy:
+    """Content of one kind, with the revision of its last change."""
+
+    kind: StoreKind
+    revision: Revision = Revision(0)
+    version: ConfigurationVersion | None = None
+    settled: bool = True
+    entries_by_name: dict[str, Entry] = field(default_factory=dict)
+    unusable: tuple[str, ...] = ()
+
+    def take(self, event: ContentChanged) -> ContentPart | None:
+        """Merge a change; return the difference, or None if there is none."""
+        base = self.revision
+        changed = {
+            entry_name(entry): entry
+            for entry in event.entries
+            if self.entries_by_name.get(entry_name(entry)) != entry
+        }
+        removed = tuple(self._removed(event))
+        same_names = event.unusable == self.unusable
+        if not (changed or removed) and event.version == self.version and same_names:
+            return None
+        for name in (*removed, *event.unusable):
+            self.entries_by_name.pop(name, None)
+        self.unusable = event.unusable
+        self.entries_by_name.update(changed)
+        self.revision = event.revision
+        self.version = event.version
+        self.settled = event.settled
+        return ContentPart(
+            host_id=HostId(''),
+            kind=self.kind,
+            base=base,
+            revision=event.revision,
+            part=0,
+            parts=1,
+            complete=False,
+            settled=event.settled,
+            version=event.version,
+            entries=tuple(changed.values()),
+            removed=removed,
+            unusable=event.unusable,
+        )
+
+    def _removed(self, event: ContentChanged) -> Iterator[str]:
+        if event.complete:
+            present = {entry_name(entry) for entry in event.entries}
+            present.update(event.unusable)
+            yield from (name for name in self.entries_by_name if name not in present)
+            return
+        yield from (name for name in event.removed if name in self.entries_by_name)
+
+    def snapshot(self) -> ContentPart:
+        """Return everything as one part."""
+        return ContentPart(
+            host_id=HostId(''),
+            kind=self.kind,
+            base=0,
+            revision=self.revision,
+            part=0,
+            parts=1,
+            complete=True,
+            settled=self.settled,
+            version=self.version,
+            entries=tuple(self.entries_by_name.values()),
+            removed=(),
+            unusable=self.unusable,
+        )
+
+
+def split_part(whole: ContentPart, host_id: HostId) -> Iterator[ContentPart]:
+    """Yield parts small enough for a datagram each."""
+    entries = iter(whole.entries)
+    removed = iter(whole.removed)
+    count = max(
+        -(-len(whole.entries) // _ENTRIES_PER_PART),
+        -(-len(whole.removed) // _ENTRIES_PER_PART),
+        1,
+    )
+    for index in range(count):
+        yield ContentPart(
+            host_id=host_id,
+            kind=whole.kind,
+            base=whole.base,
+            revision=whole.revision,
+            part=index,
+            parts=count,
+            complete=whole.complete,
+            settled=whole.settled,
+            version=whole.version,
+            entries=tuple(islice(entries, _ENTRIES_PER_PART)),
+            removed=tuple(islice(removed, _ENTRIES_PER_PART)),
+            unusable=whole.unusable[:_ENTRIES_PER_PART],
+        )
+
+
+class Assembly:
+    """Joins the parts of changes, which may arrive in any order."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self._parts: dict[tuple[HostId, StoreKind, int, bool], dict[int, ContentPart]]
+        self._parts = {}
+
+    def add(self, part: ContentPart) -> ContentPart | None:
+        """Return the joined change once all its parts are here."""
+        key = part.host_id, part.kind, part.revision, part.complete
+        parts = self._parts.setdefault(key, {})
+        parts[part.part] = part
+        if len(parts) < part.parts:
+            while len(self._parts) > _MAX_PARTIAL:
+                self._parts.pop(next(iter(self._parts)))
+            return None
+        self._parts.pop(key)
+        ordered = [parts[index] for index in sorted(parts)]
+        return ContentPart(
+            host_id=part.host_id,
+            kind=part.kind,
+            base=part.base,
+            revision=part.revision,
+            part=0,
+            parts=1,
+            complete=part.complete,
+            settled=part.settled,
+            version=part.version,
+            entries=tuple(one for each in ordered for one in each.entries),
+            removed=tuple(one for each in ordered for one in each.removed),
+            unusable=part.unusable,
+        )
+
+
+def as_content(whole: ContentPart) -> ContentChanged:
+    """Return a joined change as content from a peer."""
+    version = None if whole.version is None else ConfigurationVersion(whole.version)
+    return ContentChanged(
+        kind=whole.kind,
+        revision=Revision(whole.revision),
+        complete=whole.complete,
+        entries=whole.entries,
+        removed=whole.removed,
+        unusable=whole.unusable,
+        version=version,
+        settled=whole.settled,
+        source=Source.PEER,
+    )
--- /dev/null
+++ b/src/lycheedeal/relay/_effects.py
@@ -0,0 +1,109 @@
+"""Effects that the packet relay asks its surroundings to carry out."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from lycheedeal.dispatch import Publish
+from lycheedeal.ids import Endpoint
+from lycheedeal.relay._events import PeerMessage
+from lycheedeal.relay._records import Packet, Revision, StoreKind, Upstream
+
+Detail = str | int | float | bool | None
+
+
+@dataclass(slots=True, eq=False)
+class Forward:
+    """Sends a packet to an upstream, marked with the upstream's token."""
+
+    packet: Packet
+    upstream: Upstream
+
+
+@dataclass(slots=True, eq=False)
+class Reset:
+    """Tells the caller that its flow cannot go on or be opened."""
+
+    packet: Packet
+
+
+@dataclass(slots=True)
+class ListObjects:
+    """Reads all objects of a kind from the store, linearizably."""
+
+    kind: StoreKind
+
+
+@dataclass(slots=True)
+class WatchObjects:
+    """Waits for changes of a kind after a revision."""
+
+    kind: StoreKind
+    revision: Revision
+    wait_seconds: float
+
+
+@dataclass(slots=True)
+class StopReading:
+    """Ends the call in progress for a kind; no event follows."""
+
+    kind: StoreKind
+
+
+@dataclass(slots=True)
+class SendPeer:
+    """Sends a message to another host."""
+
+    endpoint: Endpoint
+    message: PeerMessage
+
+
+@dataclass(slots=True)
+class SetReady:
+    """Answers the platform's readiness question from now on."""
+
+    ready: bool
+
+
+@dataclass(slots=True)
+class Exit:
+    """Ends the process with status 0."""
+
+
+@unique
+class Part(Enum):
+    """Parts of the relay; the value prefixes their log lines."""
+
+    FORWARDING = 'forwarding'
+    ROUTES = 'routes'
+    UPSTREAMS = 'upstreams'
+    READING = 'reading'
+    ZONE = 'zone'
+    LIFECYCLE = 'lifecycle'
+    STORE = 'store'
+    SETTINGS = 'settings'
+    LOG = 'log'
+
+
+@dataclass(slots=True)
+class Record:
+    """A structured log line; ``kind`` has its own budget of lines."""
+
+    part: Part
+    kind: str
+    text: str
+    details: Mapping[str, Detail]
+
+
+Effect = (
+    Forward
+    | Reset
+    | ListObjects
+    | WatchObjects
+    | StopReading
+    | SendPeer
+    | SetReady
+    | Exit
+    | Record
+    | Publish
+)
--- /dev/null
+++ b/src/lycheedeal/relay/_events.py
@@ -0,0 +1,242 @@
+"""Events of the packet relay."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lycheedeal.ids import HostId, Zone
+from lycheedeal.relay._records import (
+    ConfigurationVersion,
+    Entry,
+    Packet,
+    Peer,
+    Revision,
+    Route,
+    RouteKey,
+    Source,
+    StoreFault,
+    StoreKind,
+)
+
+if TYPE_CHECKING:
+    from lycheedeal.relay._context import RelaySettings
+    from lycheedeal.relay._table import UpstreamTable
+
+
+@dataclass(slots=True)
+class Started:
+    """The process is up and its sockets are open."""
+
+
+@dataclass(slots=True)
+class Tick:
+    """Some time has passed; seconds of the monotonic clock."""
+
+    now: float
+
+
+@dataclass(slots=True)
+class StopRequested:
+    """The platform asked the process to stop."""
+
+
+@dataclass(slots=True)
+class SettingsRead:
+    """The settings were read again; None if they cannot be used."""
+
+    settings: 'RelaySettings | None'
+    detail: str
+
+
+@dataclass(slots=True, eq=False)
+class PacketArrived:
+    """A packet of a caller arrived."""
+
+    packet: Packet
+
+
+@dataclass(slots=True)
+class ListAnswered:
+    """All objects of a kind, as of a revision.
+
+    ``unusable`` names objects that exist but could not be understood. For the
+    configuration, ``version`` is None if the store holds none.
+    """
+
+    kind: StoreKind
+    revision: Revision
+    entries: tuple[Entry, ...]
+    unusable: tuple[str, ...] = ()
+    version: ConfigurationVersion | None = None
+
+
+@dataclass(slots=True)
+class ChangesAnswered:
+    """What changed in a kind since the watched revision."""
+
+    kind: StoreKind
+    revision: Revision
+    entries: tuple[Entry, ...]
+    removed: tuple[str, ...] = ()
+    unusable: tuple[str, ...] = ()
+    version: ConfigurationVersion | None = None
+
+
+@dataclass(slots=True)
+class CallFailed:
+    """A call to the store gave no usable answer."""
+
+    kind: StoreKind
+    fault: StoreFault
+    detail: str
+
+
+@dataclass(slots=True)
+class DutyChanged:
+    """This host is, or is no longer, one that follows the store."""
+
+    active: bool
+
+
+@dataclass(slots=True)
+class ContentChanged:
+    """New content of a kind.
+
+    ``complete`` means that what is not in ``entries`` or ``unusable`` is
+    absent. ``settled`` means that the store had answered for long enough for
+    absence to be meant.
+    """
+
+    kind: StoreKind
+    revision: Revision
+    complete: bool
+    entries: tuple[Entry, ...]
+    removed: tuple[str, ...]
+    unusable: tuple[str, ...]
+    version: ConfigurationVersion | None
+    settled: bool
+    source: Source
+
+
+@dataclass(slots=True)
+class ContentConfirmed:
+    """The store confirmed what is known of a kind, as of ``at`` seconds."""
+
+    kind: StoreKind
+    at: float
+
+
+@dataclass(slots=True)
+class RefreshWanted:
+    """The content of a kind may be old and should be read from the store."""
+
+    kind: StoreKind
+
+
+@dataclass(slots=True, eq=False)
+class RoutesChanged:
+    """The routes in force, and those that were in force before."""
+
+    version: ConfigurationVersion
+    routes_by_key: dict[RouteKey, Route]
+    removed: frozenset[RouteKey]
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamsChanged:
+    """The table of upstreams changed; it is shared and not copied."""
+
+    table: 'UpstreamTable'
+    revision: Revision
+
+
+@dataclass(slots=True)
+class Greeting:
+    """A host announces itself; it asks hosts that it does not know yet."""
+
+    peer: Peer
+    asks: bool
+
+
+@dataclass(slots=True)
+class Roster:
+    """Hosts that the sender knows in a zone."""
+
+    zone: Zone
+    peers: tuple[Peer, ...]
+
+
+@dataclass(slots=True)
+class Beacon:
+    """A host that follows the store tells its zone how current it is.
+
+    ``ages_ms`` is the time since the store confirmed each kind, in the order
+    of StoreKind; a negative age means that the sender gives the duty up.
+    """
+
+    peer: Peer
+    ages_ms: tuple[int, ...]
+    revisions: tuple[int, ...]
+    peers: tuple[Peer, ...]
+
+
+@dataclass(slots=True)
+class ContentPart:
+    """A part of a change, or of everything, of a kind."""
+
+    host_id: HostId
+    kind: StoreKind
+    base: int
+    revision: int
+    part: int
+    parts: int
+    complete: bool
+    settled: bool
+    version: int | None
+    entries: tuple[Entry, ...]
+    removed: tuple[str, ...]
+    unusable: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class SnapshotWanted:
+    """A host asks for everything of a kind."""
+
+    host_id: HostId
+    kind: StoreKind
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """Requests in flight at upstreams, as one host counts them."""
+
+    host_id: HostId
+    busy_by_token: dict[int, int] = field(default_factory=dict)
+
+
+PeerMessage = Greeting | Roster | Beacon | ContentPart | SnapshotWanted | LoadReport
+
+
+@dataclass(slots=True)
+class PeerSpoke:
+    """A message of another host arrived."""
+
+    message: PeerMessage
+
+
+Event = (
+    Started
+    | Tick
+    | StopRequested
+    | SettingsRead
+    | PacketArrived
+    | ListAnswered
+    | ChangesAnswered
+    | CallFailed
+    | DutyChanged
+    | ContentChanged
+    | ContentConfirmed
+    | RefreshWanted
+    | RoutesChanged
+    | UpstreamsChanged
+    | PeerSpoke
+)
--- /dev/null
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -0,0 +1,88 @@
+"""The other hosts that a host knows, and their order for the duty."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.dispatch import Clock
+from lycheedeal.ids import HostId, Zone
+from lycheedeal.relay._records import Peer
+
+# A host that was not heard for this long is left out.
+_PEER_SECONDS: Final = 7.0
+# Hosts named in one datagram.
+_ROSTER_SIZE: Final = 16
+
+
+class Neighbours:
+    """Hosts heard lately, by id."""
+
+    def __init__(self, own: Peer, clock: Clock) -> None:
+        """Start without any."""
+        self.own = own
+        self._clock = clock
+        self._peers_by_id: dict[HostId, Peer] = {}
+        self._offset = 0
+
+    def __len__(self) -> int:
+        """Return the number of known hosts."""
+        return len(self._peers_by_id)
+
+    def heard(self, peer: Peer) -> bool:
+        """Remember a host; True if it is new."""
+        if peer.host_id == self.own.host_id:
+            return False
+        peer.heard_at = self._clock.monotonic()
+        is_new = peer.host_id not in self._peers_by_id
+        self._peers_by_id[peer.host_id] = peer
+        return is_new
+
+    def named(self, peer: Peer) -> bool:
+        """Remember a host that another one named; True if it is new."""
+        return peer.host_id not in self._peers_by_id and self.heard(peer)
+
+    def find(self, host_id: HostId | None) -> Peer | None:
+        """Return a host by its id."""
+        return self._peers_by_id.get(host_id) if host_id else None
+
+    def expire(self) -> None:
+        """Leave out hosts that fell silent."""
+        oldest = self._clock.monotonic() - _PEER_SECONDS
+        self._peers_by_id = {
+            host_id: peer
+            for host_id, peer in self._peers_by_id.items()
+            if peer.heard_at >= oldest
+        }
+
+    def of_zone(self, zone: Zone) -> Iterator[Peer]:
+        """Yield the known hosts of a zone, without this one."""
+        return (peer for peer in self._peers_by_id.values() if peer.zone == zone)
+
+    def of_own_zone(self) -> Iterator[Peer]:
+        """Yield the other known hosts of the own zone."""
+        return self.of_zone(self.own.zone)
+
+    def rosters(self, asking: Peer) -> Iterator[tuple[Peer, ...]]:
+        """Yield the hosts of another host's zone, in groups for a datagram."""
+        known = [one for one in self.of_zone(asking.zone) if one != asking]
+        if asking.zone == self.own.zone:
+            known.append(self.own)
+        for start in range(0, len(known), _ROSTER_SIZE):
+            yield tuple(known[start : start + _ROSTER_SIZE])
+
+    def some(self) -> tuple[Peer, ...]:
+        """Return hosts of the own zone, as many as fit, in turn."""
+        peers = list(self.of_own_zone())
+        if len(peers) <= _ROSTER_SIZE:
+            return tuple(peers)
+        self._offset = (self._offset + _ROSTER_SIZE) % len(peers)
+        return tuple((peers[self._offset :] + peers)[:_ROSTER_SIZE])
+
+    def own_rank(self) -> int:
+        """Return how many known hosts of the zone come before this one."""
+        own = rank(self.own)
+        return sum(rank(peer) < own for peer in self.of_own_zone())
+
+
+def rank(peer: Peer) -> tuple[float, str]:
+    """Return the place of a host in the order for the duty; strong ones first."""
+    return -peer.strength, peer.host_id
--- /dev/null
+++ b/src/lycheedeal/relay/forwarding.py
@@ -0,0 +1,276 @@
+"""Steers packets: openings by choice, all others by the token they carry."""
+
+from collections.abc import Generator, Iterator
+from typing import Final
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.ids import HostId, ServiceName
+from lycheedeal.relay._choice import choose
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, Forward, Part, Record, Reset
+from lycheedeal.relay._events import (
+    Event,
+    LoadReport,
+    PacketArrived,
+    PeerSpoke,
+    RefreshWanted,
+    RoutesChanged,
+    Tick,
+    UpstreamsChanged,
+)
+from lycheedeal.relay._flows import FlowMemory, unanswered
+from lycheedeal.relay._records import (
+    ConfigurationVersion,
+    FlowKey,
+    Packet,
+    PacketKind,
+    Revision,
+    Route,
+    RouteKey,
+    StoreKind,
+    Token,
+    Upstream,
+    UpstreamState,
+    endpoint_text,
+    flow_text,
+)
+from lycheedeal.relay._table import UpstreamTable
+
+_EXPIRE_SECONDS: Final = 1.0
+# A packet with an unknown token shows that the table may be old; it is read
+# again at most this often.
+_REFRESH_SECONDS: Final = 1.0
+# Multiplier of Knuth's hash; spreads ports over the weights of a route.
+_HASH_FACTOR: Final = 2654435761
+_HASH_MASK: Final = 0xFFFFFFFF
+
+
+class ForwardingPlugin:
+    """Forwards packets without needing any memory of their flows."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start with no routes and no upstreams."""
+        self._context = context
+        self._routes_by_key: dict[RouteKey, Route] = {}
+        self._removed: frozenset[RouteKey] = frozenset()
+        self._version = ConfigurationVersion(0)
+        self._table = UpstreamTable()
+        self._revision = Revision(0)
+        self._table_at = 0.0
+        self.memory = FlowMemory(
+            context.settings.max_flows,
+            context.settings.flow_idle_seconds,
+        )
+        self._next_expiry = 0.0
+        self._next_refresh = 0.0
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event."""
+        match event:
+            case PacketArrived(packet=packet):
+                yield from self._packet(packet)
+            case RoutesChanged():
+                self._routes_by_key = event.routes_by_key
+                self._removed = event.removed
+                self._version = event.version
+            case UpstreamsChanged():
+                self._table = event.table
+                self._revision = event.revision
+                self._table_at = self._context.clock.monotonic()
+            case PeerSpoke(message=LoadReport() as report):
+                self._peer_load(report)
+            case Tick(now=now):
+                if now >= self._next_expiry:
+                    self._next_expiry = now + _EXPIRE_SECONDS
+                    self.memory.expire(now)
+
+    def _packet(self, packet: Packet) -> Iterator[Effect]:
+        match packet.kind:
+            case PacketKind.OPENING:
+                yield from self._opening(packet)
+            case PacketKind.FORGED:
+                self._count('forged')
+            case _:
+                yield from self._established(packet)
+
+    def _established(self, packet: Packet) -> Iterator[Effect]:
+        upstream = self._table.by_token.get(packet.token)
+        if upstream is None:
+            yield from self._unknown_token(packet)
+        elif packet.route in self._removed:
+            yield from self._reset(packet, 'route was removed', upstream)
+        elif self._is_foreign(packet.route, upstream):
+            self._count('foreign service')
+            yield self._dropped(packet, 'token is of another service', upstream)
+        elif upstream.state is UpstreamState.GONE:
+            yield from self._reset(packet, 'upstream is gone', upstream)
+        else:
+            self.memory.seen(packet, upstream, self._context.clock.monotonic())
+            self._count('forwarded')
+            yield Forward(packet, upstream)
+
+    def _is_foreign(self, key: RouteKey, upstream: Upstream) -> bool:
+        route = self._routes_by_key.get(key)
+        # Without the route here, the opening passed a host that knew it.
+        return route is not None and upstream.listing.service not in route
+
+    def _unknown_token(self, packet: Packet) -> Iterator[Effect]:
+        yield self._dropped(packet, 'no upstream for the token', None)
+        if not packet.token:
+            self._count('no token')
+            return
+        self._count('unknown token')
+        now = self._context.clock.monotonic()
+        if now >= self._next_refresh:
+            self._next_refresh = now + _REFRESH_SECONDS
+            yield Publish(RefreshWanted(StoreKind.UPSTREAMS))
+
+    def _opening(self, packet: Packet) -> Iterator[Effect]:
+        route = self._routes_by_key.get(packet.route)
+        if route is None:
+            yield from self._reset(packet, 'no route', None)
+            return
+        now = self._context.clock.monotonic()
+        previous = yield from self._judge_previous(packet, now)
+        service = _pick_service(route, packet.flow)
+        choice = choose(
+            self._table,
+            service,
+            self._context.settings.zone,
+            previous,
+            now,
+            self._context.rng,
+        )
+        if choice is None:
+            yield from self._reset(packet, 'no upstream', None)
+            return
+        self.memory.opening(packet, choice.upstream, now)
+        self._count('opened' if choice.local else 'opened in another zone')
+        yield Forward(packet, choice.upstream)
+        yield Record(
+            Part.FORWARDING,
+            'opening',
+            'Opening was forwarded.',
+            {
+                'flow': flow_text(packet.flow),
+                'attempt': packet.attempt,
+                'route': route.name,
+                'service': service,
+                'upstream': choice.upstream.listing.upstream_id,
+                'zone': choice.upstream.listing.zone,
+                'busy': choice.upstream.busy,
+                'open_flows': choice.upstream.open_flows,
+                'candidates': choice.candidates,
+                **self._view(now),
+            },
+        )
+
+    def _judge_previous(
+        self,
+        packet: Packet,
+        now: float,
+    ) -> Generator[Effect, None, Upstream | None]:
+        """Return the upstream that did not answer this opening before, if any."""
+        flow = self.memory.flows_by_key.get(packet.flow)
+        if flow is None or flow.confirmed:
+            return None
+        if unanswered(flow.upstream, now):
+            self._count('upstream avoided')
+            yield Record(
+                Part.FORWARDING,
+                'avoided',
+                'Upstream is avoided: it did not answer an opening.',
+                {
+                    'flow': flow_text(packet.flow),
+                    'upstream': flow.upstream.listing.upstream_id,
+                    'strikes': flow.upstream.strikes,
+                    'for_s': round(flow.upstream.avoided_until - now, 2),
+                    'asked_s_ago': round(now - flow.opened_at, 3),
+                },
+            )
+        return flow.upstream
+
+    def _reset(
+        self,
+        packet: Packet,
+        reason: str,
+        upstream: Upstream | None,
+    ) -> Iterator[Effect]:
+        self.memory.end(packet.flow)
+        self._count('reset')
+        self._context.counters.add('refusals', reason)
+        if packet.kind is not PacketKind.RESET:
+            yield Reset(packet)
+        yield self._turned_away(packet, 'Flow was reset.', reason, upstream)
+
+    def _dropped(
+        self,
+        packet: Packet,
+        reason: str,
+        upstream: Upstream | None,
+    ) -> Record:
+        self._context.counters.add('refusals', reason)
+        return self._turned_away(packet, 'Packet was dropped.', reason, upstream)
+
+    def _turned_away(
+        self,
+        packet: Packet,
+        text: str,
+        reason: str,
+        upstream: Upstream | None,
+    ) -> Record:
+        listing = upstream.listing if upstream else None
+        return Record(
+            Part.FORWARDING,
+            'turned away',
+            text,
+            {
+                'flow': flow_text(packet.flow),
+                'packet': packet.kind.value,
+                'attempt': packet.attempt,
+                'reason': reason,
+                'token': packet.token,
+                'route': endpoint_text(packet.route),
+                'upstream': listing.upstream_id if listing else None,
+                **self._view(self._context.clock.monotonic()),
+            },
+        )
+
+    def _view(self, now: float) -> dict[str, str | int | float | bool | None]:
+        return {
+            'version': self._version,
+            'revision': self._revision,
+            'upstreams_age_s': round(now - self._table_at, 2),
+        }
+
+    def _count(self, outcome: str) -> None:
+        self._context.counters.add('packets', outcome)
+
+    def _peer_load(self, report: LoadReport) -> None:
+        now = self._context.clock.monotonic()
+        for token, count in report.busy_by_token.items():
+            upstream = self._table.by_token.get(Token(token))
+            if upstream is not None:
+                upstream.peer_busy[HostId(report.host_id)] = (now, count)
+
+
+def _pick_service(route: Route, flow: FlowKey) -> ServiceName:
+    """Return the service of a flow; the same one on every host."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = (hash(flow) * _HASH_FACTOR & _HASH_MASK) % max(total, 1)
+    for service, weight in route.services:
+        point -= weight
+        if point < 0:
+            return service
+    return route.services[-1][0]
+
+
+register(
+    PluginSpec(
+        'forwarding',
+        ForwardingPlugin,
+        frozenset((PacketArrived, RoutesChanged, UpstreamsChanged, PeerSpoke, Tick)),
+    ),
+)
--- /dev/null
+++ b/src/lycheedeal/relay/routes.py
@@ -0,0 +1,89 @@
+"""Keeps the routes in force; an older version never replaces a newer one."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, Part, Record
+from lycheedeal.relay._events import ContentChanged, Event, RoutesChanged
+from lycheedeal.relay._records import (
+    ConfigurationVersion,
+    Route,
+    RouteKey,
+    RouteName,
+    StoreKind,
+)
+
+# Routes that are no longer in force and whose flows are still reset.
+_MAX_REMOVED: Final = 4096
+
+
+class RoutesPlugin:
+    """Holds the newest configuration that this process has seen."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start without a configuration."""
+        self._context = context
+        self.version: ConfigurationVersion | None = None
+        self._routes_by_name: dict[RouteName, Route] = {}
+        # Keys in order of removal.
+        self._removed: dict[RouteKey, None] = {}
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event."""
+        if isinstance(event, ContentChanged) and event.kind is StoreKind.CONFIGURATION:
+            yield from self._content_changed(event)
+
+    def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
+        if event.version is None:
+            yield Record(
+                Part.ROUTES,
+                'unusable',
+                'Configuration cannot be used; the last one stays in force.',
+                {'revision': event.revision, 'source': event.source.value},
+            )
+            return
+        if self.version is not None and event.version <= self.version:
+            if event.version < self.version:
+                self._context.counters.add('configuration', 'older ignored')
+            return
+        self._merge(event)
+        previous = self.version
+        self.version = event.version
+        self._context.counters.add('configuration', 'applied')
+        by_key = {route.key: route for route in self._routes_by_name.values()}
+        yield Publish(RoutesChanged(event.version, by_key, frozenset(self._removed)))
+        yield Record(
+            Part.ROUTES,
+            'version',
+            'Configuration is in force.',
+            {
+                'version': event.version,
+                'previous': previous,
+                'routes': len(by_key),
+                'revision': event.revision,
+                'source': event.source.value,
+            },
+        )
+
+    def _merge(self, event: ContentChanged) -> None:
+        old_keys = {route.key for route in self._routes_by_name.values()}
+        changed = {
+            entry.name: entry for entry in event.entries if isinstance(entry, Route)
+        }
+        if event.complete:
+            self._routes_by_name = changed
+        else:
+            for name in event.removed:
+                self._routes_by_name.pop(RouteName(name), None)
+            self._routes_by_name.update(changed)
+        keys = {route.key for route in self._routes_by_name.values()}
+        self._removed.update(dict.fromkeys(old_keys - keys))
+        for key in keys & self._removed.keys():
+            self._removed.pop(key)
+        while len(self._removed) > _MAX_REMOVED:
+            self._removed.pop(next(iter(self._removed)))
+
+
+register(PluginSpec('routes', RoutesPlugin, frozenset((ContentChanged,))))
--- /dev/null
+++ b/src/lycheedeal/relay/upstreams.py
@@ -0,0 +1,195 @@
+"""Keeps the table of upstreams from what they say in the store.
+
+An upstream that is no longer listed takes no new flows, but may live: its open
+flows keep their way. It is gone for certain when another incarnation has its
+id or its address, or when the store, answering for some time, lacks it.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, Part, Record
+from lycheedeal.relay._events import ContentChanged, Event, Tick, UpstreamsChanged
+from lycheedeal.relay._records import (
+    Listing,
+    Revision,
+    StoreKind,
+    Upstream,
+    UpstreamState,
+)
+from lycheedeal.relay._table import UpstreamTable, token_of
+
+# Longer than any flow may be open (60 s on the platform).
+_REMEMBER_SECONDS: Final = 120
+# Entries missing while the store recovers may come back within this time.
+_LAPSE_SECONDS: Final = 2.0
+
+
+class UpstreamsPlugin:
+    """Holds every incarnation that may have open flows."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start with an empty table."""
+        self._context = context
+        self.table = UpstreamTable()
+        self._revision = Revision(0)
+        # Listed before, missing from a store that has just come back.
+        self._lapsing: dict[str, float] = {}
+        self._next_sweep = 0.0
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event."""
+        match event:
+            case ContentChanged(kind=StoreKind.UPSTREAMS):
+                self._revision = event.revision
+                yield from self._content_changed(event)
+                yield Publish(UpstreamsChanged(self.table, self._revision))
+            case Tick(now=now):
+                yield from self._tick(now)
+
+    def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
+        present: set[str] = set(event.unusable)
+        for name in event.unusable:
+            yield from self._unlist(name, UpstreamState.UNLISTED, 'unusable entry')
+        for entry in event.entries:
+            if isinstance(entry, Listing):
+                present.add(entry.upstream_id)
+                self._lapsing.pop(entry.upstream_id, None)
+                yield from self._seen(entry)
+        if event.complete:
+            names = map(str, self.table.current_by_id)
+            missing = tuple(one for one in names if one not in present)
+        else:
+            missing = event.removed
+        for name in missing:
+            yield from self._missing(name, event.settled)
+
+    def _seen(self, listing: Listing) -> Iterator[Effect]:
+        now = self._context.clock.monotonic()
+        state = UpstreamState.DRAINING if listing.draining else UpstreamState.READY
+        known = self.table.current_by_id.get(listing.upstream_id)
+        token = token_of(listing)
+        if known is not None and known.token == token:
+            yield from self._update(known, listing, state)
+        else:
+            if known is not None:
+                yield from self._gone(known, 'restarted under its id')
+            yield from self._add(Upstream(listing, token, state, now))
+        current = self.table.current_by_id.get(listing.upstream_id)
+        if current is not None:
+            current.warm_at = now + listing.warmup_ms / 1000
+
+    def _update(
+        self,
+        known: Upstream,
+        listing: Listing,
+        state: UpstreamState,
+    ) -> Iterator[Effect]:
+        known.listing = listing
+        if known.state is not state:
+            yield from self._set_state(known, state, 'own entry')
+
+    def _add(self, upstream: Upstream) -> Iterator[Effect]:
+        holder = self.table.current_by_endpoint.get(upstream.listing.endpoint)
+        if holder is not None:
+            yield from self._gone(holder, 'address has a new holder')
+        rival = self.table.by_token.get(upstream.token)
+        if rival is not None and rival.state is not UpstreamState.GONE:
+            # Packets cannot tell the two apart; the first keeps the token.
+            yield Record(
+                Part.UPSTREAMS,
+                'collision',
+                'Upstream gets no flows: another one has the same token.',
+                {
+                    'upstream': upstream.listing.upstream_id,
+                    'other': rival.listing.upstream_id,
+                },
+            )
+            return
+        self.table.add(upstream)
+        yield self._record(upstream, 'Upstream is listed.', 'own entry')
+
+    def _missing(self, name: str, settled: bool) -> Iterator[Effect]:
+        upstream = next(self._current(name), None)
+        if upstream is None or upstream.state is UpstreamState.GONE:
+            return
+        if settled:
+            self._lapsing.pop(name, None)
+            yield from self._gone(upstream, 'no longer listed')
+        elif name not in self._lapsing:
+            self._lapsing[name] = self._context.clock.monotonic()
+
+    def _unlist(
+        self,
+        name: str,
+        state: UpstreamState,
+        reason: str,
+    ) -> Iterator[Effect]:
+        for upstream in self._current(name):
+            if upstream.state not in {state, UpstreamState.GONE}:
+                yield from self._set_state(upstream, state, reason)
+
+    def _gone(self, upstream: Upstream, reason: str) -> Iterator[Effect]:
+        if upstream.state is not UpstreamState.GONE:
+            yield from self._set_state(upstream, UpstreamState.GONE, reason)
+
+    def _set_state(
+        self,
+        upstream: Upstream,
+        state: UpstreamState,
+        reason: str,
+    ) -> Iterator[Effect]:
+        upstream.state = state
+        upstream.since = self._context.clock.monotonic()
+        self._context.counters.add('upstream_states', state.value)
+        yield self._record(upstream, 'Upstream changed its state.', reason)
+
+    def _record(self, upstream: Upstream, text: str, reason: str) -> Record:
+        listing = upstream.listing
+        return Record(
+            Part.UPSTREAMS,
+            'state',
+            text,
+            {
+                'upstream': listing.upstream_id,
+                'service': listing.service,
+                'address': str(listing.endpoint),
+                'zone': listing.zone,
+                'state': upstream.state.value,
+                'reason': reason,
+                'revision': self._revision,
+            },
+        )
+
+    def _current(self, name: str) -> Iterator[Upstream]:
+        for upstream_id, upstream in self.table.current_by_id.items():
+            if upstream_id == name:
+                yield upstream
+                return
+
+    def _tick(self, now: float) -> Iterator[Effect]:
+        if self._lapsing:
+            yield from self._end_lapses(now)
+        if now >= self._next_sweep:
+            self._next_sweep = now + _REMEMBER_SECONDS / 4
+            for upstream in tuple(self.table.by_token.values()):
+                old = upstream.since + _REMEMBER_SECONDS < now
+                if upstream.state is UpstreamState.GONE and old:
+                    self.table.forget(upstream)
+
+    def _end_lapses(self, now: float) -> Iterator[Effect]:
+        ended = [
+            name
+            for name, since in self._lapsing.items()
+            if since + _LAPSE_SECONDS <= now
+        ]
+        for name in ended:
+            self._lapsing.pop(name)
+            yield from self._unlist(name, UpstreamState.GONE, 'did not come back')
+        if ended:
+            yield Publish(UpstreamsChanged(self.table, self._revision))
+
+
+register(PluginSpec('upstreams', UpstreamsPlugin, frozenset((ContentChanged, Tick))))
--- /dev/null
+++ b/src/lycheedeal/relay/zone.py
@@ -0,0 +1,294 @@
+"""Shares the work of following the store among the hosts of a zone.
+
+One host of each zone is on duty: it watches the store and tells the others.
+Duty is no promise to anybody: two hosts on duty cost calls and nothing else,
+so no lease is needed. A host without fresh news takes the duty itself, the
+strongest first.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.ids import HostId
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._copies import (
+    Assembly,
+    ContentCopy,
+    as_content,
+    split_part,
+)
+from lycheedeal.relay._effects import Effect, Part, Record, SendPeer
+from lycheedeal.relay._events import (
+    Beacon,
+    ContentChanged,
+    ContentConfirmed,
+    ContentPart,
+    DutyChanged,
+    Event,
+    Greeting,
+    PeerSpoke,
+    RefreshWanted,
+    Roster,
+    SnapshotWanted,
+    Started,
+    StopRequested,
+    Tick,
+)
+from lycheedeal.relay._neighbours import Neighbours, rank
+from lycheedeal.relay._records import Peer, Source, StoreKind
+from lycheedeal.relay.reading import ANSWER_SECONDS, WATCH_SECONDS
+
+_BEACON_SECONDS: Final = 0.4
+# The oldest news with which a host on duty that is well can be heard.
+_FRESH_SECONDS: Final = WATCH_SECONDS + ANSWER_SECONDS
+# A host on duty is missed after two beacons.
+_MISSED_SECONDS: Final = 2.5 * _BEACON_SECONDS
+# Each next host waits this much longer before it takes the duty, in seconds.
+_STAGGER_SECONDS: Final = 0.12
+_LAST_STAGGER_SECONDS: Final = 0.6
+# Greetings to hosts on duty, and to the seeds.
+_GREETING_SECONDS: Final = 2.0
+_SEEK_SECONDS: Final = 0.3
+_SEED_SECONDS: Final = 5.0
+# Two parts of one change may take this long to arrive, in seconds.
+_REPAIR_SECONDS: Final = 0.3
+_GIVEN_UP_MS: Final = -1
+
+
+class ZonePlugin:
+    """Knows the hosts of the zone, and who of them follows the store."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start on duty: nobody has been heard yet."""
+        self._context = context
+        self._own = context.settings.own_peer
+        self._neighbours = Neighbours(self._own, context.clock)
+        self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
+        self._confirmed_at = dict.fromkeys(StoreKind, float('-inf'))
+        self._assembly = Assembly()
+        self._active = True
+        self._stopping = False
+        self._keeper: HostId | None = None
+        self._keeper_heard_at = float('-inf')
+        self._behind_since: dict[StoreKind, float] = {}
+        self._next_beacon = 0.0
+        self._next_greeting = 0.0
+        self._next_seek = 0.0
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event."""
+        match event:
+            case Started():
+                yield from self._greet_seeds()
+            case ContentChanged():
+                yield from self._content_changed(event)
+            case ContentConfirmed(kind=kind, at=at):
+                self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+            case PeerSpoke():
+                yield from self._peer_spoke(event)
+            case StopRequested():
+                yield from self._stop()
+            case Tick(now=now):
+                yield from self._tick(now)
+
+    def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
+        if event.version is None and event.kind is StoreKind.CONFIGURATION:
+            return
+        difference = self._copies[event.kind].take(event)
+        self._behind_since.pop(event.kind, None)
+        if difference is None or event.source is Source.PEER or not self._active:
+            return
+        for part in split_part(difference, self._own.host_id):
+            for peer in self._neighbours.of_own_zone():
+                yield SendPeer(peer.endpoint, part)
+
+    def _peer_spoke(self, event: PeerSpoke) -> Iterator[Effect]:
+        match event.message:
+            case Greeting(peer=peer, asks=asks):
+                self._neighbours.heard(peer)
+                if asks:
+                    yield from self._answer_greeting(peer)
+            case Roster(zone=zone, peers=peers):
+                yield from self._roster(zone, peers)
+            case Beacon() as beacon:
+                yield from self._beacon(beacon)
+            case ContentPart() as part:
+                yield from self._content_part(part)
+            case SnapshotWanted(host_id=host_id, kind=kind):
+                yield from self._send_snapshot(host_id, kind)
+
+    def _answer_greeting(self, peer: Peer) -> Iterator[Effect]:
+        for peers in self._neighbours.rosters(peer):
+            yield SendPeer(peer.endpoint, Roster(peer.zone, peers))
+        if self._active and peer.zone == self._own.zone:
+            yield SendPeer(peer.endpoint, self._own_beacon())
+
+    def _roster(self, zone: str, peers: tuple[Peer, ...]) -> Iterator[Effect]:
+        if zone != self._own.zone:
+            return
+        for peer in peers:
+            if self._neighbours.heard(peer):
+                yield SendPeer(peer.endpoint, Greeting(self._own, asks=False))
+
+    def _beacon(self, beacon: Beacon) -> Iterator[Effect]:
+        if beacon.peer.zone != self._own.zone:
+            return
+        self._neighbours.heard(beacon.peer)
+        for peer in beacon.peers:
+            self._neighbours.named(peer)
+        now = self._context.clock.monotonic()
+        if beacon.ages_ms[0] < 0:
+            if self._keeper == beacon.peer.host_id:
+                self._keeper = None
+            return
+        fresh = max(beacon.ages_ms) / 1000 < _FRESH_SECONDS
+        if not fresh or (self._active and not self._outranked_by(beacon)):
+            return
+        for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
+            at = now - age / 1000
+            self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+        if self._keeper != beacon.peer.host_id:
+            self._keeper = beacon.peer.host_id
+            yield SendPeer(beacon.peer.endpoint, Greeting(self._own, asks=False))
+        self._keeper_heard_at = now
+        yield from self._set_active(active=False, reason='another host is on duty')
+        yield from self._compare(beacon)
+
+    def _outranked_by(self, beacon: Beacon) -> bool:
+        own_age = self._own_age()
+        if own_age >= _FRESH_SECONDS:
+            return True
+        return rank(beacon.peer) < rank(self._own)
+
+    def _own_age(self) -> float:
+        return self._context.clock.monotonic() - min(self._confirmed_at.values())
+
+    def _compare(self, beacon: Beacon) -> Iterator[Effect]:
+        """Ask for what the host on duty has and this one lacks."""
+        now = self._context.clock.monotonic()
+        for kind, revision in zip(StoreKind, beacon.revisions, strict=True):
+            if revision <= self._copies[kind].revision:
+                self._behind_since.pop(kind, None)
+                continue
+            since = self._behind_since.setdefault(kind, now)
+            if now - since > _REPAIR_SECONDS * 3:
+                self._behind_since[kind] = now
+                yield Publish(RefreshWanted(kind))
+            else:
+                wanted = SnapshotWanted(self._own.host_id, kind)
+                yield SendPeer(beacon.peer.endpoint, wanted)
+
+    def _content_part(self, part: ContentPart) -> Iterator[Effect]:
+        whole = self._assembly.add(part)
+        if whole is None:
+            return
+        copy = self._copies[whole.kind]
+        if whole.revision <= copy.revision:
+            return
+        if not whole.complete and whole.base != copy.revision:
+            sender = self._neighbours.find(part.host_id)
+            if sender is not None:
+                wanted = SnapshotWanted(self._own.host_id, whole.kind)
+                yield SendPeer(sender.endpoint, wanted)
+            return
+        yield Publish(as_content(whole))
+
+    def _send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
+        peer = self._neighbours.find(host_id)
+        copy = self._copies[kind]
+        if peer is None or not copy.revision:
+            return
+        for part in split_part(copy.snapshot(), self._own.host_id):
+            yield SendPeer(peer.endpoint, part)
+
+    def _stop(self) -> Iterator[Effect]:
+        self._stopping = True
+        beacon = self._own_beacon()
+        beacon.ages_ms = (_GIVEN_UP_MS,) * len(StoreKind)
+        for peer in self._neighbours.of_own_zone():
+            yield SendPeer(peer.endpoint, beacon)
+
+    def _tick(self, now: float) -> Iterator[Effect]:
+        yield from self._decide_duty(now)
+        if self._active and not self._stopping and now >= self._next_beacon:
+            self._next_beacon = now + _BEACON_SECONDS
+            beacon = self._own_beacon()
+            for peer in self._neighbours.of_own_zone():
+                yield SendPeer(peer.endpoint, beacon)
+        if now >= self._next_greeting:
+            self._next_greeting = now + _GREETING_SECONDS
+            yield from self._greet_keeper()
+        if now >= self._next_seek:
+            yield from self._greet_seeds()
+
+    def _decide_duty(self, now: float) -> Iterator[Effect]:
+        if self._active:
+            return
+        waiting = min(
+            self._neighbours.own_rank() * _STAGGER_SECONDS, _LAST_STAGGER_SECONDS
+        )
+        old = self._own_age() > _FRESH_SECONDS + waiting
+        missed = now - self._keeper_heard_at > _MISSED_SECONDS + waiting
+        if old or missed or self._keeper is None:
+            self._keeper = None
+            reason = 'news are old' if old else 'host on duty is silent'
+            yield from self._set_active(active=True, reason=reason)
+
+    def _set_active(self, active: bool, reason: str) -> Iterator[Effect]:
+        if active == self._active:
+            return
+        self._active = active
+        self._next_beacon = 0.0
+        yield Publish(DutyChanged(active))
+        yield Record(
+            Part.ZONE,
+            'duty',
+            'Host follows the store.' if active else 'Host hears from another host.',
+            {
+                'reason': reason,
+                'keeper': self._keeper,
+                'peers': len(self._neighbours),
+                'age_s': round(min(self._own_age(), 999), 2),
+            },
+        )
+
+    def _greet_keeper(self) -> Iterator[Effect]:
+        self._neighbours.expire()
+        keeper = self._neighbours.find(self._keeper)
+        if keeper is not None:
+            yield SendPeer(keeper.endpoint, Greeting(self._own, asks=False))
+
+    def _greet_seeds(self) -> Iterator[Effect]:
+        alone = not any(True for _ in self._neighbours.of_own_zone())
+        pause = _SEEK_SECONDS if alone else _SEED_SECONDS
+        self._next_seek = self._context.clock.monotonic() + pause
+        for seed in self._context.settings.seeds:
+            if seed != self._own.endpoint:
+                yield SendPeer(seed, Greeting(self._own, asks=alone))
+
+    def _own_beacon(self) -> Beacon:
+        now = self._context.clock.monotonic()
+        ages = tuple(
+            int(min(now - self._confirmed_at[kind], 60) * 1000) for kind in StoreKind
+        )
+        revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
+        return Beacon(self._own, ages, revisions, self._neighbours.some())
+
+
+register(
+    PluginSpec(
+        'zone',
+        ZonePlugin,
+        frozenset(
+            (
+                Started,
+                ContentChanged,
+                ContentConfirmed,
+                PeerSpoke,
+                StopRequested,
+                Tick,
+            ),
+        ),
+    ),
+)
