Apply a configuration without routes that a watch delivers

Cause: the reading plug-in took an answer without entries for a watch that heard nothing; test_store_outage_is_survived and test_lost_history... failed. Change: a version alone is news. Packets are bound before the modules load and read once the host is ready, since without routes they were turned away.

--- a/deploy/relay.py
+++ b/deploy/relay.py
@@ -9,6 +9,6 @@
 # a host is out of service until its imports are done.
 sys.modules['ssl'] = None  # type: ignore[assignment]
 
-from lycheedeal.platform.program import main  # noqa: E402
+from lycheedeal.platform.start import main  # noqa: E402
 
 sys.exit(main())
--- a/src/lycheedeal/hosting/__init__.py
+++ b/src/lycheedeal/hosting/__init__.py
@@ -5,8 +5,6 @@
     FrontEnd,
     Host,
     SystemClock,
-    bind_datagrams,
-    read_batch,
 )
 from lycheedeal.hosting._http import Answer, HttpServer, HttpStatus
 from lycheedeal.hosting._logs import LogWriter
@@ -20,6 +18,4 @@
     'HttpStatus',
     'LogWriter',
     'SystemClock',
-    'bind_datagrams',
-    'read_batch',
 )
--- a/src/lycheedeal/hosting/_host.py
+++ b/src/lycheedeal/hosting/_host.py
@@ -5,19 +5,17 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from lycheedeal import relay
+from lycheedeal.datagrams import bind_datagrams, read_batch
 from lycheedeal.exceptions import DecodeError
 from lycheedeal.hosting._logs import LogWriter
 from lycheedeal.ids import Endpoint
 from lycheedeal.relay.peer_codec import MAX_BYTES, decode_message, encode_message
 
 _TICK_SECONDS: Final = 0.1
-# Datagrams read before the loop looks at other sockets again.
-_BATCH: Final = 64
-_RECEIVE_BUFFER_BYTES: Final = 1024 * 1024
 
 Dispatch = Callable[[relay.Event], None]
 
@@ -73,25 +71,6 @@
         """Do what is due from time to time."""
 
 
-def bind_datagrams(endpoint: Endpoint) -> socket.socket:
-    """Return a non-blocking UDP socket; raises OSError."""
-    datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    datagrams.setblocking(False)
-    datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-    datagrams.bind(endpoint)
-    return datagrams
-
-
-def read_batch(datagrams: socket.socket, max_bytes: int) -> Iterable[bytes]:
-    """Yield datagrams that have arrived, at most a batch of them."""
-    for _ in range(_BATCH):
-        try:
-            yield datagrams.recv(max_bytes)
-        except (BlockingIOError, ConnectionError):
-            # A reset only tells that an earlier datagram found no listener.
-            return
-
-
 class Host:
     """Runs the kernel of one process from start to close."""
 
--- a/src/lycheedeal/platform/__main__.py
+++ b/src/lycheedeal/platform/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from lycheedeal.platform.program import main
+from lycheedeal.platform.start import main
 
 if __name__ == '__main__':
     sys.exit(main())
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -6,14 +6,13 @@
 from typing import Final
 
 from lycheedeal import relay
+from lycheedeal.datagrams import bind_datagrams, read_batch
 from lycheedeal.exceptions import DecodeError, SettingsError
 from lycheedeal.hosting import (
     Answer,
     Dispatch,
     HttpServer,
     HttpStatus,
-    bind_datagrams,
-    read_batch,
 )
 from lycheedeal.ids import UpstreamId
 from lycheedeal.platform._objects import intended_number
@@ -43,15 +42,20 @@
         path: str,
         settings: PlatformSettings,
         counters: relay.Counters,
+        packets: socket.socket | None = None,
     ) -> None:
-        """Open nothing before ``start``; ``path`` is read again later."""
+        """Open nothing before ``start``; ``path`` is read again later.
+
+        ``packets`` is the socket for packets if it is bound already.
+        """
         self._path = path
         self._modified_at = modification_time(path)
         self._next_look = 0.0
         self._settings = settings
         self._counters = counters
         self._dispatch: Dispatch | None = None
-        self._packets: socket.socket | None = None
+        self._packets = packets
+        self._reading = False
         self._store = StoreClient(settings.store, self._report)
         self._ready = False
         self._servers = (
@@ -63,8 +67,8 @@
     async def start(self, dispatch: Dispatch) -> None:
         """Open all sockets; raises OSError if an address is taken."""
         self._dispatch = dispatch
-        self._packets = bind_datagrams(self._settings.packets)
-        asyncio.get_running_loop().add_reader(self._packets, self._read_packets)
+        if self._packets is None:
+            self._packets = bind_datagrams(self._settings.packets)
         for server in self._servers:
             await server.start()
 
@@ -110,8 +114,15 @@
         self._store.stop(kind)
 
     def set_ready(self, ready: bool) -> None:
-        """Answer readiness probes from now on."""
+        """Answer readiness probes from now on.
+
+        Packets that came before the host was ready for the first time are
+        read then; without routes they could only be turned away.
+        """
         self._ready = ready
+        if self._packets is not None and not self._reading:
+            self._reading = True
+            asyncio.get_running_loop().add_reader(self._packets, self._read_packets)
 
     def reload(self) -> None:
         """Read the settings again and apply those that can change at run time.
--- a/src/lycheedeal/platform/program.py
+++ b/src/lycheedeal/platform/program.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import gc
-import os
 import random
+import socket
 import sys
 from typing import Final
 
@@ -13,14 +13,12 @@
 from lycheedeal.platform._front_end import PlatformFrontEnd
 from lycheedeal.platform._settings import PlatformSettings, load_settings
 
-_SETTINGS_VARIABLE: Final = 'LYCHEEDEAL_CONFIG'
 _USAGE_STATUS: Final = 2
 _STANDARD_OUTPUT: Final = 1
 
 
-def main() -> int:
+def run(path: str, packets: socket.socket | None) -> int:
     """Run until the platform stops the process; return the exit status."""
-    path = os.environ.get(_SETTINGS_VARIABLE, '')
     try:
         settings = load_settings(path)
     except SettingsError as error:
@@ -29,14 +27,18 @@
     # Objects of the start live as long as the process.
     gc.freeze()
     gc.enable()
-    asyncio.run(_run(path, settings))
+    asyncio.run(_serve(path, settings, packets))
     return 0
 
 
-async def _run(path: str, settings: PlatformSettings) -> None:
+async def _serve(
+    path: str,
+    settings: PlatformSettings,
+    packets: socket.socket | None,
+) -> None:
     context = relay.RelayContext(settings.relay, SystemClock(), random.Random())
     logs = LogWriter(_STANDARD_OUTPUT, settings.relay.host_id)
-    front_end = PlatformFrontEnd(path, settings, context.counters)
+    front_end = PlatformFrontEnd(path, settings, context.counters, packets)
     host = Host(context, front_end, logs)
     try:
         await host.start()
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -138,7 +138,7 @@
         follower = self._followers[event.kind]
         yield from self._answered(follower)
         follower.revision = event.revision
-        if event.entries or event.removed or event.unusable:
+        if _has_news(event):
             yield Publish(
                 ContentChanged(
                     kind=event.kind,
@@ -236,6 +236,13 @@
         return quiet >= SETTLING_SECONDS
 
 
+def _has_news(event: ChangesAnswered) -> bool:
+    if event.entries or event.removed or event.unusable:
+        return True
+    # A configuration may have no routes at all.
+    return event.version is not None
+
+
 register(
     PluginSpec(
         'reading',
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,118 @@
+"""Stand-in for the object store of the relay's platform, over HTTP/1.1.
+
+Lists and watches objects by kind; faults can be set while it runs.
+"""
+
+import asyncio
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from lycheedeal.ids import Endpoint
+
+
+class ObjectStore:
+    """Objects by kind and name, with one revision for all changes."""
+
+    def __init__(self) -> None:
+        self.endpoint = Endpoint('127.0.0.1', 0)
+        self.revision = 1
+        self.calls = 0
+        # Answers: None normal, 'busy' 503, 'silent' none at all.
+        self.fault: str | None = None
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._dropped = 0
+        self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        ip, port = self._server.sockets[0].getsockname()
+        self.endpoint = Endpoint(ip, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        item = {'meta': {'name': name, 'revision': self.revision}, 'spec': spec}
+        self._objects.setdefault(kind, {})[name] = item
+        await self._record(kind, item, deleted=False)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        item = self._objects[kind].pop(name)
+        await self._record(kind, item, deleted=True)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._dropped = self.revision
+        self._events.clear()
+
+    async def _record(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
+        self._events.append((self.revision, kind, item, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await self._answer(head.split(b' ', 2)[1].decode(), writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    async def _answer(self, target: str, writer: asyncio.StreamWriter) -> None:
+        self.calls += 1
+        match self.fault:
+            case 'silent':
+                return
+            case 'busy':
+                self._write(writer, 503, {'error': 'busy'})
+                return
+        url = urlsplit(target)
+        kind = url.path.rpartition('/')[2]
+        query = parse_qs(url.query)
+        if 'watch' not in query:
+            self._write(writer, 200, self._list(kind))
+            return
+        since = int(query['watch'][0])
+        wait = int(query['wait_ms'][0]) / 1000
+        if since < self._dropped:
+            self._write(writer, 410, {'error': 'history is gone'})
+            return
+        self._write(writer, 200, await self._watch(kind, since, wait))
+
+    def _list(self, kind: str) -> dict[str, Any]:
+        items = list(self._objects.get(kind, {}).values())
+        return {'items': items, 'has_more': False, 'store_revision': self.revision}
+
+    async def _watch(self, kind: str, since: int, wait: float) -> dict[str, Any]:
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: bool(self._since(kind, since)))
+        except TimeoutError:
+            pass
+        return {'events': self._since(kind, since), 'store_revision': self.revision}
+
+    def _since(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {'object': item, 'deleted': deleted}
+            for revision, one, item, deleted in self._events
+            if one == kind and revision > since
+        ]
+
+    def _write(self, writer: asyncio.StreamWriter, status: int, body: Any) -> None:
+        content = json.dumps(body).encode()
+        head = f'HTTP/1.1 {status} -\r\nContent-Length: {len(content)}\r\n\r\n'
+        writer.write(head.encode() + content)
--- /dev/null
+++ b/tests/functional/test_relay_process.py
@@ -0,0 +1,283 @@
+"""The relay as a process of its own, with a stand-in store over loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import struct
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from standins.object_store import ObjectStore
+
+READY_SECONDS = 10.0
+HEADER = struct.Struct('<IIIHIHIHBBI')
+SYN, ACK, RST = 16, 2, 4
+ROUTE = ('198.18.0.1', 443)
+# Loopback has one address for all, so a caller's port cannot be shared.
+CALLER = ('127.0.0.2', 40001)
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def number(ip: str) -> int:
+    return int.from_bytes(socket.inet_aton(ip), 'big')
+
+
+def make_packet(flags: int, token: int = 0, content: bytes = b'') -> bytes:
+    head = HEADER.pack(
+        1, 0, 0, len(content), number(ROUTE[0]), CALLER[1], number(CALLER[0]),
+        ROUTE[1], flags, 0, token,
+    )  # fmt: skip
+    return head + content
+
+
+class Target(asyncio.DatagramProtocol):
+    """Collects datagrams of one upstream."""
+
+    def __init__(self) -> None:
+        self.datagrams: asyncio.Queue[bytes] = asyncio.Queue()
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.datagrams.put_nowait(data)
+
+
+class Platform:
+    """A store, a target and one relay process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = ObjectStore()
+        self.target = Target()
+        self.target_port = 0
+        self.packets = ('127.0.0.1', free_port(socket.SOCK_DGRAM))
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        self.process: asyncio.subprocess.Process | None = None
+        self.lines: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        await self.store.start()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self.target, ('127.0.0.1', 0)
+        )
+        self.target_port = transport.get_extra_info('sockname')[1]
+        route = {
+            'name': 'r-1',
+            'hostname': ROUTE[0],
+            'path_prefix': f'/{ROUTE[1]}/',
+            'service': 'api',
+        }
+        await self.store.put('config', 'main', {'version': 3, 'routes': [route]})
+        await self.put_target('i-7f3a91c2', 'ready')
+        self.write_settings()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'lycheedeal.platform',
+            env={**os.environ, 'LYCHEEDEAL_CONFIG': str(self.folder / 's.json')},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def put_target(self, name: str, state: str) -> None:
+        spec = {
+            'service': 'api',
+            'address': f'127.0.0.1:{self.target_port}',
+            'zone': 'south',
+            'slots': 2,
+            'state': state,
+            'warmup_left_ms': 0,
+            'seq': 1,
+            'born': 5,
+        }
+        await self.store.put('servers', name, spec)
+
+    def write_settings(self, **changes: Any) -> None:
+        settings = {
+            'host': 'edge-1',
+            'ip': '127.0.0.1',
+            'zone': 'south',
+            'packets': f'{self.packets[0]}:{self.packets[1]}',
+            'readiness': f'127.0.0.1:{self.ready_port}',
+            'metrics_port': self.metrics_port,
+            'peer_port': free_port(socket.SOCK_DGRAM),
+            'seeds': [],
+            'core_share': 0.5,
+            'stop_seconds': 6,
+            'store': f'127.0.0.1:{self.store.endpoint.port}',
+            **changes,
+        }
+        (self.folder / 's.json').write_text(json.dumps(settings))
+
+    async def get(self, port: int, path: str) -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(f'GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n'.encode())
+        answer = await reader.read()
+        writer.close()
+        head, _, body = answer.partition(b'\r\n\r\n')
+        return int(head.split()[1]), body
+
+    async def is_ready(self) -> bool:
+        try:
+            status, _ = await self.get(self.ready_port, '/readyz')
+        except OSError:
+            return False
+        return status == 200
+
+    async def until(self, holds: Callable[[], Any]) -> None:
+        async with asyncio.timeout(READY_SECONDS):
+            while not await holds():
+                await asyncio.sleep(0.05)
+
+    async def line(self, text: str) -> dict[str, Any]:
+        """Return the next log line with a text."""
+        assert self.process is not None and self.process.stdout is not None
+        async with asyncio.timeout(READY_SECONDS):
+            while True:
+                line: dict[str, Any] = json.loads(await self.process.stdout.readline())
+                self.lines.append(line)
+                if text in line['text']:
+                    return line
+
+    def send(self, packet: bytes) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(packet, self.packets)
+
+    async def received(self) -> bytes:
+        async with asyncio.timeout(READY_SECONDS):
+            return await self.target.datagrams.get()
+
+    async def stop(self) -> int:
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(READY_SECONDS):
+            return await self.process.wait()
+
+    async def close(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self.store.close()
+
+
+@asynccontextmanager
+async def running(folder: Path) -> AsyncIterator[Platform]:
+    platform = Platform(folder)
+    await platform.start()
+    try:
+        await platform.until(platform.is_ready)
+        yield platform
+    finally:
+        await platform.close()
+
+
+def test_packets_are_forwarded_until_the_stop(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            platform.send(make_packet(SYN))
+            opening = await platform.received()
+            assert opening[:8] == bytes.fromhex('000000007f3a91c2')
+            token = int.from_bytes(opening[-4:], 'little')
+            assert token
+            platform.send(make_packet(ACK, token, b'GET /'))
+            assert (await platform.received())[8:] == make_packet(ACK, token, b'GET /')
+            assert await platform.stop() == 0
+
+    asyncio.run(scenario())
+
+
+def test_hangup_reads_the_settings_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            assert platform.process is not None
+            platform.write_settings(seeds=['127.0.0.1:9'])
+            platform.process.send_signal(signal.SIGHUP)
+            line = await platform.line('Settings were read again')
+            assert line['seeds'] == 1
+            (tmp_path / 's.json').write_text('{"zone": 3}')
+            platform.process.send_signal(signal.SIGHUP)
+            line = await platform.line('Settings cannot be used')
+            assert 'zone' in line['detail']
+            assert await platform.is_ready()
+            assert await platform.stop() == 0
+
+    asyncio.run(scenario())
+
+
+def test_settings_that_change_without_a_signal_are_noticed(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            platform.write_settings(seeds=['127.0.0.1:9', '127.0.0.1:10'])
+            line = await platform.line('Settings were read again')
+            assert line['seeds'] == 2
+
+    asyncio.run(scenario())
+
+
+def test_store_outage_is_survived(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            platform.store.fault = 'busy'
+            await platform.line('Store call failed')
+            assert await platform.is_ready()
+            platform.store.fault = None
+            await platform.line('Store answers again')
+            await platform.store.put('config', 'main', {'version': 4, 'routes': []})
+            line = await platform.line('Configuration is in force')
+            assert (line['version'], line['previous']) == (4, 3)
+
+    asyncio.run(scenario())
+
+
+def test_lost_history_leads_to_a_new_list(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            platform.store.fault = 'silent'
+            await platform.store.put('config', 'main', {'version': 9, 'routes': []})
+            await platform.store.put('other', 'x', {})
+            platform.store.compact()
+            platform.store.fault = None
+            line = await platform.line('Configuration is in force.')
+            while line['version'] != 9:
+                line = await platform.line('Configuration is in force.')
+
+    asyncio.run(scenario())
+
+
+def test_metrics_are_served(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as platform:
+            platform.send(make_packet(SYN))
+            await platform.received()
+            status, body = await platform.get(platform.metrics_port, '/metrics')
+            assert status == 200
+            assert b'lycheedeal_packets_total{kind="opened"} 1.0' in body
+
+    asyncio.run(scenario())
+
+
+def test_faulty_settings_end_the_process_with_a_reason(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        (tmp_path / 's.json').write_text('{}')
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'lycheedeal.platform',
+            env={**os.environ, 'LYCHEEDEAL_CONFIG': str(tmp_path / 's.json')},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert b'zone: a text is needed' in errors
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/unit/test_platform_adapter.py
@@ -0,0 +1,267 @@
+"""Adapter of the users' platform: packets, objects, settings."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedeal import relay
+from lycheedeal.exceptions import DecodeError, SettingsError
+from lycheedeal.ids import Endpoint, UpstreamId
+from lycheedeal.platform._objects import Objects, intended_number
+from lycheedeal.platform._packets import (
+    HEADER_BYTES,
+    caller_ip,
+    decode_packet,
+    encode_forwarded,
+    encode_reset,
+)
+from lycheedeal.platform._settings import load_settings
+from lycheedeal.platform.start import bind_early
+
+# The example of the platform's pages.
+OPENING = bytes.fromhex(
+    '44 33 22 11 00 00 00 00 d5 c3 b2 a1 00 00 01 00'
+    '12 c6 41 9c 07 00 40 64 bb 01 10 00 00 00 00 00'
+)
+RESET = bytes.fromhex(
+    '00 00 00 00 00 00 00 00 00 00 00 00 00 00 07 00'
+    '40 64 bb 01 01 00 12 c6 41 9c 04 00 00 00 00 00'
+)
+LISTING = {
+    'service': 'api',
+    'address': '10.128.0.9:8080',
+    'zone': 'south',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'seq': 4,
+    'born': 1785421087391,
+}
+ROUTE = {
+    'name': 'r-1',
+    'hostname': '198.18.0.1',
+    'path_prefix': '/8443/',
+    'type': 'idempotent',
+    'service': 'api',
+    'priority': 2,
+}
+
+
+def test_opening_is_decoded() -> None:
+    packet = decode_packet(OPENING)
+    assert packet.kind is relay.PacketKind.OPENING
+    assert relay.flow_text(packet.flow) == '100.64.0.7:40001 > 198.18.0.1:443'
+    assert packet.route == relay.route_key('198.18.0.1', 443)
+    assert caller_ip(packet) == '100.64.0.7'
+    assert packet.attempt == 0
+
+
+def test_reset_is_that_of_the_pages() -> None:
+    assert encode_reset(decode_packet(OPENING)) == RESET
+
+
+@given(st.binary(max_size=64), st.integers(1, 2**32 - 1), st.integers(1, 2**64 - 1))
+def test_forwarding_changes_the_token_only(
+    content: bytes, token: int, intended: int
+) -> None:
+    raw = OPENING + content
+    datagram = encode_forwarded(raw, relay.Token(token), intended)
+    assert int.from_bytes(datagram[:8], 'big') == intended
+    forwarded = datagram[8:]
+    assert forwarded[:28] == raw[:28]
+    assert int.from_bytes(forwarded[28:32], 'little') == token
+    assert forwarded[HEADER_BYTES:] == content
+
+
+@given(st.binary(max_size=HEADER_BYTES - 1) | st.binary(min_size=40, max_size=60))
+def test_packets_that_lie_about_their_length_are_refused(raw: bytes) -> None:
+    if len(raw) >= HEADER_BYTES:
+        length = int.from_bytes(raw[12:14], 'little')
+        if length == len(raw) - HEADER_BYTES:
+            return
+    with pytest.raises(DecodeError):
+        decode_packet(raw)
+
+
+@pytest.mark.parametrize(
+    ('flags', 'content', 'kind'),
+    [
+        (18, b'', relay.PacketKind.FORGED),
+        (4, b'', relay.PacketKind.RESET),
+        (34, b'x', relay.PacketKind.FINISH),
+        (2, b'x', relay.PacketKind.DATA),
+        (2, b'', relay.PacketKind.ACKNOWLEDGEMENT),
+        (10, b'', relay.PacketKind.ACKNOWLEDGEMENT),
+    ],
+)
+def test_flags_tell_the_kind(
+    flags: int, content: bytes, kind: relay.PacketKind
+) -> None:
+    raw = bytearray(OPENING)
+    raw[26] = flags
+    raw[12:14] = len(content).to_bytes(2, 'little')
+    assert decode_packet(bytes(raw) + content).kind is kind
+
+
+def item(name: str, spec: Any) -> dict[str, Any]:
+    return {'meta': {'name': name, 'revision': 4}, 'spec': spec, 'status': None}
+
+
+def test_entry_of_a_target_is_decoded() -> None:
+    objects = Objects()
+    objects.add(relay.StoreKind.UPSTREAMS, item('i-7f3a91c2', LISTING))
+    (listing,) = objects.entries
+    assert isinstance(listing, relay.Listing)
+    assert listing.endpoint == Endpoint('10.128.0.9', 8080)
+    assert listing.started_ms == 1785421087391
+    assert not listing.draining
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        None,
+        'text',
+        [],
+        {**LISTING, 'state': 'resting'},
+        {**LISTING, 'address': '10.128.0.9'},
+        {**LISTING, 'address': '10.128.0.900:80'},
+        {**LISTING, 'slots': '2'},
+        {**LISTING, 'slots': True},
+        {**LISTING, 'service': 7},
+        {**LISTING, 'zone': ''},
+        {**LISTING, 'born': 1.5},
+        {key: LISTING[key] for key in LISTING if key != 'warmup_left_ms'},
+    ],
+)
+def test_unusable_entry_is_named_and_holds_up_nothing(spec: Any) -> None:
+    objects = Objects()
+    objects.add(relay.StoreKind.UPSTREAMS, item('i-1', spec))
+    objects.add(relay.StoreKind.UPSTREAMS, item('i-2', LISTING))
+    assert objects.unusable == ['i-1']
+    assert len(objects.entries) == 1
+
+
+def test_last_event_of_an_object_counts() -> None:
+    objects = Objects()
+    objects.add(relay.StoreKind.UPSTREAMS, item('i-1', LISTING))
+    objects.add(relay.StoreKind.UPSTREAMS, item('i-1', LISTING), deleted=True)
+    assert (objects.entries, objects.removed) == ([], ['i-1'])
+
+
+def test_configuration_is_decoded() -> None:
+    split = {
+        **ROUTE,
+        'name': 'r-2',
+        'path_prefix': '/80/',
+        'service': None,
+        'weighted_services': [{'service': 'api', 'weight': 90}],
+    }
+    objects = Objects()
+    spec = {'version': 7, 'routes': [ROUTE, split], 'services': [], 'limits': {}}
+    objects.add(relay.StoreKind.CONFIGURATION, item('main', spec))
+    assert objects.version == 7
+    assert [entry.key for entry in objects.entries if isinstance(entry, relay.Route)]
+    assert [
+        entry.services for entry in objects.entries if isinstance(entry, relay.Route)
+    ] == [(('api', 1),), (('api', 90),)]
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        None,
+        {'version': '7', 'routes': []},
+        {'version': 7},
+        {'version': 7, 'routes': [{**ROUTE, 'path_prefix': '/http/'}]},
+        {'version': 7, 'routes': [{**ROUTE, 'service': ''}]},
+        {'version': 7, 'routes': ['r-1']},
+    ],
+)
+def test_unusable_configuration_has_no_version(spec: Any) -> None:
+    objects = Objects()
+    objects.add(relay.StoreKind.CONFIGURATION, item('main', spec))
+    assert objects.version is None
+    assert objects.unusable == ['main']
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from([*LISTING, *ROUTE, 'meta', 'spec', 'routes']), inner
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@given(json_values, st.sampled_from(relay.StoreKind), st.booleans())
+def test_no_object_raises(content: Any, kind: relay.StoreKind, deleted: bool) -> None:
+    objects = Objects()
+    objects.add(kind, content, deleted)
+    objects.add(kind, item('i-1', content), deleted)
+
+
+@pytest.mark.parametrize('name', ['i-', 'i-xyz', 'i-0', 'i-1ffffffffffffffff'])
+def test_target_id_must_be_a_number(name: str) -> None:
+    with pytest.raises(DecodeError):
+        intended_number(UpstreamId(name))
+
+
+SETTINGS = {
+    'host': 'edge-1',
+    'ip': '127.0.0.1',
+    'zone': 'south',
+    'packets': '127.0.0.1:8172',
+    'readiness': '127.0.0.1:8167',
+    'metrics_port': 9109,
+    'peer_port': 7720,
+    'seeds': ['10.2.0.40:8166'],
+    'core_share': 0.163,
+    'stop_seconds': 6,
+    'store': '10.200.1.7:8169',
+    'a new field': 1,
+}
+
+
+def write(folder: Path, content: object) -> str:
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(content))
+    return str(path)
+
+
+def test_settings_are_read(tmp_path: Path) -> None:
+    settings = load_settings(write(tmp_path, SETTINGS))
+    assert settings.relay.seeds == (Endpoint('10.2.0.40', 7720),)
+    assert settings.store == Endpoint('10.200.1.7', 8169)
+
+
+def test_all_faults_of_settings_are_named(tmp_path: Path) -> None:
+    faulty = {**SETTINGS, 'zone': '', 'packets': 'x', 'core_share': -1}
+    with pytest.raises(SettingsError) as raised:
+        load_settings(write(tmp_path, faulty))
+    names = [fault.partition(':')[0] for fault in raised.value.faults]
+    assert names == ['packets', 'zone', 'core_share']
+
+
+@pytest.mark.parametrize('content', [[], None, {}])
+def test_settings_that_are_no_object_are_refused(
+    tmp_path: Path, content: object
+) -> None:
+    path = write(tmp_path, content)
+    with pytest.raises(SettingsError):
+        load_settings(path)
+    assert bind_early(path) is None
+
+
+def test_missing_settings_are_refused(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError):
+        load_settings(str(tmp_path / 'none'))
+    assert bind_early(str(tmp_path / 'none')) is None
--- /dev/null
+++ b/tests/unit/test_relay_codec.py
@@ -0,0 +1,116 @@
+"""Messages between hosts of the relay."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedeal import relay
+from lycheedeal.exceptions import DecodeError
+from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
+from lycheedeal.relay.peer_codec import MAX_BYTES, decode_message, encode_message
+
+names = st.text(min_size=1, max_size=12)
+numbers = st.integers(0, 2**40)
+endpoints = st.builds(Endpoint, st.just('10.0.0.1'), st.integers(1, 65535))
+peers = st.builds(
+    relay.Peer,
+    names.map(HostId),
+    names.map(Zone),
+    endpoints,
+    st.floats(0.1, 4),
+)
+routes = st.builds(
+    relay.Route,
+    names.map(relay.RouteName),
+    numbers.map(relay.RouteKey),
+    st.tuples(st.tuples(names.map(ServiceName), st.integers(1, 100))),
+    st.integers(0, 9),
+)
+listings = st.builds(
+    relay.Listing,
+    names.map(UpstreamId),
+    names.map(ServiceName),
+    endpoints,
+    names.map(Zone),
+    st.integers(1, 64),
+    st.booleans(),
+    numbers,
+    numbers,
+)
+parts = st.builds(
+    relay.ContentPart,
+    names.map(HostId),
+    st.sampled_from(relay.StoreKind),
+    numbers,
+    numbers,
+    st.just(0),
+    st.just(1),
+    st.booleans(),
+    st.booleans(),
+    st.none() | numbers,
+    st.lists(routes | listings, max_size=4).map(tuple),
+    st.lists(names, max_size=3).map(tuple),
+    st.lists(names, max_size=3).map(tuple),
+)
+messages = (
+    st.builds(relay.Greeting, peers, st.booleans())
+    | st.builds(relay.Roster, names.map(Zone), st.tuples(peers))
+    | st.builds(
+        relay.Beacon,
+        peers,
+        st.tuples(numbers, numbers),
+        st.tuples(numbers, numbers),
+        st.tuples(peers, peers),
+    )
+    | parts
+    | st.builds(
+        relay.SnapshotWanted, names.map(HostId), st.sampled_from(relay.StoreKind)
+    )
+    | st.builds(
+        relay.LoadReport,
+        names.map(HostId),
+        st.dictionaries(st.integers(1, 2**32 - 1), st.integers(0, 99)),
+    )
+)
+
+
+@given(messages)
+def test_messages_survive_the_wire(message: relay.PeerMessage) -> None:
+    datagram = encode_message(message)
+    decoded = decode_message(datagram)
+    assert type(decoded) is type(message)
+    assert encode_message(decoded) == datagram
+
+
+@given(messages, st.data())
+def test_damaged_messages_are_refused(
+    message: relay.PeerMessage, data: st.DataObject
+) -> None:
+    datagram = encode_message(message)
+    cut = data.draw(st.integers(0, len(datagram) - 1))
+    with pytest.raises(DecodeError):
+        decode_message(datagram[:cut])
+
+
+@given(st.binary(max_size=200))
+def test_foreign_datagrams_are_refused(datagram: bytes) -> None:
+    with pytest.raises(DecodeError):
+        decode_message(datagram)
+
+
+@pytest.mark.parametrize(
+    'datagram',
+    [
+        b'[2,"snapshot","a","upstreams"]',
+        b'[1,"snapshot","a","no such kind"]',
+        b'[1,"content","a","upstreams",0,1,1,1,true,true,null,[],[],[]]',
+        b'[1,"load","a",[[1]]]',
+        b'[1,"greeting",["a","z","10.0.0.1","port",1],true]',
+        b'[1,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
+        b' ' * (MAX_BYTES + 1),
+        b'[' * 5000,
+    ],
+)
+def test_malformed_messages_are_refused(datagram: bytes) -> None:
+    with pytest.raises(DecodeError):
+        decode_message(datagram)
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -180,6 +180,15 @@
     assert services == {API, INTAKE}
 
 
+def test_configuration_without_routes_is_in_force(world: World) -> None:
+    host = world.add('a')
+    world.store.configure(2)
+    world.run(0.2)
+    assert host.version() == 2
+    host.dispatch(relay.PacketArrived(packet(PacketKind.OPENING)))
+    assert not host.sent and len(host.resets) == 1
+
+
 def test_older_version_never_replaces_a_newer_one(world: World) -> None:
     host = world.add('a')
     world.store.configure(7, *ROUTES)
