--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -88,10 +88,11 @@
             return
         since = int(query['watch'][0])
         wait = int(query['wait_ms'][0]) / 1000
+        answer = await self._watch(kind, since, wait)
         if since < self._dropped:
             self._write(writer, 410, {'error': 'history is gone'})
-            return
-        self._write(writer, 200, await self._watch(kind, since, wait))
+        else:
+            self._write(writer, 200, answer)
 
     def _list(self, kind: str) -> dict[str, Any]:
         items = list(self._objects.get(kind, {}).values())
@@ -100,7 +101,9 @@
     async def _watch(self, kind: str, since: int, wait: float) -> dict[str, Any]:
         try:
             async with asyncio.timeout(wait), self._changed:
-                await self._changed.wait_for(lambda: bool(self._since(kind, since)))
+                await self._changed.wait_for(
+                    lambda: since < self._dropped or bool(self._since(kind, since)),
+                )
         except TimeoutError:
             pass
         return {'events': self._since(kind, since), 'store_revision': self.revision}
