Share the load of upstreams between hosts; let hot zones give flows away

Change: each host reports mean requests in flight and open flows to the host on duty, which adds them up and exchanges sums with other zones. Flows are dealt by the inverse square of the load, and leave a zone whose load is higher than that elsewhere by more than a margin, larger for routes with bulky requests.

--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -1,78 +1,125 @@
 """Choice of the upstream for a new flow."""
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 
 from lycheedeal.ids import ServiceName, Zone
 from lycheedeal.relay._records import Upstream
 from lycheedeal.relay._table import UpstreamTable
 
-# An open flow without a request counts as this part of a request.
-_IDLE_FLOW_LOAD: Final = 0.1
+# Requests in flight that an open flow stands for, until it is measured: on
+# average a caller sends a request each second or two that takes 30 ms.
+_FLOW_LOAD: Final = 0.02
 # How much slower an upstream answers while it warms up.
 _COLD_FACTOR: Final = 1.6
-# Reports of other hosts count for this long, in seconds.
-_REPORT_SECONDS: Final = 1.5
+# Reports of a zone count for this long, in seconds.
+REPORT_SECONDS: Final = 2.5
+# Load a slot by which other zones must be better before flows go there. Bytes
+# between zones have a price, which is that of the data for a bulky request.
+_SPILL_MARGIN: Final = 0.1
+_BULKY_SPILL_MARGIN: Final = 0.8
+# Flows are dealt by this power of the load, so that hosts with the same news
+# do not all choose the same upstream.
+_SPREAD_POWER: Final = 2
+
+
+@dataclass(slots=True)
+class Wish:
+    """What a new flow needs; ``excluded`` did not answer its opening."""
+
+    service: ServiceName
+    zone: Zone
+    bulky: bool
+    excluded: Upstream | None
 
 
 @dataclass(slots=True)
 class Choice:
-    """The upstream chosen, and how many were considered."""
+    """The upstream chosen, its load a slot, and how many were considered."""
 
     upstream: Upstream
+    load: float
     candidates: int
     local: bool
 
 
 def choose(
     table: UpstreamTable,
-    service: ServiceName,
-    zone: Zone,
-    excluded: Upstream | None,
+    wish: Wish,
     now: float,
     rng: random.Random,
 ) -> Choice | None:
-    """Return the least loaded upstream, of the own zone if one is usable.
+    """Return an upstream with little load, of the own zone as a rule.
 
     None means that the service has no upstream that takes new flows.
     """
-    listed = list(table.listed(service))
-    group = next(filter(None, _groups(listed, zone, excluded, now)), None)
-    if group is None:
+    listed = list(table.listed(wish.service))
+    if not listed:
         return None
-    best = min(group, key=lambda one: (_load(one, now), rng.random()))
-    return Choice(best, len(group), best.listing.zone == zone)
+    others = [one for one in listed if one is not wish.excluded]
+    usable = [one for one in others if one.avoided_until <= now]
+    local = [one for one in usable if one.listing.zone == wish.zone]
+    remote = [one for one in usable if one.listing.zone != wish.zone]
+    if local:
+        known = [one for one in remote if _is_reported(one, now)]
+        group = _local_or_remote(local, known, wish, now, rng)
+    else:
+        group = remote or others or listed
+    loads = [load_of(one, now) for one in group]
+    weights = [load**-_SPREAD_POWER for load in loads]
+    place = rng.choices(range(len(group)), weights)[0]
+    upstream = group[place]
+    is_local = upstream.listing.zone == wish.zone
+    return Choice(upstream, loads[place], len(group), is_local)
 
 
-def _groups(
-    listed: list[Upstream],
-    zone: Zone,
-    excluded: Upstream | None,
+def _local_or_remote(
+    local: Sequence[Upstream],
+    remote: Sequence[Upstream],
+    wish: Wish,
     now: float,
-) -> Iterator[list[Upstream]]:
-    others = [one for one in listed if one is not excluded]
-    usable = [one for one in others if one.avoided_until <= now]
-    yield _in_zone(usable, zone)
-    yield usable
-    yield _in_zone(others, zone)
-    yield others
-    yield listed
+    rng: random.Random,
+) -> Sequence[Upstream]:
+    """Return the group for one flow; hot zones give a part of theirs away."""
+    if not remote:
+        return local
+    margin = _BULKY_SPILL_MARGIN if wish.bulky else _SPILL_MARGIN
+    here = _mean_load(local, now)
+    there = _mean_load(remote, now) + margin
+    return remote if rng.random() < 1 - there / here else local
 
 
-def _in_zone(upstreams: Iterable[Upstream], zone: Zone) -> list[Upstream]:
-    return [one for one in upstreams if one.listing.zone == zone]
+def _mean_load(group: Sequence[Upstream], now: float) -> float:
+    return sum(load_of(one, now) for one in group) / len(group)
 
 
-def _load(upstream: Upstream, now: float) -> float:
-    """Return requests for each slot, as far as this host and its peers know."""
-    busy = float(upstream.busy)
-    for reported_at, count in upstream.peer_busy.values():
-        if reported_at + _REPORT_SECONDS > now:
-            busy += count
-    idle = max(upstream.open_flows - upstream.busy, 0)
-    load = busy + 1 + _IDLE_FLOW_LOAD * idle
+def _is_reported(upstream: Upstream, now: float) -> bool:
+    return any(True for _ in _fresh_loads(upstream, now))
+
+
+def _fresh_loads(upstream: Upstream, now: float) -> Iterator[tuple[float, int]]:
+    for report in upstream.load_by_zone.values():
+        if report.at + REPORT_SECONDS > now:
+            yield report.load.busy, report.load.open_flows
+
+
+def load_of(upstream: Upstream, now: float) -> float:
+    """Return expected requests for each slot, with one more request.
+
+    Half of it is what was measured lately, half what open flows stand for:
+    a flow that was opened a moment ago has not caused its load yet.
+    """
+    # Own counts are newer than the part of the reports that they replace.
+    own = upstream.busy - upstream.busy_mean, 0
+    parts = list(chain((own,), _fresh_loads(upstream, now)))
+    if len(parts) == 1:
+        parts = [(float(upstream.busy), upstream.open_flows)]
+    busy = max(sum(one for one, _ in parts), 0)
+    flows = sum(count for _, count in parts)
+    load = 1 + (busy + _FLOW_LOAD * flows) / 2
     if upstream.warm_at > now:
         load *= _COLD_FACTOR
     return load / max(upstream.listing.slots, 1)
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -4,13 +4,14 @@
 processor time of a start.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lycheedeal.ids import HostId, Zone
 from lycheedeal.relay._records import (
     ConfigurationVersion,
     Entry,
+    Load,
     Packet,
     Peer,
     Revision,
@@ -19,10 +20,12 @@
     Source,
     StoreFault,
     StoreKind,
+    Token,
 )
 
 if TYPE_CHECKING:
     from lycheedeal.relay._context import RelaySettings
+    from lycheedeal.relay._neighbours import Neighbours
     from lycheedeal.relay._table import UpstreamTable
 
 
@@ -153,6 +156,13 @@
     revision: Revision
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class NeighboursKnown:
+    """The hosts that this one knows; the object is shared and not copied."""
+
+    neighbours: 'Neighbours'
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class Greeting:
     """A host announces itself; it asks hosts that it does not know yet."""
@@ -211,10 +221,11 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class LoadReport:
-    """Requests in flight at upstreams, as one host counts them."""
+    """Load by upstream that one host causes, or all of a zone in ``total``."""
 
-    host_id: HostId
-    busy_by_token: dict[int, int] = field(default_factory=dict)
+    peer: Peer
+    total: bool
+    load_by_token: dict[Token, Load]
 
 
 PeerMessage = Greeting | Roster | Beacon | ContentPart | SnapshotWanted | LoadReport
@@ -242,5 +253,6 @@
     | RefreshWanted
     | RoutesChanged
     | UpstreamsChanged
+    | NeighboursKnown
     | PeerSpoke
 )
--- a/src/lycheedeal/relay/_neighbours.py
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -22,6 +22,8 @@
         self._clock = clock
         self._peers_by_id: dict[HostId, Peer] = {}
         self._offset = 0
+        # The host on duty that this one hears from; None if it is itself.
+        self.keeper: HostId | None = None
 
     def __len__(self) -> int:
         """Return the number of known hosts."""
@@ -61,6 +63,12 @@
         """Yield the other known hosts of the own zone."""
         return self.of_zone(self.own.zone)
 
+    def keepers_elsewhere(self) -> Iterator[Peer]:
+        """Yield the hosts on duty of other zones."""
+        for peer in self._peers_by_id.values():
+            if peer.on_duty and peer.zone != self.own.zone:
+                yield peer
+
     def rosters(self, asking: Peer) -> Iterator[tuple[Peer, ...]]:
         """Yield the hosts of another host's zone, in groups for a datagram."""
         known = [one for one in self.of_zone(asking.zone) if one != asking]
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -90,12 +90,16 @@
 
 @dataclass(slots=True)
 class Route:
-    """Where new flows to an address go; several services share by weight."""
+    """Where new flows to an address go; several services share by weight.
+
+    Requests of a ``bulky`` route carry tens of kilobytes.
+    """
 
     name: RouteName
     key: RouteKey
     services: tuple[tuple[ServiceName, int], ...]
     priority: int = 0
+    bulky: bool = False
 
     def __contains__(self, service: ServiceName) -> bool:
         """Tell whether new flows of the route may go to a service."""
@@ -119,6 +123,22 @@
 Entry = Route | Listing
 
 
+@dataclass(slots=True)
+class Load:
+    """Requests in flight, on average, and open flows at one upstream."""
+
+    busy: float
+    open_flows: int
+
+
+@dataclass(slots=True)
+class ZoneLoad:
+    """Load that the hosts of one zone put on an upstream, and when."""
+
+    at: float
+    load: Load
+
+
 @dataclass(slots=True, eq=False)
 class Upstream:
     """One incarnation of an upstream, and what this host saw of it.
@@ -133,9 +153,10 @@
     warm_at: float = 0
     open_flows: int = 0
     busy: int = 0
+    busy_mean: float = 0
     strikes: int = 0
     avoided_until: float = 0
-    peer_busy: dict[HostId, tuple[float, int]] = field(default_factory=dict)
+    load_by_zone: dict[Zone, ZoneLoad] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -146,6 +167,7 @@
     zone: Zone
     endpoint: Endpoint
     strength: float
+    on_duty: bool = False
     heard_at: float = 0
 
 
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -5,15 +5,13 @@
 from typing import Final
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
-from lycheedeal.ids import HostId, ServiceName
-from lycheedeal.relay._choice import choose
+from lycheedeal.ids import ServiceName
+from lycheedeal.relay._choice import Wish, choose
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import Effect, Forward, Part, Record, Reset
 from lycheedeal.relay._events import (
     Event,
-    LoadReport,
     PacketArrived,
-    PeerSpoke,
     RefreshWanted,
     RoutesChanged,
     Tick,
@@ -29,7 +27,6 @@
     Route,
     RouteKey,
     StoreKind,
-    Token,
     Upstream,
     UpstreamState,
     endpoint_text,
@@ -76,8 +73,6 @@
                 self._table = event.table
                 self._revision = event.revision
                 self._table_at = self._context.clock.monotonic()
-            case PeerSpoke(message=LoadReport() as report):
-                self._peer_load(report)
             case Tick(now=now):
                 if now >= self._next_expiry:
                     self._next_expiry = now + _EXPIRE_SECONDS
@@ -132,14 +127,8 @@
         now = self._context.clock.monotonic()
         previous = yield from self._judge_previous(packet, now)
         service = _pick_service(route, packet.flow)
-        choice = choose(
-            self._table,
-            service,
-            self._context.settings.zone,
-            previous,
-            now,
-            self._context.rng,
-        )
+        wish = Wish(service, self._context.settings.zone, route.bulky, previous)
+        choice = choose(self._table, wish, now, self._context.rng)
         if choice is None:
             yield from self._reset(packet, 'no upstream', None)
             return
@@ -157,8 +146,7 @@
                 'service': service,
                 'upstream': choice.upstream.listing.upstream_id,
                 'zone': choice.upstream.listing.zone,
-                'busy': choice.upstream.busy,
-                'open_flows': choice.upstream.open_flows,
+                'load': round(choice.load, 2),
                 'candidates': choice.candidates,
                 **self._view(now),
             },
@@ -245,13 +233,6 @@
     def _count(self, outcome: str) -> None:
         self._context.counters.add('packets', outcome)
 
-    def _peer_load(self, report: LoadReport) -> None:
-        now = self._context.clock.monotonic()
-        for token, count in report.busy_by_token.items():
-            upstream = self._table.by_token.get(Token(token))
-            if upstream is not None:
-                upstream.peer_busy[HostId(report.host_id)] = (now, count)
-
 
 def _pick_service(route: Route, flow: FlowKey) -> ServiceName:
     """Return the service of a flow; the same one on every host."""
@@ -270,6 +251,6 @@
     PluginSpec(
         'forwarding',
         ForwardingPlugin,
-        frozenset((PacketArrived, RoutesChanged, UpstreamsChanged, PeerSpoke, Tick)),
+        frozenset((PacketArrived, RoutesChanged, UpstreamsChanged, Tick)),
     ),
 )
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -18,17 +18,21 @@
 from lycheedeal.relay._records import (
     Entry,
     Listing,
+    Load,
     Peer,
     Route,
     RouteKey,
     RouteName,
     StoreKind,
+    Token,
 )
 
 # Hosts of two versions do not understand each other's messages.
 PROTOCOL_VERSION: Final = 1
 # Largest datagram that is decoded, in bytes.
 MAX_BYTES: Final = 8192
+# Resolution of the mean number of requests in flight.
+_BUSY_STEPS: Final = 100
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -66,8 +70,12 @@
             return ['content', *_part_fields(message)]
         case SnapshotWanted(host_id=host_id, kind=kind):
             return ['snapshot', host_id, kind.value]
-        case LoadReport(host_id=host_id, busy_by_token=busy):
-            return ['load', host_id, list(busy.items())]
+        case LoadReport(peer=peer, total=total, load_by_token=loads):
+            rows = [
+                [token, round(load.busy * _BUSY_STEPS), load.open_flows]
+                for token, load in loads.items()
+            ]
+            return ['load', _peer_fields(peer), total, rows]
 
 
 def _part_fields(part: ContentPart) -> list[Any]:
@@ -88,13 +96,21 @@
 
 
 def _peer_fields(peer: Peer) -> list[Any]:
-    return [peer.host_id, peer.zone, *peer.endpoint, peer.strength]
+    return [peer.host_id, peer.zone, *peer.endpoint, peer.strength, peer.on_duty]
 
 
 def _entry_fields(entry: Entry) -> list[Any]:
     match entry:
         case Route():
-            return ['route', entry.name, entry.key, entry.services, entry.priority]
+            services = entry.services
+            return [
+                'route',
+                entry.name,
+                entry.key,
+                services,
+                entry.priority,
+                entry.bulky,
+            ]
         case Listing():
             return [
                 'upstream',
@@ -128,9 +144,8 @@
             return _content_part(rest)
         case ['snapshot', str() as host_id, kind]:
             return SnapshotWanted(HostId(host_id), StoreKind(kind))
-        case ['load', str() as host_id, list() as busy]:
-            counts = {int(token): int(count) for token, count in busy}
-            return LoadReport(HostId(host_id), counts)
+        case ['load', peer, bool() as total, list() as rows]:
+            return LoadReport(_peer(peer), total, dict(map(_load, rows)))
     raise DecodeError('unknown message')
 
 
@@ -168,11 +183,26 @@
             raise DecodeError('malformed content')
 
 
+def _load(fields: Any) -> tuple[Token, Load]:
+    match fields:
+        case [int() as token, int() as steps, int() as open_flows]:
+            return Token(token), Load(steps / _BUSY_STEPS, open_flows)
+        case _:
+            raise DecodeError('malformed load')
+
+
 def _peer(fields: Any) -> Peer:
     match fields:
-        case [str() as host_id, str() as zone, str() as ip, int() as port, strength]:
+        case [
+            str() as host_id,
+            str() as zone,
+            str() as ip,
+            int() as port,
+            int() | float() as strength,
+            bool() as on_duty,
+        ]:
             endpoint = Endpoint(ip, port)
-            return Peer(HostId(host_id), Zone(zone), endpoint, float(strength))
+            return Peer(HostId(host_id), Zone(zone), endpoint, strength, on_duty)
         case _:
             raise DecodeError('malformed host')
 
@@ -185,11 +215,12 @@
             int() as key,
             list() as services,
             int() as priority,
+            bool() as bulky,
         ]:
             shares = tuple(
                 (ServiceName(str(one)), int(share)) for one, share in services
             )
-            return Route(RouteName(name), RouteKey(key), shares, priority)
+            return Route(RouteName(name), RouteKey(key), shares, priority, bulky)
         case [
             'upstream',
             str() as upstream_id,
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -27,6 +27,7 @@
     DutyChanged,
     Event,
     Greeting,
+    NeighboursKnown,
     PeerSpoke,
     RefreshWanted,
     Roster,
@@ -63,13 +64,13 @@
         """Start on duty: nobody has been heard yet."""
         self._context = context
         self._own = context.settings.own_peer
+        self._own.on_duty = True
         self._neighbours = Neighbours(self._own, context.clock)
         self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
         self._confirmed_at = dict.fromkeys(StoreKind, float('-inf'))
         self._assembly = Assembly()
         self._active = True
         self._stopping = False
-        self._keeper: HostId | None = None
         self._keeper_heard_at = float('-inf')
         self._behind_since: dict[StoreKind, float] = {}
         self._next_beacon = 0.0
@@ -80,6 +81,7 @@
         """Take one event."""
         match event:
             case Started():
+                yield Publish(NeighboursKnown(self._neighbours))
                 yield from self._greet_seeds()
             case ContentChanged():
                 yield from self._content_changed(event)
@@ -107,6 +109,8 @@
         match event.message:
             case Greeting(peer=peer, asks=asks):
                 self._neighbours.heard(peer)
+                if peer.on_duty:
+                    yield from self._introduce_keepers(peer)
                 if asks:
                     yield from self._answer_greeting(peer)
             case Roster(zone=zone, peers=peers):
@@ -124,8 +128,14 @@
         if self._active and peer.zone == self._own.zone:
             yield SendPeer(peer.endpoint, self._own_beacon())
 
+    def _introduce_keepers(self, keeper: Peer) -> Iterator[Effect]:
+        """Tell a host on duty who is on duty in zones other than its own."""
+        for other in self._neighbours.keepers_elsewhere():
+            if other.zone != keeper.zone:
+                yield SendPeer(keeper.endpoint, Roster(other.zone, (other,)))
+
     def _roster(self, zone: str, peers: tuple[Peer, ...]) -> Iterator[Effect]:
-        if zone != self._own.zone:
+        if zone != self._own.zone and not self._active:
             return
         for peer in peers:
             if self._neighbours.heard(peer):
@@ -139,8 +149,8 @@
             self._neighbours.named(peer)
         now = self._context.clock.monotonic()
         if beacon.ages_ms[0] < 0:
-            if self._keeper == beacon.peer.host_id:
-                self._keeper = None
+            if self._neighbours.keeper == beacon.peer.host_id:
+                self._neighbours.keeper = None
             return
         fresh = max(beacon.ages_ms) / 1000 < _FRESH_SECONDS
         if not fresh or (self._active and not self._outranked_by(beacon)):
@@ -148,8 +158,8 @@
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
             at = now - age / 1000
             self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
-        if self._keeper != beacon.peer.host_id:
-            self._keeper = beacon.peer.host_id
+        if self._neighbours.keeper != beacon.peer.host_id:
+            self._neighbours.keeper = beacon.peer.host_id
             yield SendPeer(beacon.peer.endpoint, Greeting(self._own, asks=False))
         self._keeper_heard_at = now
         yield from self._set_active(active=False, reason='another host is on duty')
@@ -230,8 +240,8 @@
         )
         old = self._own_age() > _FRESH_SECONDS + waiting
         missed = now - self._keeper_heard_at > _MISSED_SECONDS + waiting
-        if old or missed or self._keeper is None:
-            self._keeper = None
+        if old or missed or self._neighbours.keeper is None:
+            self._neighbours.keeper = None
             reason = 'news are old' if old else 'host on duty is silent'
             yield from self._set_active(active=True, reason=reason)
 
@@ -239,6 +249,7 @@
         if active == self._active:
             return
         self._active = active
+        self._own.on_duty = active
         self._next_beacon = 0.0
         yield Publish(DutyChanged(active))
         yield Record(
@@ -247,7 +258,7 @@
             'Host follows the store.' if active else 'Host hears from another host.',
             {
                 'reason': reason,
-                'keeper': self._keeper,
+                'keeper': self._neighbours.keeper,
                 'peers': len(self._neighbours),
                 'age_s': round(min(self._own_age(), 999), 2),
             },
@@ -255,7 +266,7 @@
 
     def _greet_keeper(self) -> Iterator[Effect]:
         self._neighbours.expire()
-        keeper = self._neighbours.find(self._keeper)
+        keeper = self._neighbours.find(self._neighbours.keeper)
         if keeper is not None:
             yield SendPeer(keeper.endpoint, Greeting(self._own, asks=False))
 
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -18,6 +18,7 @@
     names.map(Zone),
     endpoints,
     st.floats(0.1, 4),
+    st.booleans(),
 )
 routes = st.builds(
     relay.Route,
@@ -25,6 +26,7 @@
     numbers.map(relay.RouteKey),
     st.tuples(st.tuples(names.map(ServiceName), st.integers(1, 100))),
     st.integers(0, 9),
+    st.booleans(),
 )
 listings = st.builds(
     relay.Listing,
@@ -68,8 +70,12 @@
     )
     | st.builds(
         relay.LoadReport,
-        names.map(HostId),
-        st.dictionaries(st.integers(1, 2**32 - 1), st.integers(0, 99)),
+        peers,
+        st.booleans(),
+        st.dictionaries(
+            st.integers(1, 2**32 - 1).map(relay.Token),
+            st.builds(relay.Load, st.integers(0, 99).map(float), st.integers(0, 99)),
+        ),
     )
 )
 
