Explain a flow or a request from log lines: lycheectl explain

Cause: an on-call engineer has a request's address, port and time, and our output, nothing else. Change: lycheedeal.explaining selects the decisions about a flow and what the hosts believed around them; torn and foreign lines are counted, unknown fields kept.

--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -1,11 +1,14 @@
 """The command behind ``lycheectl``."""
 
 import asyncio
-from collections.abc import Iterator
+import sys
+from collections.abc import Iterable, Iterator
+from contextlib import AbstractContextManager, nullcontext
+from pathlib import Path
 from typing import Any, ClassVar, Final
 
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
@@ -21,6 +24,7 @@
 )
 from lycheedeal.cli._statement import Outcome, send_statement
 from lycheedeal.exceptions import UsageError
+from lycheedeal.explaining import explain, explain_lines, parse_question
 
 _HELP: Final = """\
 Statements:
@@ -37,6 +41,9 @@
   delete upstream NAME of SERVICE
   restore configuration of SERVICE
 
+  explain flow IP:PORT [--log FILE]
+  explain request IP:PORT at UNIX-SECONDS [--log FILE]
+
 Priority 0 is the most urgent. A floor is the share of slots that a kind keeps
 while other kinds flood. "dry run" before a change only validates it and tells
 what it affects.
@@ -47,12 +54,15 @@
 answer. A change carries one change id, so it counts once however often it is
 sent.
 
+"explain" asks no host: it reads log lines of lychee-relay, of one host or of
+many, and shows the decisions about a caller's flow and what bears on them.
+
 Examples:
 
   lycheectl --host 10.0.0.1:9002,10.0.0.2:9002 show config
   lycheectl dry run drain upstream api-3 of bitacora-api
 
-Exit codes: 0 done, 1 refused, 2 usage, 3 conflict with another change,
+Exit codes: 0 done, 1 refused or nothing found, 2 usage, 3 conflict with another change,
 4 unknown whether the change was made, 5 no host reachable.
 """
 
@@ -64,10 +74,32 @@
     arguments: ClassVar[list[Argument]] = [
         argument('statement', 'words of one statement', multiple=True),
     ]
-    options: ClassVar[list[Option]] = hosts.host_options('15')
+    options: ClassVar[list[Option]] = [
+        *hosts.host_options('15'),
+        option('log', None, 'file with log lines for "explain", - for input', False),
+    ]
 
     def handle(self) -> int:
         """Return the exit code."""
+        match self.argument('statement'):
+            case ['explain', *words]:
+                return self._explain(words)
+            case _:
+                return self._send()
+
+    def _explain(self, words: list[str]) -> int:
+        path = self.option('log')
+        try:
+            question = parse_question(words)
+            with _open_log(path) as texts:
+                explanation = explain(texts, question)
+        except (UsageError, OSError) as error:
+            self.line_error(f'lycheectl: {error}')
+            return ExitCode.USAGE
+        write_lines(self.io, explain_lines(explanation))
+        return ExitCode.DONE if explanation.flow else ExitCode.REFUSED
+
+    def _send(self) -> int:
         try:
             form = hosts.parse_form(self.option('output'))
             sending = send_statement(
@@ -88,6 +120,12 @@
         return outcome.exit_code
 
 
+def _open_log(path: str | None) -> AbstractContextManager[Iterable[str]]:
+    if path is None or path == '-':
+        return nullcontext(sys.stdin)
+    return Path(path).open(encoding='utf-8', errors='replace')
+
+
 def text_lines(document: dict[str, Any]) -> Iterator[str]:
     """Yield an answer as text: table or fields first, then its sources."""
     content = dict(document)
--- /dev/null
+++ b/src/lycheedeal/explaining/_lines.py
@@ -0,0 +1,60 @@
+"""Log lines of the relay, read back."""
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+# Fields with a place of their own; all others are kept as details.
+_NAMED: Final = frozenset(('time', 'host', 'part', 'kind', 'text'))
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line; ``at`` is Unix time in seconds on the clock of its host."""
+
+    at: float
+    host: str
+    kind: str
+    text: str
+    details: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Skipped:
+    """Count of lines that are none of the relay's, or torn."""
+
+    lines: int = 0
+
+
+def read_lines(texts: Iterable[str], skipped: Skipped) -> Iterator[LogLine]:
+    """Yield the lines that can be read and count the others."""
+    for text in texts:
+        line = _parse(text)
+        if line is None:
+            skipped.lines += 1
+        else:
+            yield line
+
+
+def _parse(text: str) -> LogLine | None:
+    # A collector may put its own time and the host before the object.
+    start = text.find('{')
+    try:
+        fields = json.loads(text[start:]) if start >= 0 else None
+    except (ValueError, RecursionError):
+        return None
+    match fields:
+        case {
+            'time': float() | int() as at,
+            'host': str() as host,
+            'kind': str() as kind,
+            'text': str() as sentence,
+        }:
+            return LogLine(float(at), host, kind, sentence, _details(fields))
+        case _:
+            return None
+
+
+def _details(fields: Any) -> dict[str, Any]:
+    return {name: fields[name] for name in fields if name not in _NAMED}
