Serve histograms, ages and lines left out beside the counts

Change: Metrics with counts, histograms and levels; one packet in 16 is timed. Freshness of the content moves to a class of its own.

--- a/src/lycheedeal/hosting/_host.py
+++ b/src/lycheedeal/hosting/_host.py
@@ -150,7 +150,7 @@
         # A datagram that the link does not take is lost like any other.
         with contextlib.suppress(OSError):
             self._peers.sendto(datagram, endpoint)
-            self._context.counters.add('peer_bytes', 'sent', len(datagram))
+            self._context.metrics.add('peer_bytes', 'sent', len(datagram))
 
     def _read_peers(self) -> None:
         if self._peers is None:
@@ -159,7 +159,7 @@
             try:
                 message = decode_message(datagram)
             except DecodeError as error:
-                self._context.counters.add('peer_errors', error.kind.name.lower())
+                self._context.metrics.add('peer_errors', error.kind.name.lower())
                 continue
             self.dispatch(relay.PeerSpoke(message))
 
@@ -169,3 +169,4 @@
         self.dispatch(relay.Tick(now))
         self._front_end.tick(now)
         self._logs.tick(now)
+        self._context.metrics.level('log_lines_left_out', 'all', self._logs.left_out)
--- a/src/lycheedeal/hosting/metrics.py
+++ b/src/lycheedeal/hosting/metrics.py
@@ -1,26 +1,32 @@
 """Text of the metrics, by prometheus_client; imported at the first scrape."""
 
 from collections.abc import Iterator
+from itertools import accumulate
 from typing import Final
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
-from lycheedeal.relay import Counters
+from lycheedeal.relay import BUCKET_SECONDS, Histogram, Metrics
 
 _PREFIX: Final = 'lycheedeal_'
 
 
-class _CountersCollector(Collector):
+class _MetricsCollector(Collector):
     """Hands the counts of the core to the metrics library."""
 
-    def __init__(self, counters: Counters) -> None:
-        self._counters = counters
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
 
     def collect(self) -> Iterator[Metric]:
         families: dict[str, CounterMetricFamily] = {}
-        for (metric, label), count in self._counters.counts_by_label.items():
+        for (metric, label), count in self._metrics.counts_by_label.items():
             family = families.get(metric)
             if family is None:
                 name = f'{_PREFIX}{metric}'
@@ -30,10 +36,40 @@
                 families[metric] = family
             family.add_metric([label], count)
         yield from families.values()
+        yield from self._levels()
+        yield from self._histograms()
+
+    def _levels(self) -> Iterator[Metric]:
+        families: dict[str, GaugeMetricFamily] = {}
+        for (metric, label), amount in self._metrics.levels_by_label.items():
+            family = families.get(metric)
+            if family is None:
+                name = f'{_PREFIX}{metric}'
+                family = GaugeMetricFamily(name, f'Level of {metric}.', labels=['kind'])
+                families[metric] = family
+            family.add_metric([label], amount)
+        yield from families.values()
+
+    def _histograms(self) -> Iterator[Metric]:
+        families: dict[str, HistogramMetricFamily] = {}
+        for (metric, label), histogram in self._metrics.histograms_by_label.items():
+            family = families.get(metric)
+            if family is None:
+                name = f'{_PREFIX}{metric}'
+                help_text = f'Durations of {metric}.'
+                family = HistogramMetricFamily(name, help_text, labels=['kind'])
+                families[metric] = family
+            family.add_metric([label], list(_buckets(histogram)), histogram.total)
+        yield from families.values()
+
+
+def _buckets(histogram: Histogram) -> Iterator[tuple[str, float]]:
+    bounds = (*map(str, BUCKET_SECONDS), '+Inf')
+    yield from zip(bounds, accumulate(histogram.counts), strict=True)
 
 
-def render(counters: Counters) -> bytes:
+def render(metrics: Metrics) -> bytes:
     """Return all metrics in the text format."""
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(_CountersCollector(counters))
+    registry.register(_MetricsCollector(metrics))
     return generate_latest(registry)
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -3,6 +3,7 @@
 import asyncio
 import importlib
 import socket
+import time
 from typing import Final
 
 from lycheedeal import relay
@@ -32,6 +33,8 @@
 
 # The platform may change the settings file without a signal.
 _LOOK_SECONDS: Final = 2.0
+# One packet of this many is timed.
+_TIMED_PACKETS: Final = 16
 
 
 class PlatformFrontEnd:
@@ -41,7 +44,7 @@
         self,
         path: str,
         settings: PlatformSettings,
-        counters: relay.Counters,
+        metrics: relay.Metrics,
         packets: socket.socket | None = None,
     ) -> None:
         """Open nothing before ``start``; ``path`` is read again later.
@@ -52,11 +55,12 @@
         self._modified_at = modification_time(path)
         self._next_look = 0.0
         self._settings = settings
-        self._counters = counters
+        self._metrics = metrics
         self._dispatch: Dispatch | None = None
         self._packets = packets
         self._reading = False
-        self._store = StoreClient(settings.store, self._report)
+        self._forwarded = 0
+        self._store = StoreClient(settings.store, self._report, metrics)
         self._ready = False
         self._servers = (
             HttpServer(settings.readiness, self._answer),
@@ -160,7 +164,7 @@
             self._packets.sendto(datagram, address)
         except OSError as error:
             # The link is full or the address unreachable: a lost datagram.
-            self._counters.add('send_errors', type(error).__name__)
+            self._metrics.add('send_errors', type(error).__name__)
 
     def _read_packets(self) -> None:
         if self._packets is None or self._dispatch is None:
@@ -169,9 +173,20 @@
             try:
                 packet = decode_packet(raw)
             except DecodeError as error:
-                self._counters.add('packets', error.kind.name.lower())
+                self._metrics.add('packets', error.kind.name.lower())
                 continue
+            self._forwarded += 1
+            if self._forwarded % _TIMED_PACKETS:
+                self._dispatch(relay.PacketArrived(packet))
+            else:
+                self._dispatch_timed(packet)
+
+    def _dispatch_timed(self, packet: relay.Packet) -> None:
+        started = time.perf_counter()
+        if self._dispatch is not None:
             self._dispatch(relay.PacketArrived(packet))
+        seconds = time.perf_counter() - started
+        self._metrics.observe('forwarding_seconds', packet.kind.value, seconds)
 
     def _answer(self, path: str) -> Answer:
         match path:
@@ -181,12 +196,12 @@
                     HttpStatus.OK if ready else HttpStatus.SERVICE_UNAVAILABLE
                 )
             case '/metrics':
-                return Answer(HttpStatus.OK, _metrics_text(self._counters))
+                return Answer(HttpStatus.OK, _metrics_text(self._metrics))
         return Answer(HttpStatus.NOT_FOUND)
 
 
-def _metrics_text(counters: relay.Counters) -> bytes:
+def _metrics_text(metrics: relay.Metrics) -> bytes:
     # Loaded at the first scrape: the metrics library takes 50 ms of a core.
-    metrics = importlib.import_module('lycheedeal.hosting.metrics')
-    text: bytes = metrics.render(counters)
+    exposition = importlib.import_module('lycheedeal.hosting.metrics')
+    text: bytes = exposition.render(metrics)
     return text
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable, Iterator
 from types import MappingProxyType
 from typing import Any, Final
@@ -43,8 +44,14 @@
 class StoreClient:
     """One connection for each kind; one call at a time on each."""
 
-    def __init__(self, endpoint: Endpoint, report: Report) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        report: Report,
+        metrics: relay.Metrics,
+    ) -> None:
         """Report answers and failures as events."""
+        self._metrics = metrics
         self.endpoint = endpoint
         self._report = report
         self._tasks_by_kind: dict[relay.StoreKind, asyncio.Task[None]] = {}
@@ -93,6 +100,7 @@
         wait_seconds: float,
     ) -> None:
         event: relay.Event
+        started = time.perf_counter()
         try:
             if revision is None:
                 async with asyncio.timeout(_LIST_SECONDS):
@@ -111,6 +119,9 @@
             self._drop(kind)
             event = relay.CallFailed(kind, relay.StoreFault.UNREACHABLE, str(error))
         self._tasks_by_kind.pop(kind, None)
+        outcome = 'failed' if isinstance(event, relay.CallFailed) else 'answered'
+        label = f'{"watch" if revision else "list"} {kind.value} {outcome}'
+        self._metrics.observe('store_seconds', label, time.perf_counter() - started)
         self._report(event)
 
     async def _list(self, kind: relay.StoreKind) -> relay.ListAnswered:
--- a/src/lycheedeal/platform/program.py
+++ b/src/lycheedeal/platform/program.py
@@ -38,7 +38,7 @@
 ) -> None:
     context = relay.RelayContext(settings.relay, SystemClock(), random.Random())
     logs = LogWriter(_STANDARD_OUTPUT, settings.relay.host_id)
-    front_end = PlatformFrontEnd(path, settings, context.counters, packets)
+    front_end = PlatformFrontEnd(path, settings, context.metrics, packets)
     host = Host(context, front_end, logs)
     try:
         await host.start()
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -9,7 +9,13 @@
 from typing import Final
 
 from lycheedeal import dispatch
-from lycheedeal.relay._context import Counters, RelayContext, RelaySettings
+from lycheedeal.relay._context import (
+    BUCKET_SECONDS,
+    Histogram,
+    Metrics,
+    RelayContext,
+    RelaySettings,
+)
 from lycheedeal.relay._effects import (
     Detail,
     Effect,
@@ -95,7 +101,9 @@
 
 
 __all__ = (
+    'BUCKET_SECONDS',
     'RELAY_PLUGINS',
+    'Histogram',
     'Beacon',
     'CallFailed',
     'ChangesAnswered',
@@ -103,7 +111,7 @@
     'ContentChanged',
     'ContentConfirmed',
     'ContentPart',
-    'Counters',
+    'Metrics',
     'Detail',
     'DutyChanged',
     'Effect',
--- a/src/lycheedeal/relay/_context.py
+++ b/src/lycheedeal/relay/_context.py
@@ -1,12 +1,34 @@
 """What the packet relay gets from outside."""
 
 import random
+from bisect import bisect_left
 from dataclasses import dataclass, field
+from typing import Final
 
 from lycheedeal.dispatch import Clock
 from lycheedeal.ids import Endpoint, HostId, Zone
 from lycheedeal.relay._records import Peer
 
+# From the forwarding of a packet to a store that does not answer.
+BUCKET_SECONDS: Final = (
+    0.00005,
+    0.0001,
+    0.00025,
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+)
+_NO_COUNTS: Final = (0,) * (len(BUCKET_SECONDS) + 1)
+
 
 @dataclass(slots=True, repr=False)
 class RelaySettings:
@@ -32,16 +54,36 @@
 
 
 @dataclass(slots=True, eq=False, repr=False)
-class Counters:
-    """Counts of events by metric and label."""
+class Histogram:
+    """Counts of durations by upper bound in seconds, and their sum."""
+
+    counts: list[int] = field(default_factory=lambda: list(_NO_COUNTS))
+    total: float = 0
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class Metrics:
+    """Counts, durations and levels; all names come from closed sets in the code."""
 
     counts_by_label: dict[tuple[str, str], int] = field(default_factory=dict)
+    histograms_by_label: dict[tuple[str, str], Histogram] = field(default_factory=dict)
+    levels_by_label: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def add(self, metric: str, label: str, amount: int = 1) -> None:
-        """Add to a count; both names come from a closed set in the code."""
+        """Add to a count."""
         key = metric, label
         self.counts_by_label[key] = self.counts_by_label.get(key, 0) + amount
 
+    def observe(self, metric: str, label: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self.histograms_by_label.setdefault((metric, label), Histogram())
+        histogram.counts[bisect_left(BUCKET_SECONDS, seconds)] += 1
+        histogram.total += seconds
+
+    def level(self, metric: str, label: str, amount: float) -> None:
+        """Set a level, such as an age in seconds."""
+        self.levels_by_label[metric, label] = amount
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class RelayContext:
@@ -50,4 +92,4 @@
     settings: RelaySettings
     clock: Clock
     rng: random.Random
-    counters: Counters = field(default_factory=Counters)
+    metrics: Metrics = field(default_factory=Metrics)
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -185,7 +185,7 @@
     ) -> Iterator[Effect]:
         self.memory.end(packet.flow)
         self._count('reset')
-        self._context.counters.add('refusals', reason)
+        self._context.metrics.add('refusals', reason)
         if packet.kind is not PacketKind.RESET:
             yield Reset(packet)
         yield self._turned_away(packet, 'Flow was reset.', reason, upstream)
@@ -196,7 +196,7 @@
         reason: str,
         upstream: Upstream | None,
     ) -> Record:
-        self._context.counters.add('refusals', reason)
+        self._context.metrics.add('refusals', reason)
         return self._turned_away(packet, 'Packet was dropped.', reason, upstream)
 
     def _turned_away(
@@ -231,7 +231,7 @@
         }
 
     def _count(self, outcome: str) -> None:
-        self._context.counters.add('packets', outcome)
+        self._context.metrics.add('packets', outcome)
 
 
 def _pick_service(route: Route, flow: FlowKey) -> ServiceName:
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -101,7 +101,7 @@
     def _list(self, follower: _Follower) -> Iterator[Effect]:
         follower.phase = _Phase.LISTING
         follower.asked_at = self._context.clock.monotonic()
-        self._context.counters.add('store_calls', f'list {follower.kind.value}')
+        self._context.metrics.add('store_calls', f'list {follower.kind.value}')
         yield ListObjects(follower.kind)
 
     def _watch(self, follower: _Follower) -> Iterator[Effect]:
@@ -110,7 +110,7 @@
             return
         follower.phase = _Phase.WATCHING
         follower.asked_at = self._context.clock.monotonic()
-        self._context.counters.add('store_calls', f'watch {follower.kind.value}')
+        self._context.metrics.add('store_calls', f'watch {follower.kind.value}')
         yield WatchObjects(follower.kind, follower.revision, WATCH_SECONDS)
 
     def _listed(self, event: ListAnswered) -> Iterator[Effect]:
@@ -168,7 +168,7 @@
 
     def _failed(self, event: CallFailed) -> Iterator[Effect]:
         follower = self._followers[event.kind]
-        self._context.counters.add('store_failures', event.fault.value)
+        self._context.metrics.add('store_failures', event.fault.value)
         if event.fault is StoreFault.HISTORY_LOST:
             yield from self._list(follower)
             return
--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -46,12 +46,12 @@
             return
         if self.version is not None and event.version <= self.version:
             if event.version < self.version:
-                self._context.counters.add('configuration', 'older ignored')
+                self._context.metrics.add('configuration', 'older ignored')
             return
         self._merge(event)
         previous = self.version
         self.version = event.version
-        self._context.counters.add('configuration', 'applied')
+        self._context.metrics.add('configuration', 'applied')
         by_key = {route.key: route for route in self._routes_by_name.values()}
         yield Publish(RoutesChanged(event.version, by_key, frozenset(self._removed)))
         yield Record(
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -143,7 +143,7 @@
     ) -> Iterator[Effect]:
         upstream.state = state
         upstream.since = self._context.clock.monotonic()
-        self._context.counters.add('upstream_states', state.value)
+        self._context.metrics.add('upstream_states', state.value)
         yield self._record(upstream, 'Upstream changed its state.', reason)
 
     def _record(self, upstream: Upstream, text: str, reason: str) -> Record:
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -36,6 +36,7 @@
     StopRequested,
     Tick,
 )
+from lycheedeal.relay._freshness import Freshness
 from lycheedeal.relay._neighbours import Neighbours, rank
 from lycheedeal.relay._records import Peer, Source, StoreKind
 from lycheedeal.relay.reading import ANSWER_SECONDS, WATCH_SECONDS
@@ -67,7 +68,7 @@
         self._own.on_duty = True
         self._neighbours = Neighbours(self._own, context.clock)
         self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
-        self._confirmed_at = dict.fromkeys(StoreKind, float('-inf'))
+        self._freshness = Freshness(context)
         self._assembly = Assembly()
         self._active = True
         self._stopping = False
@@ -86,7 +87,7 @@
             case ContentChanged():
                 yield from self._content_changed(event)
             case ContentConfirmed(kind=kind, at=at):
-                self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+                self._freshness.confirm(kind, at)
             case PeerSpoke():
                 yield from self._peer_spoke(event)
             case StopRequested():
@@ -156,8 +157,7 @@
         if not fresh or (self._active and not self._outranked_by(beacon)):
             return
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
-            at = now - age / 1000
-            self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+            self._freshness.confirm(kind, now - age / 1000)
         if self._neighbours.keeper != beacon.peer.host_id:
             self._neighbours.keeper = beacon.peer.host_id
             yield SendPeer(beacon.peer.endpoint, Greeting(self._own, asks=False))
@@ -166,14 +166,11 @@
         yield from self._compare(beacon)
 
     def _outranked_by(self, beacon: Beacon) -> bool:
-        own_age = self._own_age()
+        own_age = self._freshness.oldest()
         if own_age >= _FRESH_SECONDS:
             return True
         return rank(beacon.peer) < rank(self._own)
 
-    def _own_age(self) -> float:
-        return self._context.clock.monotonic() - min(self._confirmed_at.values())
-
     def _compare(self, beacon: Beacon) -> Iterator[Effect]:
         """Ask for what the host on duty has and this one lacks."""
         now = self._context.clock.monotonic()
@@ -238,7 +235,7 @@
         waiting = min(
             self._neighbours.own_rank() * _STAGGER_SECONDS, _LAST_STAGGER_SECONDS
         )
-        old = self._own_age() > _FRESH_SECONDS + waiting
+        old = self._freshness.oldest() > _FRESH_SECONDS + waiting
         missed = now - self._keeper_heard_at > _MISSED_SECONDS + waiting
         if old or missed or self._neighbours.keeper is None:
             self._neighbours.keeper = None
@@ -260,11 +257,12 @@
                 'reason': reason,
                 'keeper': self._neighbours.keeper,
                 'peers': len(self._neighbours),
-                'age_s': round(min(self._own_age(), 999), 2),
+                'age_s': round(self._freshness.oldest(), 2),
             },
         )
 
     def _greet_keeper(self) -> Iterator[Effect]:
+        self._freshness.measure()
         self._neighbours.expire()
         keeper = self._neighbours.find(self._neighbours.keeper)
         if keeper is not None:
@@ -279,10 +277,7 @@
                 yield SendPeer(seed, Greeting(self._own, asks=alone))
 
     def _own_beacon(self) -> Beacon:
-        now = self._context.clock.monotonic()
-        ages = tuple(
-            int(min(now - self._confirmed_at[kind], 60) * 1000) for kind in StoreKind
-        )
+        ages = self._freshness.ages_ms()
         revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
         return Beacon(self._own, ages, revisions, self._neighbours.some())
 
