Reset flows whose upstream ended before the host started

Change: a token that no upstream has is answered with a reset once the store has listed all upstreams after the token was first seen, on a host that has run for 3 s, with a settled store and no unusable entry. Until then packets are dropped as before.

--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -150,10 +150,14 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class UpstreamsChanged:
-    """The table of upstreams changed; it is shared and not copied."""
+    """The table of upstreams changed; it is shared and not copied.
+
+    ``listed`` means that the store has just told all upstreams there are.
+    """
 
     table: 'UpstreamTable'
     revision: Revision
+    listed: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -10,6 +10,7 @@
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import Effect, Forward, Part, Record, Reset
 from lycheedeal.relay._events import (
+    ContentConfirmed,
     Event,
     PacketArrived,
     RefreshWanted,
@@ -27,6 +28,7 @@
     Route,
     RouteKey,
     StoreKind,
+    Token,
     Upstream,
     UpstreamState,
     endpoint_text,
@@ -39,6 +41,10 @@
 # again at most this often.
 _REFRESH_SECONDS: Final = 1.0
 _FLOW_BYTES: Final = 12
+_MAX_UNKNOWN: Final = 1024
+# A host that has just started does not know whether the store was away, and
+# entries that lapsed meanwhile may be back up to two seconds later.
+_TRUST_SECONDS: Final = 3.0
 
 
 class ForwardingPlugin:
@@ -59,6 +65,11 @@
         )
         self._next_expiry = 0.0
         self._next_refresh = 0.0
+        # Tokens without an upstream, and when each was first seen.
+        self._unknown_since: dict[Token, float] = {}
+        self._confirmed_at = float('-inf')
+        self._listed_at = float('-inf')
+        self._trusted_at = context.clock.monotonic() + _TRUST_SECONDS
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Take one event."""
@@ -73,6 +84,10 @@
                 self._table = event.table
                 self._revision = event.revision
                 self._table_at = self._context.clock.monotonic()
+                if event.listed and self._table_at >= self._trusted_at:
+                    self._listed_at = self._confirmed_at
+            case ContentConfirmed(kind=StoreKind.UPSTREAMS, at=at):
+                self._confirmed_at = at
             case Tick(now=now):
                 if now >= self._next_expiry:
                     self._next_expiry = now + _EXPIRE_SECONDS
@@ -109,16 +124,27 @@
         return route is not None and upstream.listing.service not in route
 
     def _unknown_token(self, packet: Packet) -> Iterator[Effect]:
-        yield self._dropped(packet, 'no upstream for the token', None)
         if not packet.token:
             self._count('no token')
+            yield self._dropped(packet, 'no token', None)
             return
-        self._count('unknown token')
         now = self._context.clock.monotonic()
+        if self._is_unlisted(packet.token, now):
+            yield from self._reset(packet, 'upstream is not listed', None)
+            return
+        self._count('unknown token')
+        yield self._dropped(packet, 'no upstream for the token', None)
         if now >= self._next_refresh:
             self._next_refresh = now + _REFRESH_SECONDS
             yield Publish(RefreshWanted(StoreKind.UPSTREAMS))
 
+    def _is_unlisted(self, token: Token, now: float) -> bool:
+        """Tell whether all upstreams were listed since the token was first seen."""
+        if len(self._unknown_since) >= _MAX_UNKNOWN:
+            self._unknown_since.clear()
+        since = self._unknown_since.setdefault(token, now)
+        return since < self._listed_at
+
     def _opening(self, packet: Packet) -> Iterator[Effect]:
         route = self._routes_by_key.get(packet.route)
         if route is None:
@@ -251,6 +277,14 @@
     PluginSpec(
         'forwarding',
         ForwardingPlugin,
-        frozenset((PacketArrived, RoutesChanged, UpstreamsChanged, Tick)),
+        frozenset(
+            (
+                PacketArrived,
+                RoutesChanged,
+                UpstreamsChanged,
+                ContentConfirmed,
+                Tick,
+            ),
+        ),
     ),
 )
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -15,6 +15,7 @@
 from lycheedeal.relay._records import (
     Listing,
     Revision,
+    Source,
     StoreKind,
     Upstream,
     UpstreamState,
@@ -45,7 +46,8 @@
             case ContentChanged(kind=StoreKind.UPSTREAMS):
                 self._revision = event.revision
                 yield from self._content_changed(event)
-                yield Publish(UpstreamsChanged(self.table, self._revision))
+                is_listed = _tells_all(event)
+                yield Publish(UpstreamsChanged(self.table, self._revision, is_listed))
             case Tick(now=now):
                 yield from self._tick(now)
 
@@ -192,4 +194,10 @@
             yield Publish(UpstreamsChanged(self.table, self._revision))
 
 
+def _tells_all(event: ContentChanged) -> bool:
+    if event.source is not Source.STORE or not event.complete:
+        return False
+    return event.settled and not event.unusable
+
+
 register(PluginSpec('upstreams', UpstreamsPlugin, frozenset((ContentChanged, Tick))))
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -125,6 +125,49 @@
     assert not host.sent and len(host.resets) == 1
 
 
+def test_flow_of_an_upstream_that_ended_before_the_start_is_reset(
+    world: World,
+) -> None:
+    """Packets were dropped until the caller's deadline: bitacora-sur scale-2."""
+    token = world.add('a').open().token
+    world.store.delete('i-1')
+    world.store.delete('i-2')
+    late = world.add('late')
+    world.run(4)
+    data = packet(PacketKind.DATA, token)
+    late.dispatch(relay.PacketArrived(data))
+    assert not late.resets
+    world.run(0.2)
+    late.dispatch(relay.PacketArrived(data))
+    assert len(late.resets) == 1
+
+
+def test_unknown_token_is_not_reset_right_after_the_start(world: World) -> None:
+    """An entry that lapsed with the store may come back within two seconds."""
+    token = world.add('a').open().token
+    world.store.delete('i-1')
+    world.store.delete('i-2')
+    late = world.add('late')
+    for _ in range(5):
+        late.dispatch(relay.PacketArrived(packet(PacketKind.DATA, token)))
+        world.run(0.2)
+    assert not late.resets
+
+
+def test_unknown_token_of_a_newer_upstream_is_forwarded_later(world: World) -> None:
+    host = world.add('a')
+    world.run(4)
+    world.store.deaf = True
+    newer = listing('i-5')
+    world.store.put(newer)
+    data = packet(PacketKind.DATA, relay.token_of(newer))
+    host.dispatch(relay.PacketArrived(data))
+    world.run(0.2)
+    host.dispatch(relay.PacketArrived(data))
+    assert not host.resets
+    assert host.sent[-1].upstream.listing == newer
+
+
 def test_repeated_opening_goes_to_another_upstream(world: World) -> None:
     host = world.add('a')
     first = host.open()
