--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -143,7 +143,7 @@
         if len(self._unknown_since) >= _MAX_UNKNOWN:
             self._unknown_since.clear()
         since = self._unknown_since.setdefault(token, now)
-        return since < self._listed_at
+        return since <= self._listed_at
 
     def _opening(self, packet: Packet) -> Iterator[Effect]:
         route = self._routes_by_key.get(packet.route)
