--- a/src/lycheedeal/hosting/_host.py
+++ b/src/lycheedeal/hosting/_host.py
@@ -87,6 +87,8 @@
         self._kernel = relay.build_kernel(context)
         self._peers: socket.socket | None = None
         self._ended = asyncio.Event()
+        self._encoded_message: relay.PeerMessage | None = None
+        self._encoded = b''
 
     async def start(self) -> None:
         """Open everything and begin; raises OSError if an address is taken."""
@@ -146,7 +148,11 @@
     def _send_peer(self, endpoint: Endpoint, message: relay.PeerMessage) -> None:
         if self._peers is None:
             return
-        datagram = encode_message(message)
+        if message is not self._encoded_message:
+            # One message goes to many hosts in a row.
+            self._encoded_message = message
+            self._encoded = encode_message(message)
+        datagram = self._encoded
         # A datagram that the link does not take is lost like any other.
         with contextlib.suppress(OSError):
             self._peers.sendto(datagram, endpoint)
