--- /dev/null
+++ b/tests/unit/test_rounds.py
@@ -0,0 +1,51 @@
+"""Report of the bench's journal."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bench.rounds import read_rounds, table
+
+
+def entry(**changes: Any) -> dict[str, Any]:
+    day = {'G': 0.9, 'prices': [['machine-seconds', 9.0, 0.02]], 'rules': {}}
+    broken = {'G': 0.7, 'prices': [['cloud calls', 9.0, 0.04]], 'rules': {'FLOW': 2}}
+    return {
+        'id': 'e9caf20a',
+        'at': ['2026-12-04T09:49:04Z', '2026-12-04T09:49:21Z'],
+        'cmd': 'score',
+        'site': 'cgtc-lb',
+        'why': 'first path',
+        'score': 0.94,
+        'days': [day, broken, {'G': None}],
+        **changes,
+    }
+
+
+def write(folder: Path, name: str, content: object) -> None:
+    (folder / name).write_text(json.dumps(content))
+
+
+def test_rounds_are_read_in_order(tmp_path: Path) -> None:
+    write(tmp_path, 'b.json', entry(id='second'))
+    write(tmp_path, 'a.json', entry())
+    first, second = read_rounds(tmp_path)
+    assert (first.entry, second.entry) == ('e9caf20a', 'second')
+    assert first.days == 2
+    assert first.worth == pytest.approx(0.8)
+    assert first.lowest == 0.7
+    assert first.prices == pytest.approx(0.03)
+    assert first.broken == 1
+    assert 'first path' in list(table([first]))[1]
+
+
+def test_entries_that_cannot_be_read_are_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / 'torn.json').write_text('{"id"')
+    write(tmp_path, 'list.json', [])
+    write(tmp_path, 'build.json', entry(days=[]))
+    assert not list(read_rounds(tmp_path))
+    assert capsys.readouterr().err.count('\n') == 2
