Forward the packets of an earlier token to the restarted upstream

Change: with the same id, address and service the earlier token leads to the new incarnation, which resets flows that it does not hold by itself.

--- a/src/lycheedeal/relay/_table.py
+++ b/src/lycheedeal/relay/_table.py
@@ -25,6 +25,22 @@
     by_token: dict[Token, Upstream] = field(default_factory=dict)
     current_by_id: dict[UpstreamId, Upstream] = field(default_factory=dict)
     current_by_endpoint: dict[Endpoint, Upstream] = field(default_factory=dict)
+    # Tokens of earlier incarnations that had the same id, address and service.
+    heirs_by_token: dict[Token, Upstream] = field(default_factory=dict)
+
+    def find(self, token: Token) -> Upstream | None:
+        """Return the upstream that a packet with a token goes to."""
+        return self.by_token.get(token) or self.heirs_by_token.get(token)
+
+    def replace(self, known: Upstream, heir: Upstream) -> None:
+        """Let a restarted upstream have the packets of its earlier incarnation.
+
+        Flows may have been opened at it with the earlier token, before the
+        restart was known; those of the earlier incarnation it resets itself.
+        """
+        earlier = [token for token, one in self.heirs_by_token.items() if one is known]
+        self.forget(known)
+        self.heirs_by_token.update(dict.fromkeys((*earlier, known.token), heir))
 
     def listed(self, service: ServiceName) -> Iterator[Upstream]:
         """Yield the upstreams of a service that take new flows."""
@@ -44,6 +60,11 @@
     def forget(self, upstream: Upstream) -> None:
         """Drop an incarnation for good."""
         self.by_token.pop(upstream.token, None)
+        self.heirs_by_token = {
+            token: heir
+            for token, heir in self.heirs_by_token.items()
+            if heir is not upstream
+        }
         listing = upstream.listing
         if self.current_by_id.get(listing.upstream_id) is upstream:
             self.current_by_id.pop(listing.upstream_id)
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -103,7 +103,7 @@
                 yield from self._established(packet)
 
     def _established(self, packet: Packet) -> Iterator[Effect]:
-        upstream = self._table.by_token.get(packet.token)
+        upstream = self._table.find(packet.token)
         if upstream is None:
             yield from self._unknown_token(packet)
         elif packet.route in self._removed:
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -76,13 +76,20 @@
         if known is not None and known.token == token:
             yield from self._update(known, listing, state)
         else:
+            upstream = Upstream(listing, token, state, now)
             if known is not None:
-                yield from self._gone(known, 'restarted under its id')
-            yield from self._add(Upstream(listing, token, state, now))
+                yield from self._restarted(known, upstream)
+            yield from self._add(upstream)
         current = self.table.current_by_id.get(listing.upstream_id)
         if current is not None:
             current.warm_at = now + listing.warmup_ms / 1000
 
+    def _restarted(self, known: Upstream, upstream: Upstream) -> Iterator[Effect]:
+        old, new = known.listing, upstream.listing
+        yield from self._gone(known, 'restarted under its id')
+        if (old.endpoint, old.service) == (new.endpoint, new.service):
+            self.table.replace(known, upstream)
+
     def _update(
         self,
         known: Upstream,
