--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -39,13 +39,12 @@
     """Measures the own load, and adds up that of a zone while collecting."""
 
     def __init__(self, context: RelayContext) -> None:
-        """Start on duty, without upstreams or other hosts."""
+        """Start off duty, without upstreams or other hosts."""
         self._context = context
         self._own = context.settings.own_peer
-        self._own.on_duty = True
         self._table = UpstreamTable()
         self._neighbours = Neighbours(self._own, context.clock)
-        self._active = True
+        self._active = False
         self._report_by_host: dict[HostId, tuple[float, LoadReport]] = {}
         self._loads_elsewhere: dict[Zone, tuple[float, Loads]] = {}
         self._next_report = 0.0
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -73,9 +73,9 @@
     """Decides when to list and when to watch."""
 
     def __init__(self, context: RelayContext) -> None:
-        """Start idle; the first list is asked for at ``Started``."""
+        """Start idle and off duty; ``Started`` asks for the first lists."""
         self._context = context
-        self._active = True
+        self._active = False
         self._followers = {kind: _Follower(kind) for kind in StoreKind}
         self._troubled_at = float('-inf')
 
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -64,17 +64,17 @@
     """Knows the hosts of the zone, and who of them follows the store."""
 
     def __init__(self, context: RelayContext) -> None:
-        """Start on duty: nobody has been heard yet."""
+        """Start off duty: the host on duty may be heard in a moment."""
         self._context = context
         self._own = context.settings.own_peer
-        self._own.on_duty = True
         self._neighbours = Neighbours(self._own, context.clock)
         self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
         self._freshness = Freshness(context)
         self._assembly = Assembly()
-        self._active = True
+        self._active = False
         self._stopping = False
-        self._keeper_heard_at = float('-inf')
+        self._started_at = context.clock.monotonic()
+        self._keeper_heard_at = self._started_at
         self._behind_since: dict[StoreKind, float] = {}
         self._next_beacon = 0.0
         self._next_greeting = 0.0
@@ -154,6 +154,7 @@
         if beacon.ages_ms[0] < 0:
             if self._neighbours.keeper == beacon.peer.host_id:
                 self._neighbours.keeper = None
+                self._keeper_heard_at = now - _MISSED_SECONDS
             return
         fresh = max(beacon.ages_ms) / 1000 < _FRESH_SECONDS
         if not fresh or (self._active and not self._outranked_by(beacon)):
@@ -239,9 +240,10 @@
         waiting = min(
             self._neighbours.own_rank() * _STAGGER_SECONDS, _LAST_STAGGER_SECONDS
         )
-        old = self._freshness.oldest() > _FRESH_SECONDS + waiting
+        starting = now - self._started_at < _MISSED_SECONDS
+        old = not starting and self._freshness.oldest() > _FRESH_SECONDS + waiting
         missed = now - self._keeper_heard_at > _MISSED_SECONDS + waiting
-        if old or missed or self._neighbours.keeper is None:
+        if old or missed:
             self._neighbours.keeper = None
             reason = 'news are old' if old else 'host on duty is silent'
             yield from self._set_active(active=True, reason=reason)
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -256,7 +256,8 @@
         host = RelayHost(self, name, zone, seeds)
         self.hosts[host.endpoint] = host
         host.dispatch(relay.Started())
-        self._settle()
+        # Until the host has found the one on duty, or has taken the duty.
+        self.run(1.5)
         return host
 
     def kill(self, host: RelayHost) -> None:
--- a/tests/unit/test_relay_zone.py
+++ b/tests/unit/test_relay_zone.py
@@ -33,6 +33,13 @@
     assert len(world.store.calls) <= 2 * 30 / 1.5 + 2
 
 
+def test_host_that_starts_costs_two_calls(world: World) -> None:
+    """Hosts watched at their start until they heard of the one on duty."""
+    world.store.calls.clear()
+    world.add('late')
+    assert [call for host, call in world.store.calls if host == 'late'] == ['list'] * 2
+
+
 def test_each_zone_has_a_host_on_duty(world: World) -> None:
     for one in range(3):
         world.add(f'north-{one}', 'north')
