--- a/src/lycheedeal/explaining/_explain.py
+++ b/src/lycheedeal/explaining/_explain.py
@@ -16,6 +16,9 @@
     ('process', 'settings', 'store', 'duty', 'version', 'left out'),
 )
 
+# Those of other flows at the same upstream say nothing of this one.
+_FLOW_KINDS: Final = frozenset(('opening', 'turned away'))
+
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
@@ -74,6 +77,5 @@
         if line.host not in hosts or not first <= line.at <= last:
             continue
         bears = line.kind in _HOST_KINDS or line.details.get('upstream') in upstreams
-        # Openings of other flows at the same upstream say nothing of this one.
-        if bears and line.kind != 'opening' and id(line) not in about:
+        if bears and line.kind not in _FLOW_KINDS and id(line) not in about:
             yield line
--- a/tests/unit/test_explaining.py
+++ b/tests/unit/test_explaining.py
@@ -48,6 +48,7 @@
     line(
         100.1, 'opening', 'x', flow='100.64.0.8:40001 > 198.18.0.1:443', upstream='i-1'
     ),
+    line(100.15, 'turned away', 'x', flow='100.64.0.9:1 > 1.1.1.1:1', upstream='i-1'),
     AVOIDED,
     line(103.0, 'state', 'upstreams: Upstream changed its state.', upstream='i-1'),
     line(101.0, 'duty', 'zone: Host follows the store.', host='edge-2'),
