--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,15 @@
 
 import importlib
 
-MODULES = ('packets', 'flows', 'memory', 'daemons', 'membership', 'control')
+MODULES = (
+    'packets',
+    'flows',
+    'memory',
+    'daemons',
+    'membership',
+    'control',
+    'relay',
+)
 
 
 def main() -> None:
