--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
     'membership',
     'control',
     'relay',
+    'relay_zone',
 )
 
 
