--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -17,6 +18,8 @@
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--keep', type=Path, default=None)
     options = parser.parse_args()
+    # A stopped soak ends the relays that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = options.keep or Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
