--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -2,8 +2,7 @@
 
 Each host reports to the host on duty of its zone, which adds the reports up,
 passes the sums on in its zone and exchanges its own with those on duty
-elsewhere. The
-traffic of a host grows with the upstreams of its region, not with the fleet.
+elsewhere. The traffic of a host grows with the upstreams of its region.
 """
 
 from collections.abc import Iterator
