Pass messages on in a tree within a zone

Cause: the host on duty sent each beacon with 16 hosts in it, each change and each sum of loads to every host of its zone: 72 KB/s in an idle zone of 35 hosts and 217 KB/s with 105, against 5 KB/s aimed at. The sums of 600 upstreams did not fit into a datagram and were lost (new test, failed first).

Change: a plug-in spreads messages through the hosts of the zone, each of which sends at most four copies (eight hosts or fewer are told directly). Beacons name four hosts. A host that misses beacons asks the host on duty before it takes the duty. Load reports carry the sum over the zones as binary rows, split by ranges of tokens; reports to the collector replace the greetings, and hosts are remembered longer in larger zones. The messages have version 2.

The set-up of the load tests now counts the flows that stay in the zone; it depended on the random draws of the host. The bounds are as before.

--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -1,13 +1,12 @@
 """Choice of the upstream for a new flow."""
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import chain
 from typing import Final
 
 from lycheedeal.ids import ServiceName, Zone
-from lycheedeal.relay._records import Upstream
+from lycheedeal.relay._records import ReportedLoad, Upstream
 from lycheedeal.relay._table import UpstreamTable
 
 # Requests in flight that an open flow stands for, until it is measured: on
@@ -98,14 +97,15 @@
 
 def _is_reported(upstream: Upstream, now: float) -> bool:
     """Tell whether the upstream's own zone, which uses it most, has reported."""
-    report = upstream.load_by_zone.get(upstream.listing.zone)
-    return report is not None and report.at + REPORT_SECONDS > now
+    reported = _fresh_report(upstream, now)
+    return reported is not None and reported.by_own_zone
 
 
-def _fresh_loads(upstream: Upstream, now: float) -> Iterator[tuple[float, int]]:
-    for report in upstream.load_by_zone.values():
-        if report.at + REPORT_SECONDS > now:
-            yield report.load.busy, report.load.open_flows
+def _fresh_report(upstream: Upstream, now: float) -> ReportedLoad | None:
+    reported = upstream.reported
+    if reported is None or reported.at + REPORT_SECONDS <= now:
+        return None
+    return reported
 
 
 def load_of(upstream: Upstream, now: float) -> float:
@@ -114,13 +114,14 @@
     Half of it is what was measured lately, half what open flows stand for:
     a flow that was opened a moment ago has not caused its load yet.
     """
-    # Own counts are newer than the part of the reports that they replace.
-    own = upstream.busy - upstream.busy_mean, 0
-    parts = list(chain((own,), _fresh_loads(upstream, now)))
-    if len(parts) == 1:
-        parts = [(float(upstream.busy), upstream.open_flows)]
-    busy = max(sum(one for one, _ in parts), 0)
-    flows = sum(count for _, count in parts)
+    reported = _fresh_report(upstream, now)
+    if reported is None:
+        busy, flows = float(upstream.busy), upstream.open_flows
+    else:
+        # The own count is newer than the part of the report that it replaces.
+        newer = upstream.busy - upstream.busy_mean
+        busy = max(reported.load.busy + newer, 0)
+        flows = reported.load.open_flows
     load = 1 + (busy + _FLOW_LOAD * flows) / 2
     if upstream.warm_at > now:
         load *= _COLD_FACTOR
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -12,6 +12,7 @@
     ConfigurationVersion,
     Entry,
     Loads,
+    LoadScope,
     Packet,
     Peer,
     Revision,
@@ -20,6 +21,7 @@
     Source,
     StoreFault,
     StoreKind,
+    Token,
 )
 
 if TYPE_CHECKING:
@@ -224,14 +226,60 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class LoadReport:
-    """Load by zone that causes it, of one host or, with ``total``, of all."""
+    """Load of upstreams as the hosts of some zones cause it.
+
+    Upstreams with a token from ``first`` to ``last`` that are not named have
+    no load.
+    """
+
+    peer: Peer
+    scope: LoadScope
+    zones: tuple[Zone, ...]
+    first: Token
+    last: Token
+    loads: Loads
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class BeaconWanted:
+    """A host asks the one on duty, which it has not heard lately, for a sign."""
 
     peer: Peer
-    total: bool
-    loads_by_zone: dict[Zone, Loads]
 
 
-PeerMessage = Greeting | Roster | Beacon | ContentPart | SnapshotWanted | LoadReport
+SpreadMessage = Beacon | ContentPart | LoadReport
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class Spread:
+    """A message for the hosts of a zone that the receiver passes on.
+
+    It goes to the hosts that come after the receiver in the order of this
+    message, and before ``end``.
+    """
+
+    order: int
+    end: int
+    message: SpreadMessage
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class SpreadWanted:
+    """A message should reach all hosts of the own zone."""
+
+    message: SpreadMessage
+
+
+PeerMessage = (
+    Greeting
+    | Roster
+    | Beacon
+    | BeaconWanted
+    | ContentPart
+    | SnapshotWanted
+    | LoadReport
+    | Spread
+)
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -258,4 +306,5 @@
     | UpstreamsChanged
     | NeighboursKnown
     | PeerSpoke
+    | SpreadWanted
 )
--- a/src/lycheedeal/relay/_neighbours.py
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -11,8 +11,13 @@
 _PEER_SECONDS: Final = 7.0
 # A host on duty is heard more often than this.
 _DUTY_SECONDS: Final = 2.0
-# Hosts named in one datagram.
+# Hosts named in an answer to a greeting, and in a beacon, which comes 2.5 times
+# a second.
 _ROSTER_SIZE: Final = 16
+_NAMED_IN_BEACON: Final = 4
+# Beacons name all hosts of a zone, and all hosts report their load, at least
+# twice in this time for each host of the zone.
+_PEER_SECONDS_PER_HOST: Final = 0.2
 
 
 class Neighbours:
@@ -40,9 +45,17 @@
         self._peers_by_id[peer.host_id] = peer
         return is_new
 
-    def named(self, peer: Peer) -> bool:
-        """Remember a host that another one named; True if it is new."""
-        return peer.host_id not in self._peers_by_id and self.heard(peer)
+    def named(self, peer: Peer) -> None:
+        """Remember a host that the one on duty named.
+
+        Hosts on duty hear the others themselves, and would keep a dead host
+        among them by naming it to each other.
+        """
+        known = self._peers_by_id.get(peer.host_id)
+        if known is None:
+            self.heard(peer)
+        elif not self.own.on_duty:
+            known.heard_at = self._clock.monotonic()
 
     def find(self, host_id: HostId | None) -> Peer | None:
         """Return a host by its id."""
@@ -50,7 +63,8 @@
 
     def expire(self) -> None:
         """Leave out hosts that fell silent."""
-        oldest = self._clock.monotonic() - _PEER_SECONDS
+        in_crowd = _PEER_SECONDS_PER_HOST * len(self._peers_by_id)
+        oldest = self._clock.monotonic() - max(_PEER_SECONDS, in_crowd)
         self._peers_by_id = {
             host_id: peer
             for host_id, peer in self._peers_by_id.items()
@@ -99,10 +113,10 @@
     def some(self) -> tuple[Peer, ...]:
         """Return hosts of the own zone, as many as fit, in turn."""
         peers = list(self.of_own_zone())
-        if len(peers) <= _ROSTER_SIZE:
+        if len(peers) <= _NAMED_IN_BEACON:
             return tuple(peers)
-        self._offset = (self._offset + _ROSTER_SIZE) % len(peers)
-        return tuple((peers[self._offset :] + peers)[:_ROSTER_SIZE])
+        self._offset = (self._offset + _NAMED_IN_BEACON) % len(peers)
+        return tuple((peers[self._offset :] + peers)[:_NAMED_IN_BEACON])
 
     def own_rank(self) -> int:
         """Return how many known hosts of the zone come before this one."""
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -1,6 +1,6 @@
 """Records of the packet relay: packets, routes, upstreams and peers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, unique
 from typing import NewType
 
@@ -132,14 +132,29 @@
 
 
 Loads = dict[Token, Load]
+LAST_TOKEN = Token(0xFFFFFFFF)
+
+
+@unique
+class LoadScope(Enum):
+    """Whose load a report adds up."""
+
+    HOST = 'host'
+    ZONE = 'zone'
+    REGION = 'region'
 
 
 @dataclass(slots=True)
-class ZoneLoad:
-    """Load that the hosts of one zone put on an upstream, and when."""
+class ReportedLoad:
+    """Load that all reporting hosts put on an upstream, and when it was told.
+
+    ``by_own_zone`` means that the upstream's own zone, which uses it most, is
+    among those that reported.
+    """
 
     at: float
     load: Load
+    by_own_zone: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -159,7 +174,7 @@
     busy_mean: float = 0
     strikes: int = 0
     avoided_until: float = 0
-    load_by_zone: dict[Zone, ZoneLoad] = field(default_factory=dict)
+    reported: ReportedLoad | None = None
 
 
 @dataclass(slots=True)
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -1,14 +1,15 @@
 """Tells hosts how busy the upstreams are, by way of the hosts on duty.
 
 Each host reports to the host on duty of its zone, which adds the reports up,
-passes the sums on in its zone and exchanges its own with those on duty
-elsewhere. The traffic of a host grows with the upstreams of its region.
+exchanges the sums with those on duty elsewhere and spreads the total in its
+zone. The traffic of a host grows with the upstreams of its region.
 """
 
 from collections.abc import Iterator
-from typing import Final
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
 
-from lycheedeal.dispatch import PluginSpec, register
+from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId, Zone
 from lycheedeal.relay._choice import REPORT_SECONDS
 from lycheedeal.relay._context import RelayContext
@@ -19,20 +20,51 @@
     LoadReport,
     NeighboursKnown,
     PeerSpoke,
+    SpreadWanted,
     Tick,
     UpstreamsChanged,
 )
 from lycheedeal.relay._neighbours import Neighbours
-from lycheedeal.relay._records import Load, Loads, Peer, ZoneLoad
+from lycheedeal.relay._records import (
+    LAST_TOKEN,
+    Load,
+    Loads,
+    LoadScope,
+    Peer,
+    ReportedLoad,
+    Token,
+)
 from lycheedeal.relay._table import UpstreamTable
 
 _REPORT_SECONDS: Final = 1.0
 # Reports that a collecting host takes in a second; beyond that they come rarer.
 _REPORTS_PER_SECOND: Final = 35
+# Keeps a datagram below 1,400 bytes; a row takes 11.
+_ROWS_PER_REPORT: Final = 90
 # Part of each new sample in the mean, ten samples a second.
 _MEAN_WEIGHT: Final = 0.1
 _SAMPLE_SECONDS: Final = 0.1
 
+_KeyT = TypeVar('_KeyT')
+
+
+@dataclass(slots=True)
+class _Told:
+    """Loads last told by a host or a zone, and when."""
+
+    at: float = float('-inf')
+    loads: Loads = field(default_factory=dict)
+
+    def take(self, report: LoadReport, now: float) -> None:
+        """Replace what was told of the upstreams in the report's range."""
+        self.at = now
+        self.loads = {
+            token: load
+            for token, load in self.loads.items()
+            if not report.first <= token <= report.last
+        }
+        self.loads.update(report.loads)
+
 
 class LoadsPlugin:
     """Measures the own load, and adds up that of a zone while collecting."""
@@ -44,8 +76,8 @@
         self._table = UpstreamTable()
         self._neighbours = Neighbours(self._own, context.clock)
         self._active = False
-        self._report_by_host: dict[HostId, tuple[float, LoadReport]] = {}
-        self._loads_elsewhere: dict[Zone, tuple[float, Loads]] = {}
+        self._told_by_host: dict[HostId, _Told] = {}
+        self._told_by_zone: dict[Zone, _Told] = {}
         self._next_report = 0.0
         self._next_sample = 0.0
 
@@ -74,14 +106,19 @@
     def _report(self, now: float) -> Iterator[Effect]:
         if now < self._next_report:
             return
-        crowd = len(self._neighbours) / _REPORTS_PER_SECOND
-        self._next_report = now + max(_REPORT_SECONDS, crowd)
         collector = self._collector()
         if collector is None:
+            self._next_report = now + _REPORT_SECONDS
             yield from self._report_total(now)
             return
-        loads = {self._own.zone: self._own_loads()}
-        yield SendPeer(collector.endpoint, LoadReport(self._own, False, loads))
+        self._next_report = now + self._host_pause()
+        for report in self._split(LoadScope.HOST, (self._own.zone,), self._own_loads()):
+            yield SendPeer(collector.endpoint, report)
+
+    def _host_pause(self) -> float:
+        """Return the seconds between two reports of a host to the collector."""
+        crowd = len(self._neighbours) / _REPORTS_PER_SECOND
+        return max(_REPORT_SECONDS, crowd)
 
     def _collector(self) -> Peer | None:
         """Return the host that adds up this zone's reports; None if it is this one.
@@ -100,43 +137,64 @@
         }
 
     def _report_total(self, now: float) -> Iterator[Effect]:
-        totals = self._own_loads()
-        oldest = now - REPORT_SECONDS
-        for heard_at, report in self._report_by_host.values():
-            if heard_at >= oldest:
-                _add_up(totals, report.loads_by_zone.get(self._own.zone, {}))
-        own = {self._own.zone: totals}
-        fresh = {
-            zone: told[1]
-            for zone, told in self._loads_elsewhere.items()
-            if told[0] >= oldest
-        }
-        known = LoadReport(self._own, True, {**fresh, **own})
-        self._apply(self._own.zone, totals)
-        for peer in self._neighbours.of_own_zone():
-            yield SendPeer(peer.endpoint, known)
-        told = LoadReport(self._own, True, own)
-        for collector in self._neighbours.keepers_elsewhere():
-            yield SendPeer(collector.endpoint, told)
+        oldest = now - REPORT_SECONDS * self._host_pause() / _REPORT_SECONDS
+        self._told_by_host = _newer(self._told_by_host, oldest)
+        self._told_by_zone = _newer(self._told_by_zone, now - REPORT_SECONDS)
+        own_zone = self._own_loads()
+        for told in self._told_by_host.values():
+            _add_up(own_zone, told.loads)
+        region = dict(own_zone)
+        for told in self._told_by_zone.values():
+            _add_up(region, told.loads)
+        zones = self._own.zone, *self._told_by_zone
+        for report in self._split(LoadScope.REGION, zones, region):
+            self._apply(report)
+            yield Publish(SpreadWanted(report))
+        for report in self._split(LoadScope.ZONE, (self._own.zone,), own_zone):
+            for collector in self._neighbours.keepers_elsewhere():
+                yield SendPeer(collector.endpoint, report)
+
+    def _split(
+        self,
+        scope: LoadScope,
+        zones: tuple[Zone, ...],
+        loads: Loads,
+    ) -> Iterator[LoadReport]:
+        """Yield reports small enough for a datagram each, that cover all tokens."""
+        first = Token(0)
+        tokens = sorted(loads)
+        for start in range(0, max(len(tokens), 1), _ROWS_PER_REPORT):
+            end = start + _ROWS_PER_REPORT
+            last = tokens[end - 1] if end < len(tokens) else LAST_TOKEN
+            rows = {token: loads[token] for token in tokens[start:end]}
+            yield LoadReport(self._own, scope, zones, first, last, rows)
+            first = Token(last + 1)
 
     def _reported(self, report: LoadReport) -> None:
+        self._neighbours.heard(report.peer)
         now = self._context.clock.monotonic()
         is_own_zone = report.peer.zone == self._own.zone
-        if not report.total:
-            if is_own_zone:
-                self._report_by_host[report.peer.host_id] = now, report
-            return
-        self._neighbours.heard(report.peer)
-        for zone, loads in report.loads_by_zone.items():
-            self._apply(zone, loads)
-            if not is_own_zone:
-                self._loads_elsewhere[zone] = now, loads
-
-    def _apply(self, zone: Zone, loads: Loads) -> None:
+        match report.scope:
+            case LoadScope.HOST if is_own_zone:
+                host_id = report.peer.host_id
+                self._told_by_host.setdefault(host_id, _Told()).take(report, now)
+            case LoadScope.ZONE if not is_own_zone:
+                zone = report.peer.zone
+                self._told_by_zone.setdefault(zone, _Told()).take(report, now)
+            case LoadScope.REGION if is_own_zone:
+                self._apply(report)
+
+    def _apply(self, report: LoadReport) -> None:
         now = self._context.clock.monotonic()
         for token, upstream in self._table.by_token.items():
-            load = loads.get(token, Load(0, 0))
-            upstream.load_by_zone[zone] = ZoneLoad(now, load)
+            if report.first <= token <= report.last:
+                load = report.loads.get(token, Load(0, 0))
+                by_own_zone = upstream.listing.zone in report.zones
+                upstream.reported = ReportedLoad(now, load, by_own_zone)
+
+
+def _newer(told_by_key: dict[_KeyT, _Told], oldest: float) -> dict[_KeyT, _Told]:
+    return {key: told for key, told in told_by_key.items() if told.at >= oldest}
 
 
 def _add_up(totals: Loads, loads: Loads) -> None:
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -1,6 +1,9 @@
 """JSON encoding of the messages between hosts; one datagram each."""
 
 import json
+import struct
+from binascii import a2b_base64, b2a_base64
+from collections.abc import Iterator
 from typing import Any, Final
 
 from lycheedeal.errors import ErrorKind
@@ -8,18 +11,21 @@
 from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
 from lycheedeal.relay._events import (
     Beacon,
+    BeaconWanted,
     ContentPart,
     Greeting,
     LoadReport,
     PeerMessage,
     Roster,
     SnapshotWanted,
+    Spread,
 )
 from lycheedeal.relay._records import (
     Entry,
     Listing,
     Load,
     Loads,
+    LoadScope,
     Peer,
     Route,
     RouteKey,
@@ -29,11 +35,14 @@
 )
 
 # Hosts of two versions do not understand each other's messages.
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 # Largest datagram that is decoded, in bytes.
 MAX_BYTES: Final = 8192
 # Resolution of the mean number of requests in flight.
 _BUSY_STEPS: Final = 100
+# Token, mean number of requests in flight and open flows of an upstream.
+_LOAD_ROW: Final = struct.Struct('>IHH')
+_MAX_COUNT: Final = 0xFFFF
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -69,18 +78,34 @@
             return ['beacon', own, message.ages_ms, message.revisions, peers_fields]
         case ContentPart():
             return ['content', *_part_fields(message)]
+        case BeaconWanted(peer=peer):
+            return ['wanted', _peer_fields(peer)]
         case SnapshotWanted(host_id=host_id, kind=kind):
             return ['snapshot', host_id, kind.value]
-        case LoadReport(peer=peer, total=total, loads_by_zone=loads_by_zone):
-            zones = [[zone, _load_rows(loads)] for zone, loads in loads_by_zone.items()]
-            return ['load', _peer_fields(peer), total, zones]
+        case Spread(order=order, end=end, message=inner):
+            return ['spread', order, end, _fields(inner)]
+        case LoadReport():
+            return [
+                'load',
+                _peer_fields(message.peer),
+                message.scope.value,
+                message.zones,
+                message.first,
+                message.last,
+                _load_rows(message.loads),
+            ]
 
 
-def _load_rows(loads: Loads) -> list[Any]:
-    return [
-        [token, round(load.busy * _BUSY_STEPS), load.open_flows]
+def _load_rows(loads: Loads) -> str:
+    rows = b''.join(
+        _LOAD_ROW.pack(
+            token,
+            min(round(load.busy * _BUSY_STEPS), _MAX_COUNT),
+            min(load.open_flows, _MAX_COUNT),
+        )
         for token, load in loads.items()
-    ]
+    )
+    return b2a_base64(rows, newline=False).decode()
 
 
 def _part_fields(part: ContentPart) -> list[Any]:
@@ -147,13 +172,41 @@
             return Beacon(_peer(peer), tuple(ages), tuple(revisions), others)
         case ['content', *rest]:
             return _content_part(rest)
+        case ['wanted', peer]:
+            return BeaconWanted(_peer(peer))
+        case ['spread', int() as order, int() as end, list() as inner]:
+            return _spread(order, end, inner)
         case ['snapshot', str() as host_id, kind]:
             return SnapshotWanted(HostId(host_id), StoreKind(kind))
-        case ['load', peer, bool() as total, list() as zones]:
-            return LoadReport(_peer(peer), total, dict(map(_zone_loads, zones)))
+        case [
+            'load',
+            peer,
+            scope,
+            list() as zones,
+            int() as first,
+            int() as last,
+            str() as rows,
+        ]:
+            return LoadReport(
+                _peer(peer),
+                LoadScope(scope),
+                tuple(Zone(str(zone)) for zone in zones),
+                Token(first),
+                Token(last),
+                dict(_loads(rows)),
+            )
     raise DecodeError('unknown message')
 
 
+def _spread(order: int, end: int, inner: list[Any]) -> Spread:
+    message = _message(inner)
+    match message:
+        case Beacon() | ContentPart() | LoadReport():
+            return Spread(order, end, message)
+        case _:
+            raise DecodeError('message cannot be spread')
+
+
 def _content_part(fields: list[Any]) -> ContentPart:
     match fields:
         case [
@@ -188,20 +241,12 @@
             raise DecodeError('malformed content')
 
 
-def _zone_loads(fields: Any) -> tuple[Zone, Loads]:
-    match fields:
-        case [str() as zone, list() as rows]:
-            return Zone(zone), dict(map(_load, rows))
-        case _:
-            raise DecodeError('malformed loads of a zone')
-
-
-def _load(fields: Any) -> tuple[Token, Load]:
-    match fields:
-        case [int() as token, int() as steps, int() as open_flows]:
-            return Token(token), Load(steps / _BUSY_STEPS, open_flows)
-        case _:
-            raise DecodeError('malformed load')
+def _loads(rows: str) -> Iterator[tuple[Token, Load]]:
+    try:
+        for token, steps, open_flows in _LOAD_ROW.iter_unpack(a2b_base64(rows)):
+            yield Token(token), Load(steps / _BUSY_STEPS, open_flows)
+    except struct.error as error:
+        raise DecodeError('malformed loads') from error
 
 
 def _peer(fields: Any) -> Peer:
--- /dev/null
+++ b/src/lycheedeal/relay/spreading.py
@@ -0,0 +1,111 @@
+"""Spreads a message to all hosts of a zone, each host passing it to a few.
+
+The hosts are put in an order that differs from message to message. A host
+that passes a message on divides those after it into groups and gives each
+group to its first member. The end of the group's range in the order travels
+with the message, and not a list of hosts, so a host that one neighbour does not
+know may still be reached through another. Delivery is not certain: a host that
+fails costs those behind it one message, and beacons show what was missed.
+"""
+
+import zlib
+from collections.abc import Iterator
+from typing import Final
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.ids import HostId
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, SendPeer
+from lycheedeal.relay._events import (
+    Beacon,
+    ContentPart,
+    Event,
+    LoadReport,
+    NeighboursKnown,
+    PeerSpoke,
+    Spread,
+    SpreadMessage,
+    SpreadWanted,
+)
+from lycheedeal.relay._neighbours import Neighbours
+
+# Copies of a message that one host sends; a tree of 343 hosts has five levels.
+_GROUPS: Final = 4
+# Up to this many hosts are told without a go-between.
+_DIRECT_HOSTS: Final = 8
+# Places of the hosts in the order of a message.
+_PLACE_BITS: Final = 32
+_END: Final = 1 << _PLACE_BITS
+
+
+class SpreadingPlugin:
+    """Passes messages on to the hosts of the own zone."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start without other hosts."""
+        self._context = context
+        self._own_id = context.settings.host_id
+        self._neighbours = Neighbours(context.settings.own_peer, context.clock)
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Take one event."""
+        match event:
+            case NeighboursKnown(neighbours=neighbours):
+                self._neighbours = neighbours
+            case SpreadWanted(message=message):
+                order = self._context.rng.getrandbits(_PLACE_BITS)
+                yield from self._pass_on(message, order, 0, _END)
+            case PeerSpoke(message=Spread() as spread):
+                yield from self._spread(spread)
+
+    def _spread(self, spread: Spread) -> Iterator[Effect]:
+        if _origin(spread.message) == self._own_id:
+            return
+        yield Publish(PeerSpoke(spread.message))
+        own_place = _place(spread.order, self._own_id)
+        yield from self._pass_on(
+            spread.message, spread.order, own_place + 1, spread.end
+        )
+
+    def _pass_on(
+        self,
+        message: SpreadMessage,
+        order: int,
+        start: int,
+        end: int,
+    ) -> Iterator[Effect]:
+        """Send a message to the hosts with a place from ``start`` before ``end``."""
+        placed = sorted(
+            (place, peer.host_id, peer)
+            for peer in self._neighbours.of_own_zone()
+            if start <= (place := _place(order, peer.host_id)) < end
+        )
+        groups = len(placed) if len(placed) <= _DIRECT_HOSTS else _GROUPS
+        if not groups:
+            return
+        firsts = [placed[len(placed) * one // groups] for one in range(groups)]
+        ends = [place for place, _, _ in firsts[1:]]
+        for (_, _, peer), group_end in zip(firsts, (*ends, end), strict=True):
+            yield SendPeer(peer.endpoint, Spread(order, group_end, message))
+
+
+def _origin(message: SpreadMessage) -> HostId:
+    match message:
+        case Beacon(peer=peer) | LoadReport(peer=peer):
+            return peer.host_id
+        case ContentPart(host_id=host_id):
+            return host_id
+
+
+def _place(order: int, host_id: HostId) -> int:
+    # The product with an odd number keeps places apart.
+    return zlib.crc32(host_id.encode()) * (order | 1) % _END
+
+
+register(
+    PluginSpec(
+        'spreading',
+        SpreadingPlugin,
+        frozenset((NeighboursKnown, PeerSpoke, SpreadWanted)),
+    ),
+)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -21,6 +21,7 @@
 from lycheedeal.relay._effects import Effect, Part, Record, SendPeer
 from lycheedeal.relay._events import (
     Beacon,
+    BeaconWanted,
     ContentChanged,
     ContentConfirmed,
     ContentPart,
@@ -32,6 +33,7 @@
     RefreshWanted,
     Roster,
     SnapshotWanted,
+    SpreadWanted,
     Started,
     StopRequested,
     Tick,
@@ -51,8 +53,11 @@
 # Each next host waits this much longer before it takes the duty, in seconds.
 _STAGGER_SECONDS: Final = 0.12
 _LAST_STAGGER_SECONDS: Final = 0.6
-# Greetings to hosts on duty, and to the seeds.
-_GREETING_SECONDS: Final = 2.0
+# A beacon can be lost with a host that should have passed it on.
+_DOUBTED_SECONDS: Final = 1.5 * _BEACON_SECONDS
+# Between two looks for hosts that fell silent.
+_UPKEEP_SECONDS: Final = 2.0
+# Greetings to the seeds.
 _SEEK_SECONDS: Final = 0.3
 _SEED_SECONDS: Final = 5.0
 # Two parts of one change may take this long to arrive, in seconds.
@@ -77,7 +82,8 @@
         self._keeper_heard_at = self._started_at
         self._behind_since: dict[StoreKind, float] = {}
         self._next_beacon = 0.0
-        self._next_greeting = 0.0
+        self._next_question = 0.0
+        self._next_upkeep = 0.0
         self._next_seek = 0.0
 
     def handle(self, event: Event) -> Iterator[Effect]:
@@ -105,8 +111,7 @@
         if difference is None or event.source is Source.PEER or not self._active:
             return
         for part in split_part(difference, self._own.host_id):
-            for peer in self._neighbours.of_own_zone():
-                yield SendPeer(peer.endpoint, part)
+            yield Publish(SpreadWanted(part))
 
     def _peer_spoke(self, event: PeerSpoke) -> Iterator[Effect]:
         match event.message:
@@ -122,6 +127,10 @@
                 yield from self._beacon(beacon)
             case ContentPart() as part:
                 yield from self._content_part(part)
+            case BeaconWanted(peer=peer):
+                self._neighbours.heard(peer)
+                if self._active:
+                    yield SendPeer(peer.endpoint, self._own_beacon())
             case SnapshotWanted(host_id=host_id, kind=kind):
                 yield from self._send_snapshot(host_id, kind)
 
@@ -214,10 +223,7 @@
 
     def _stop(self) -> Iterator[Effect]:
         self._stopping = True
-        beacon = self._own_beacon()
-        beacon.ages_ms = (_GIVEN_UP_MS,) * len(StoreKind)
-        for peer in self._neighbours.of_own_zone():
-            yield SendPeer(peer.endpoint, beacon)
+        yield Publish(SpreadWanted(self._own_beacon()))
 
     def _tick(self, now: float) -> Iterator[Effect]:
         yield from self._decide_duty(now)
@@ -225,12 +231,13 @@
             # While the store is away many hosts are on duty and tell so.
             crowd = len(self._neighbours.on_duty()) / _BEACON_CROWD
             self._next_beacon = now + _BEACON_SECONDS * max(crowd, 1)
-            beacon = self._own_beacon()
-            for peer in self._neighbours.of_own_zone():
-                yield SendPeer(peer.endpoint, beacon)
-        if now >= self._next_greeting:
-            self._next_greeting = now + _GREETING_SECONDS
-            yield from self._greet_keeper()
+            yield Publish(SpreadWanted(self._own_beacon()))
+        if not self._active and now >= self._next_question:
+            yield from self._ask_keeper(now)
+        if now >= self._next_upkeep:
+            self._next_upkeep = now + _UPKEEP_SECONDS
+            self._freshness.measure()
+            self._neighbours.expire()
         if now >= self._next_seek:
             yield from self._greet_seeds()
 
@@ -267,12 +274,12 @@
             },
         )
 
-    def _greet_keeper(self) -> Iterator[Effect]:
-        self._freshness.measure()
-        self._neighbours.expire()
+    def _ask_keeper(self, now: float) -> Iterator[Effect]:
+        """Ask the host on duty itself once its beacons fail to come."""
         keeper = self._neighbours.find(self._neighbours.keeper)
-        if keeper is not None:
-            yield SendPeer(keeper.endpoint, Greeting(self._own, asks=False))
+        if keeper is not None and now - self._keeper_heard_at > _DOUBTED_SECONDS:
+            self._next_question = now + _BEACON_SECONDS
+            yield SendPeer(keeper.endpoint, BeaconWanted(self._own))
 
     def _greet_seeds(self) -> Iterator[Effect]:
         alone = not any(True for _ in self._neighbours.of_own_zone())
@@ -284,6 +291,8 @@
 
     def _own_beacon(self) -> Beacon:
         ages = self._freshness.ages_ms()
+        if self._stopping:
+            ages = (_GIVEN_UP_MS,) * len(StoreKind)
         revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
         return Beacon(self._own, ages, revisions, self._neighbours.some())
 
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -59,10 +59,9 @@
     st.builds(relay.Load, st.integers(0, 99).map(float), st.integers(0, 99)),
     max_size=4,
 )
-messages = (
-    st.builds(relay.Greeting, peers, st.booleans())
-    | st.builds(relay.Roster, names.map(Zone), st.tuples(peers))
-    | st.builds(
+tokens = st.integers(0, 2**32 - 1).map(relay.Token)
+spread_messages = (
+    st.builds(
         relay.Beacon,
         peers,
         st.tuples(numbers, numbers),
@@ -70,15 +69,25 @@
         st.tuples(peers, peers),
     )
     | parts
-    | st.builds(
-        relay.SnapshotWanted, names.map(HostId), st.sampled_from(relay.StoreKind)
-    )
     | st.builds(
         relay.LoadReport,
         peers,
-        st.booleans(),
-        st.dictionaries(names.map(Zone), loads, max_size=3),
+        st.sampled_from(relay.LoadScope),
+        st.lists(names.map(Zone), max_size=3).map(tuple),
+        tokens,
+        tokens,
+        loads,
+    )
+)
+messages = (
+    st.builds(relay.Greeting, peers, st.booleans())
+    | st.builds(relay.Roster, names.map(Zone), st.tuples(peers))
+    | st.builds(relay.BeaconWanted, peers)
+    | st.builds(
+        relay.SnapshotWanted, names.map(HostId), st.sampled_from(relay.StoreKind)
     )
+    | st.builds(relay.Spread, numbers, numbers, spread_messages)
+    | spread_messages
 )
 
 
@@ -109,13 +118,16 @@
 @pytest.mark.parametrize(
     'datagram',
     [
-        b'[2,"snapshot","a","upstreams"]',
-        b'[1,"snapshot","a","no such kind"]',
-        b'[1,"content","a","upstreams",0,1,1,1,true,true,null,[],[],[]]',
-        b'[1,"load",["a","z","10.0.0.1",1,1,true],true,[["z",[[1]]]]]',
-        b'[1,"load",["a","z","10.0.0.1",1,1,true],true,[["z"]]]',
-        b'[1,"greeting",["a","z","10.0.0.1","port",1],true]',
-        b'[1,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
+        b'[1,"snapshot","a","upstreams"]',
+        b'[2,"snapshot","a","no such kind"]',
+        b'[2,"content","a","upstreams",0,1,1,1,true,true,null,[],[],[]]',
+        b'[2,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,9,"AAAA"]',
+        b'[2,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,9,"A"]',
+        b'[2,"load",["a","z","10.0.0.1",1,1,true],"town",["z"],0,9,""]',
+        b'[2,"spread",1,2,["snapshot","a","upstreams"]]',
+        b'[2,"spread",1,2,["spread",1,2,["wanted",["a","z","10.0.0.1",1,1,true]]]]',
+        b'[2,"greeting",["a","z","10.0.0.1","port",1],true]',
+        b'[2,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
         b' ' * (MAX_BYTES + 1),
         b'[' * 5000,
     ],
--- a/tests/unit/test_relay_loads.py
+++ b/tests/unit/test_relay_loads.py
@@ -26,12 +26,22 @@
     return [one for one in world.hosts.values() if one.context.settings.zone == zone]
 
 
-def keep_busy(host: RelayHost, flows: int, first: int = CALLER) -> None:
-    """Open flows, each with a request that is not answered."""
-    for caller in range(first, first + flows):
-        token = host.open(caller).token
-        data = packet(relay.PacketKind.DATA, token, caller=caller)
-        host.dispatch(relay.PacketArrived(data))
+def keep_busy(host: RelayHost, flows: int) -> list[int]:
+    """Open flows at the upstream of the south, each with an unanswered request.
+
+    Returns the callers.
+    """
+    callers: list[int] = []
+    for caller in range(CALLER, CALLER + 1000):
+        upstream = host.open(caller)
+        stays = upstream.listing.zone == SOUTH
+        kind = relay.PacketKind.DATA if stays else relay.PacketKind.FINISH
+        host.dispatch(relay.PacketArrived(packet(kind, upstream.token, caller)))
+        if stays:
+            callers.append(caller)
+        if len(callers) == flows:
+            return callers
+    raise AssertionError(f'only {len(callers)} flows stayed in the zone')
 
 
 def share_of_north(host: RelayHost, flows: int = 300) -> float:
@@ -53,10 +63,11 @@
 
 def test_flows_come_home_when_the_zone_is_idle_again(world: World) -> None:
     one, other, _ = hosts(world, SOUTH)
-    keep_busy(one, 8)
+    callers = keep_busy(one, 8)
     world.run(4)
-    for caller in range(CALLER, CALLER + 8):
-        done = packet(relay.PacketKind.FINISH, one.sent[-1].upstream.token, caller)
+    token = one.kernel.plugins_by_name['upstreams'].table.current_by_id['i-1'].token
+    for caller in callers:
+        done = packet(relay.PacketKind.FINISH, token, caller)
         one.dispatch(relay.PacketArrived(done))
     world.run(20)
     assert share_of_north(other, flows=20) < 0.3
@@ -98,3 +109,28 @@
     # Each host: a report a second, a beacon to two peers at most each 0.4 s, and
     # greetings; the first of each zone also passes sums on.
     assert len(sent) / 10 < len(world.hosts) * 9
+
+
+def test_loads_of_many_upstreams_reach_all_hosts() -> None:
+    """The sums of 600 upstreams did not fit into a datagram."""
+    world = World()
+    world.store.put(*(listing(f'i-{one:x}') for one in range(1, 601)))
+    for one in range(4):
+        world.add(f's-{one}', SOUTH)
+    world.run(2)
+    busy, other, *_ = world.hosts.values()
+    for caller in range(CALLER, CALLER + 3000):
+        busy.open(caller)
+    world.run(3)
+    table = other.kernel.plugins_by_name['upstreams'].table
+    reported = [upstream.reported for upstream in table.by_token.values()]
+    assert sum(one.load.open_flows for one in reported) == 3000
+
+
+def test_loads_of_a_host_that_fell_silent_are_left_out(world: World) -> None:
+    busy, other, _ = hosts(world, SOUTH)
+    keep_busy(busy, 8)
+    world.run(4)
+    world.kill(busy)
+    world.run(8)
+    assert share_of_north(other, flows=50) < 0.3
--- /dev/null
+++ b/tests/unit/test_relay_spreading.py
@@ -0,0 +1,152 @@
+"""Packet relay: messages that the hosts of a zone pass on to each other."""
+
+from collections import Counter
+
+import pytest
+
+from lycheedeal import relay
+from lycheedeal.ids import Endpoint, HostId
+from tests.relay_world import ROUTES, RelayHost, World, listing
+
+HOSTS = 60
+# Control traffic that a host may send, in bytes a second.
+BYTES_PER_SECOND = 5000
+IN_FORCE_SECONDS = 3.0
+
+
+class CountingWorld(World):
+    """Counts what each host sends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bytes_by_host: Counter[str] = Counter()
+        self.messages_by_host: Counter[str] = Counter()
+
+    def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        name = sender.context.settings.host_id
+        self.bytes_by_host[name] += len(datagram)
+        self.messages_by_host[name] += 1
+        super().send(sender, endpoint, datagram)
+
+
+def zone_of(hosts: int) -> CountingWorld:
+    world = CountingWorld()
+    world.store.put(*(listing(f'i-{one:x}') for one in range(1, 41)))
+    for one in range(hosts):
+        host = RelayHost(world, f'host-{one}', 'south', tuple(world.hosts)[:1])
+        world.hosts[host.endpoint] = host
+    for host in world.hosts.values():
+        host.dispatch(relay.Started())
+    world.run(8)
+    return world
+
+
+@pytest.fixture(scope='module')
+def calm() -> CountingWorld:
+    """Return a zone at rest; tests that use it leave it so."""
+    return zone_of(HOSTS)
+
+
+@pytest.fixture
+def world() -> CountingWorld:
+    return zone_of(HOSTS)
+
+
+def versions(world: World) -> set[int | None]:
+    return {host.version() for host in world.hosts.values()}
+
+
+def test_zone_of_many_hosts_has_one_on_duty(calm: CountingWorld) -> None:
+    calm.run(10)
+    assert len(calm.on_duty()) == 1
+
+
+def test_host_on_duty_sends_no_more_than_a_host_may(calm: CountingWorld) -> None:
+    """Each message went to every host of the zone: 72 KB/s with 35 hosts."""
+    calm.bytes_by_host.clear()
+    calm.run(10)
+    assert max(calm.bytes_by_host.values()) / 10 < BYTES_PER_SECOND
+
+
+def test_change_costs_each_host_a_few_messages(world: CountingWorld) -> None:
+    (keeper,) = world.on_duty()
+    host_id = keeper.context.settings.host_id
+    world.run(0.4)
+    world.messages_by_host.clear()
+    part = relay.ContentPart(
+        HostId(host_id),
+        relay.StoreKind.UPSTREAMS,
+        0,
+        1,
+        0,
+        1,
+        False,
+        True,
+        None,
+        (),
+        (),
+    )
+    effects = keeper.kernel.dispatch(relay.SpreadWanted(part))
+    assert len(effects) == 4
+
+
+def test_change_is_in_force_everywhere_at_once(world: CountingWorld) -> None:
+    world.store.configure(2, *ROUTES)
+    world.run(0.2)
+    assert versions(world) == {2}
+
+
+def test_hosts_with_different_neighbours(world: CountingWorld) -> None:
+    """Each host forgets another third of the zone; no message goes in circles.
+
+    A host that one message missed hears from the next beacon that it is behind.
+    """
+    for place, host in enumerate(world.hosts.values()):
+        if host in world.on_duty():
+            continue
+        known = host.kernel.plugins_by_name['zone']._neighbours._peers_by_id
+        for one in range(HOSTS):
+            if one % 3 == place % 3:
+                known.pop(HostId(f'host-{one}'), None)
+    world.messages_by_host.clear()
+    world.store.configure(2, *ROUTES)
+    world.run(0.1)
+    assert world.messages_by_host.total() < 4 * HOSTS
+    world.run(IN_FORCE_SECONDS)
+    assert versions(world) == {2}
+
+
+@pytest.mark.parametrize('share', [0.1, 0.5])
+def test_hosts_that_die_together_leave_one_on_duty(
+    world: CountingWorld, share: float
+) -> None:
+    """The dead are named for some seconds, and lose what they should pass on."""
+    (keeper,) = world.on_duty()
+    others = [host for host in world.hosts.values() if host is not keeper]
+    for host in others[: int(HOSTS * share)]:
+        world.kill(host)
+    for _ in range(50):
+        world.run(0.1)
+        assert world.on_duty() == [keeper]
+    world.store.configure(2, *ROUTES)
+    world.run(1)
+    assert versions(world) == {2}
+
+
+def test_death_of_half_a_zone_with_its_host_on_duty(world: CountingWorld) -> None:
+    (keeper,) = world.on_duty()
+    others = [host for host in world.hosts.values() if host is not keeper]
+    for host in (keeper, *others[: HOSTS // 2]):
+        world.kill(host)
+    world.store.configure(2, *ROUTES)
+    world.run(IN_FORCE_SECONDS)
+    assert versions(world) == {2}
+    world.run(5)
+    assert len(world.on_duty()) == 1
+
+
+def test_own_message_that_comes_back_is_dropped(calm: CountingWorld) -> None:
+    (keeper,) = calm.on_duty()
+    beacon = relay.Beacon(keeper.context.settings.own_peer, (0, 0), (1, 1), ())
+    spread = relay.Spread(7, 1 << 32, beacon)
+    assert not keeper.kernel.dispatch(relay.PeerSpoke(spread))
