Load the modules of a starting host from one file

Change: the build writes the modules that the relay loads into one file, those of the standard library without docstrings; the start imports from it and falls back to the files if the bundle is missing, torn or of another interpreter. Data classes that are never compared or shown no longer generate the methods for it.

--- /dev/null
+++ b/deploy/pack_modules.py
@@ -0,0 +1,52 @@
+"""Writes the modules that the relay loads at its start into one file."""
+
+import importlib
+import marshal
+import sys
+from collections.abc import Iterator
+from importlib.machinery import SourceFileLoader
+from importlib.util import MAGIC_NUMBER
+from types import ModuleType
+
+from module_bundle import Entry
+
+# Without asserts and docstrings.
+_STRIPPED = 2
+# Data classes without a docstring compute one, which takes long.
+_WHOLE = 0
+_OWN_PACKAGE = 'lycheedeal'
+
+
+def main(path: str) -> None:
+    """Load what the relay loads, and write it to a file."""
+    # As at the start of the relay.
+    sys.modules['ssl'] = None  # type: ignore[assignment]
+    for name in ('start', 'program'):
+        importlib.import_module(f'{_OWN_PACKAGE}.platform.{name}')
+    relay = importlib.import_module(f'{_OWN_PACKAGE}.relay')
+    for plugin in relay.RELAY_PLUGINS:
+        importlib.import_module(plugin)
+    entries_by_name = dict(_entries(tuple(sys.modules.items())))
+    with open(path, 'wb') as bundle:
+        bundle.write(MAGIC_NUMBER)
+        marshal.dump(entries_by_name, bundle)
+
+
+def _entries(
+    modules: tuple[tuple[str, ModuleType | None], ...],
+) -> Iterator[tuple[str, Entry]]:
+    for name, module in modules:
+        spec = getattr(module, '__spec__', None)
+        loader = getattr(spec, 'loader', None)
+        if not isinstance(loader, SourceFileLoader) or spec.name != name:
+            continue
+        source = loader.get_data(spec.origin)
+        is_own = name.partition('.')[0] == _OWN_PACKAGE
+        optimize = _WHOLE if is_own else _STRIPPED
+        code = loader.source_to_code(source, spec.origin, _optimize=optimize)
+        is_package = spec.submodule_search_locations is not None
+        yield name, (marshal.dumps(code), spec.origin, is_package)
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- a/src/lycheedeal/dispatch/_registry.py
+++ b/src/lycheedeal/dispatch/_registry.py
@@ -8,7 +8,7 @@
 from lycheedeal.exceptions import PluginError
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class PluginSpec:
     """What the kernel needs to know about a plug-in."""
 
--- a/src/lycheedeal/hosting/_http.py
+++ b/src/lycheedeal/hosting/_http.py
@@ -23,7 +23,7 @@
     SERVICE_UNAVAILABLE = 503
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Answer:
     """Answer to one request."""
 
--- a/src/lycheedeal/platform/_objects.py
+++ b/src/lycheedeal/platform/_objects.py
@@ -14,7 +14,7 @@
 _STATES: Final = frozenset(('ready', 'draining'))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Objects:
     """Decoded objects of one answer; ``unusable`` ones only have names."""
 
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -25,7 +25,7 @@
 _SPREAD_POWER: Final = 2
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Wish:
     """What a new flow needs; ``excluded`` did not answer its opening."""
 
@@ -35,7 +35,7 @@
     excluded: Upstream | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Choice:
     """The upstream chosen, its load a slot, and how many were considered."""
 
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -32,7 +32,7 @@
             return upstream_id
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class ContentCopy:
     """Content of one kind, with the revision of its last change."""
 
--- a/src/lycheedeal/relay/_flows.py
+++ b/src/lycheedeal/relay/_flows.py
@@ -11,7 +11,7 @@
 _LAST_AVOIDANCE_SECONDS: Final = 6.4
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Flow:
     """What this host knows of a flow; times are monotonic seconds."""
 
--- a/src/lycheedeal/relay/_neighbours.py
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -104,7 +104,9 @@
 
     def rosters(self, asking: Peer) -> Iterator[tuple[Peer, ...]]:
         """Yield the hosts of another host's zone, in groups for a datagram."""
-        known = [one for one in self.of_zone(asking.zone) if one != asking]
+        known = [
+            one for one in self.of_zone(asking.zone) if one.host_id != asking.host_id
+        ]
         if asking.zone == self.own.zone:
             known.append(self.own)
         for start in range(0, len(known), _ROSTER_SIZE):
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -71,7 +71,7 @@
     PEER = 'peer'
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Packet:
     """A decoded packet of a caller; ``raw`` is the packet as it arrived.
 
@@ -123,7 +123,7 @@
 Entry = Route | Listing
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Load:
     """Requests in flight, on average, and open flows at one upstream."""
 
@@ -144,7 +144,7 @@
     REGION = 'region'
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class ReportedLoad:
     """Load that all reporting hosts put on an upstream, and when it was told.
 
@@ -157,7 +157,7 @@
     by_own_zone: bool
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Upstream:
     """One incarnation of an upstream, and what this host saw of it.
 
@@ -177,7 +177,7 @@
     reported: ReportedLoad | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Peer:
     """Another host; ``strength`` is its share of a core."""
 
--- a/src/lycheedeal/relay/_table.py
+++ b/src/lycheedeal/relay/_table.py
@@ -18,7 +18,7 @@
     return Token(zlib.crc32(text.encode()) or 1)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class UpstreamTable:
     """Incarnations of upstreams, listed and remembered ones."""
 
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -48,7 +48,7 @@
 _KeyT = TypeVar('_KeyT')
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class _Told:
     """Loads last told by a host or a zone, and when."""
 
--- /dev/null
+++ b/tests/unit/test_module_bundle.py
@@ -0,0 +1,75 @@
+"""Start of the relay from one file with all its modules."""
+
+import marshal
+import shutil
+import subprocess
+import sys
+from importlib.util import MAGIC_NUMBER
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[2]
+BUNDLE = 'modules.bundle'
+SETTINGS_FAULT = b'lychee-relay: settings:'
+
+
+@pytest.fixture(scope='module')
+def built(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Return a folder as the build fills it, without the libraries."""
+    folder = tmp_path_factory.mktemp('deps')
+    shutil.copytree(ROOT / 'src' / 'lycheedeal', folder / 'lycheedeal')
+    for name in ('relay.py', 'module_bundle.py', 'pack_modules.py'):
+        shutil.copy(ROOT / 'deploy' / name, folder)
+    subprocess.run(
+        [sys.executable, folder / 'pack_modules.py', folder / BUNDLE], check=True
+    )
+    return folder
+
+
+@pytest.fixture
+def folder(built: Path, tmp_path: Path) -> Path:
+    return Path(shutil.copytree(built, tmp_path / 'deps'))
+
+
+def start(folder: Path) -> subprocess.CompletedProcess[bytes]:
+    """Start without settings, which ends the program once it has loaded."""
+    return subprocess.run(
+        [sys.executable, folder / 'relay.py'], capture_output=True, check=False, env={}
+    )
+
+
+def test_modules_come_from_the_bundle(folder: Path) -> None:
+    shutil.rmtree(folder / 'lycheedeal')
+    ended = start(folder)
+    assert ended.returncode == 2
+    assert SETTINGS_FAULT in ended.stderr
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'another interpreter',
+        MAGIC_NUMBER,
+        MAGIC_NUMBER + marshal.dumps({'asyncio': b''})[:-2],
+    ],
+)
+def test_unusable_bundle_is_left_aside(folder: Path, content: bytes) -> None:
+    (folder / BUNDLE).write_bytes(content)
+    ended = start(folder)
+    assert ended.returncode == 2
+    assert SETTINGS_FAULT in ended.stderr
+
+
+def test_missing_bundle_is_left_aside(folder: Path) -> None:
+    (folder / BUNDLE).unlink()
+    assert SETTINGS_FAULT in start(folder).stderr
+
+
+def test_bundle_holds_the_plugins_of_the_relay(built: Path) -> None:
+    content = (built / BUNDLE).read_bytes()
+    entries_by_name = marshal.loads(content[len(MAGIC_NUMBER) :])
+    assert 'lycheedeal.relay.zone' in entries_by_name
+    assert 'asyncio' in entries_by_name
+    assert 'ssl' not in entries_by_name
