--- a/bench/relay.py
+++ b/bench/relay.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from lycheedeal import relay
 from lycheedeal.datagrams import bind_datagrams, read_batch
@@ -27,7 +27,8 @@
 Forward = Callable[[bytes], bytes]
 
 
-def _kernel(target: Endpoint) -> relay.RelayKernel:
+def relay_kernel(target: Endpoint) -> relay.RelayKernel:
+    """Return the kernel of a host with one route and one upstream."""
     peer = Endpoint(_LOOPBACK, 7720)
     settings = relay.RelaySettings(HostId('a'), Zone('z'), peer, 1, (), 6)
     context = relay.RelayContext(settings, SystemClock(), random.Random(1))
@@ -48,6 +49,13 @@
     return kernel
 
 
+def opening_packets(count: int) -> Iterator[relay.Packet]:
+    """Yield the openings of different flows."""
+    for one in range(count):
+        caller = End(f'100.64.{one // 250 % 250}.{one % 250 + 1}', 40001 + one // 62500)
+        yield decode_packet(Segment(caller, _ROUTE, SYN).encode())
+
+
 def _relayed(kernel: relay.RelayKernel) -> Forward:
     def forward(raw: bytes) -> bytes:
         for effect in kernel.dispatch(relay.PacketArrived(decode_packet(raw))):
@@ -89,7 +97,7 @@
 
 def main() -> None:
     """Print one JSON line."""
-    kernel = _kernel(Endpoint(_LOOPBACK, 9))
+    kernel = relay_kernel(Endpoint(_LOOPBACK, 9))
     forward = _relayed(kernel)
     opening = Segment(_CALLER, _ROUTE, SYN).encode()
     token = int.from_bytes(forward(opening)[-4:], 'little')
