Avoid upstreams that do not answer the other hosts of the zone

Cause: each host learned alone that an upstream does not answer, by an opening of its own caller that was delayed by 0.2 s or more. With many hosts and few flows each, nearly every flow to a crashed upstream was the first of its host: 30 hosts and 60 flows a second lost 0.03 to 0.17 of the openings in each of the 15 s after one of ten upstreams fell silent.

Change: load reports carry how many hosts of the zone doubt an upstream (no answer in 6.4 s) and vouch for it (an answer in 1.5 s). Others avoid it if two or more doubt it and more than vouch for it, at most half of a group, and try it again with one flow in twenty. Words of other zones do not count: they come over another network.

Ruled out: doubting only while a host itself avoids the upstream; the loss came back each few seconds (0.083 to 0.1 in 5 of 15 s).

--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -20,6 +20,14 @@
 # between zones have a price, which is that of the data for a bulky request.
 _SPILL_MARGIN: Final = 0.1
 _BULKY_SPILL_MARGIN: Final = 0.8
+# Hosts that must doubt an upstream before the others avoid it too; one host may
+# have a fault of its own.
+_MIN_DOUBTING: Final = 2
+# Part of the upstreams of a group that is not avoided on the word of others.
+_MIN_TRUSTED_SHARE: Final = 0.5
+# Part of the flows that are dealt as if nobody doubted an upstream, so that one
+# that answers again is found.
+_PROBING_SHARE: Final = 0.05
 # Flows are dealt by this power of the load, so that hosts with the same news
 # do not all choose the same upstream.
 _SPREAD_POWER: Final = 2
@@ -60,6 +68,8 @@
         return None
     others = [one for one in listed if one is not wish.excluded]
     usable = [one for one in others if one.avoided_until <= now]
+    if rng.random() >= _PROBING_SHARE:
+        usable = _trusted(usable, wish.zone, now)
     local = [one for one in usable if one.listing.zone == wish.zone]
     remote = [one for one in usable if one.listing.zone != wish.zone]
     if local:
@@ -75,6 +85,30 @@
     return Choice(upstream, loads[place], len(group), is_local)
 
 
+def _trusted(usable: list[Upstream], zone: Zone, now: float) -> list[Upstream]:
+    """Return the upstreams that answer the hosts of this zone.
+
+    When it is many of the zone or of the others, the fault is more likely
+    elsewhere, and the rest could not carry their load.
+    """
+    trusted: list[Upstream] = []
+    for is_local in (True, False):
+        group = [one for one in usable if (one.listing.zone == zone) is is_local]
+        kept = [one for one in group if not _is_doubted(one, now)]
+        enough = len(kept) >= len(group) * _MIN_TRUSTED_SHARE
+        trusted.extend(kept if enough else group)
+    return trusted
+
+
+def _is_doubted(upstream: Upstream, now: float) -> bool:
+    """Tell whether more hosts doubt the upstream than vouch for it."""
+    reported = _fresh_report(upstream, now)
+    if reported is None:
+        return False
+    load = reported.load
+    return load.doubting >= _MIN_DOUBTING and load.doubting > load.vouching
+
+
 def _local_or_remote(
     local: Sequence[Upstream],
     remote: Sequence[Upstream],
--- a/src/lycheedeal/relay/_flows.py
+++ b/src/lycheedeal/relay/_flows.py
@@ -51,7 +51,7 @@
         flow.seen_at = now
         if not flow.confirmed:
             flow.confirmed = True
-            answered(upstream)
+            answered(upstream, now)
         self._follow_request(flow, packet)
         if packet.kind in {PacketKind.FINISH, PacketKind.RESET}:
             self.end(packet.flow)
@@ -88,10 +88,12 @@
         delay = _FIRST_AVOIDANCE_SECONDS * 2 ** min(upstream.strikes, 8)
         upstream.avoided_until = now + min(delay, _LAST_AVOIDANCE_SECONDS)
     upstream.strikes += 1
+    upstream.unanswered_at = now
     return newly
 
 
-def answered(upstream: Upstream) -> None:
+def answered(upstream: Upstream, now: float) -> None:
     """Take the upstream back: it has answered an opening."""
+    upstream.answered_at = now
     upstream.strikes = 0
     upstream.avoided_until = 0
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -125,10 +125,15 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class Load:
-    """Requests in flight, on average, and open flows at one upstream."""
+    """Requests in flight, on average, and open flows at one upstream.
+
+    ``doubting`` hosts had no answer from it lately, ``vouching`` ones had one.
+    """
 
     busy: float
     open_flows: int
+    doubting: int = 0
+    vouching: int = 0
 
 
 Loads = dict[Token, Load]
@@ -174,6 +179,8 @@
     busy_mean: float = 0
     strikes: int = 0
     avoided_until: float = 0
+    unanswered_at: float = float('-inf')
+    answered_at: float = float('-inf')
     reported: ReportedLoad | None = None
 
 
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -33,14 +33,21 @@
     Peer,
     ReportedLoad,
     Token,
+    Upstream,
 )
 from lycheedeal.relay._table import UpstreamTable
 
 _REPORT_SECONDS: Final = 1.0
 # Reports that a collecting host takes in a second; beyond that they come rarer.
 _REPORTS_PER_SECOND: Final = 35
-# Keeps a datagram below 1,400 bytes; a row takes 11.
-_ROWS_PER_REPORT: Final = 90
+# Keeps a datagram below 1,400 bytes; a row takes 14.
+_ROWS_PER_REPORT: Final = 75
+# A host vouches for an upstream this long after an answer; longer, and a crash
+# would show later.
+_VOUCHING_SECONDS: Final = 1.5
+# A host doubts an upstream this long after an opening without an answer, unless
+# it has one before.
+_DOUBT_SECONDS: Final = 6.4
 # Part of each new sample in the mean, ten samples a second.
 _MEAN_WEIGHT: Final = 0.1
 _SAMPLE_SECONDS: Final = 0.1
@@ -130,10 +137,15 @@
         return self._neighbours.first_on_duty()
 
     def _own_loads(self) -> Loads:
-        return {
-            token: Load(upstream.busy_mean, upstream.open_flows)
+        now = self._context.clock.monotonic()
+        loads = {
+            token: _own_load(upstream, now)
             for token, upstream in self._table.by_token.items()
-            if upstream.open_flows
+        }
+        return {
+            token: load
+            for token, load in loads.items()
+            if load.open_flows or load.doubting or load.vouching
         }
 
     def _report_total(self, now: float) -> Iterator[Effect]:
@@ -145,7 +157,7 @@
             _add_up(own_zone, told.loads)
         region = dict(own_zone)
         for told in self._told_by_zone.values():
-            _add_up(region, told.loads)
+            _add_up(region, _without_judgement(told.loads))
         zones = self._own.zone, *self._told_by_zone
         for report in self._split(LoadScope.REGION, zones, region):
             self._apply(report)
@@ -197,11 +209,33 @@
     return {key: told for key, told in told_by_key.items() if told.at >= oldest}
 
 
+def _own_load(upstream: Upstream, now: float) -> Load:
+    return Load(
+        upstream.busy_mean,
+        upstream.open_flows,
+        doubting=int(_is_doubted(upstream, now)),
+        vouching=int(upstream.answered_at + _VOUCHING_SECONDS > now),
+    )
+
+
+def _is_doubted(upstream: Upstream, now: float) -> bool:
+    return bool(upstream.strikes) and upstream.unanswered_at + _DOUBT_SECONDS > now
+
+
+def _without_judgement(loads: Loads) -> Loads:
+    """Leave out what hosts of another zone saw, over another network."""
+    return {token: Load(load.busy, load.open_flows) for token, load in loads.items()}
+
+
 def _add_up(totals: Loads, loads: Loads) -> None:
     for token, load in loads.items():
         known = totals.get(token, Load(0, 0))
-        open_flows = known.open_flows + load.open_flows
-        totals[token] = Load(known.busy + load.busy, open_flows)
+        totals[token] = Load(
+            known.busy + load.busy,
+            known.open_flows + load.open_flows,
+            known.doubting + load.doubting,
+            known.vouching + load.vouching,
+        )
 
 
 register(
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -40,9 +40,11 @@
 MAX_BYTES: Final = 8192
 # Resolution of the mean number of requests in flight.
 _BUSY_STEPS: Final = 100
-# Token, mean number of requests in flight and open flows of an upstream.
-_LOAD_ROW: Final = struct.Struct('>IHH')
+# Token, mean number of requests in flight, open flows, and hosts that doubt
+# and vouch for an upstream.
+_LOAD_ROW: Final = struct.Struct('>IHHBB')
 _MAX_COUNT: Final = 0xFFFF
+_MAX_HOSTS: Final = 0xFF
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -102,6 +104,8 @@
             token,
             min(round(load.busy * _BUSY_STEPS), _MAX_COUNT),
             min(load.open_flows, _MAX_COUNT),
+            min(load.doubting, _MAX_HOSTS),
+            min(load.vouching, _MAX_HOSTS),
         )
         for token, load in loads.items()
     )
@@ -243,8 +247,8 @@
 
 def _loads(rows: str) -> Iterator[tuple[Token, Load]]:
     try:
-        for token, steps, open_flows in _LOAD_ROW.iter_unpack(a2b_base64(rows)):
-            yield Token(token), Load(steps / _BUSY_STEPS, open_flows)
+        for token, steps, *counts in _LOAD_ROW.iter_unpack(a2b_base64(rows)):
+            yield Token(token), Load(steps / _BUSY_STEPS, *counts)
     except struct.error as error:
         raise DecodeError('malformed loads') from error
 
--- /dev/null
+++ b/tests/unit/test_relay_doubt.py
@@ -0,0 +1,122 @@
+"""Packet relay: upstreams that do not answer, and what hosts tell each other of it."""
+
+import pytest
+
+from lycheedeal import relay
+from lycheedeal.ids import UpstreamId
+from lycheedeal.relay import PacketKind
+from tests.relay_world import CALLER, RelayHost, World, listing, packet
+
+HOSTS = 30
+UPSTREAMS = 10
+DEAD = UpstreamId('i-1')
+# The caller's end repeats an opening after this time.
+REPEAT_SECONDS = 0.2
+FLOWS_PER_SECOND = 60
+
+
+class Callers:
+    """Open flows at the hosts in turn; some upstreams do not answer."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.silent: set[UpstreamId] = set()
+        self.cut: dict[RelayHost, UpstreamId] = {}
+        self._caller = CALLER
+        self._repeats: list[tuple[float, RelayHost, int]] = []
+
+    def run(self, seconds: float) -> float:
+        """Return the share of openings that were not answered."""
+        asked = lost = 0
+        for _ in range(round(seconds * 10)):
+            self._repeat()
+            for _ in range(FLOWS_PER_SECOND // 10):
+                asked += 1
+                hosts = list(self.world.hosts.values())
+                self._caller += 1
+                lost += not self._open(hosts[self._caller % len(hosts)], self._caller)
+            self.world.run(0.1)
+        return lost / asked
+
+    def _repeat(self) -> None:
+        now = self.world.clock.now
+        due = [one for one in self._repeats if one[0] <= now]
+        self._repeats = [one for one in self._repeats if one[0] > now]
+        for _, host, caller in due:
+            self._open(host, caller, attempt=1)
+
+    def _open(self, host: RelayHost, caller: int, attempt: int = 0) -> bool:
+        upstream = host.open(caller, attempt)
+        name = upstream.listing.upstream_id
+        if name in self.silent or self.cut.get(host) == name:
+            due = self.world.clock.now + REPEAT_SECONDS
+            self._repeats.append((due, host, caller))
+            return False
+        for kind in (PacketKind.ACKNOWLEDGEMENT, PacketKind.FINISH):
+            host.dispatch(relay.PacketArrived(packet(kind, upstream.token, caller)))
+        return True
+
+
+@pytest.fixture
+def callers() -> Callers:
+    world = World()
+    world.store.put(*(listing(f'i-{one:x}') for one in range(1, UPSTREAMS + 1)))
+    for one in range(HOSTS):
+        host = RelayHost(world, f'host-{one}', 'south', tuple(world.hosts)[:1])
+        world.hosts[host.endpoint] = host
+    for host in world.hosts.values():
+        host.dispatch(relay.Started())
+    world.run(6)
+    callers = Callers(world)
+    assert callers.run(3) == 0
+    return callers
+
+
+def test_crashed_upstream_is_avoided_by_hosts_that_did_not_ask_it(
+    callers: Callers,
+) -> None:
+    """Each host had to find out by itself, with two flows a second."""
+    callers.silent.add(DEAD)
+    callers.run(3)
+    # Its share of the flows would be a tenth.
+    assert callers.run(10) < 0.03
+
+
+def test_upstream_that_answers_again_is_back(callers: Callers) -> None:
+    callers.silent.add(DEAD)
+    callers.run(8)
+    callers.silent.clear()
+    callers.run(8)
+    before = sum(len(host.sent) for host in callers.world.hosts.values())
+    for host in callers.world.hosts.values():
+        host.sent.clear()
+    callers.run(5)
+    sent = [one for host in callers.world.hosts.values() for one in host.sent]
+    share = sum(one.upstream.listing.upstream_id == DEAD for one in sent) / len(sent)
+    assert before
+    assert share > 0.05
+
+
+def test_word_of_few_hosts_is_outvoted(callers: Callers) -> None:
+    """Two hosts that are cut off from an upstream do not take it from the others."""
+    one, other, *rest = callers.world.hosts.values()
+    callers.cut = {one: DEAD, other: DEAD}
+    callers.run(5)
+    for host in rest:
+        host.sent.clear()
+    callers.run(5)
+    sent = [forward for host in rest for forward in host.sent]
+    share = sum(one.upstream.listing.upstream_id == DEAD for one in sent) / len(sent)
+    assert share > 0.05
+
+
+def test_most_upstreams_are_kept_whatever_the_others_say(callers: Callers) -> None:
+    """With the doubts of a whole zone, the flows are still spread over all."""
+    callers.silent.update(UpstreamId(f'i-{one:x}') for one in range(1, 8))
+    callers.run(5)
+    for host in callers.world.hosts.values():
+        host.sent.clear()
+    callers.run(5)
+    sent = [one for host in callers.world.hosts.values() for one in host.sent]
+    names = {one.upstream.listing.upstream_id for one in sent}
+    assert len(names) == UPSTREAMS
