Log when a zone begins or ends to doubt an upstream

Change: a line and a count for each change, with the numbers of hosts that doubt and vouch. Measured: tests/unit/test_relay_doubt.py reads the lines.

--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -94,14 +94,14 @@
     trusted: list[Upstream] = []
     for is_local in (True, False):
         group = [one for one in usable if (one.listing.zone == zone) is is_local]
-        kept = [one for one in group if not _is_doubted(one, now)]
+        kept = [one for one in group if not is_doubted(one, now)]
         enough = len(kept) >= len(group) * _MIN_TRUSTED_SHARE
         trusted.extend(kept if enough else group)
     return trusted
 
 
-def _is_doubted(upstream: Upstream, now: float) -> bool:
-    """Tell whether more hosts doubt the upstream than vouch for it."""
+def is_doubted(upstream: Upstream, now: float) -> bool:
+    """Tell whether more hosts of the zone doubt the upstream than vouch for it."""
     reported = _fresh_report(upstream, now)
     if reported is None:
         return False
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -81,6 +81,7 @@
     FORWARDING = 'forwarding'
     ROUTES = 'routes'
     UPSTREAMS = 'upstreams'
+    LOADS = 'loads'
     READING = 'reading'
     ZONE = 'zone'
     LIFECYCLE = 'lifecycle'
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -11,9 +11,9 @@
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId, Zone
-from lycheedeal.relay._choice import REPORT_SECONDS
+from lycheedeal.relay._choice import REPORT_SECONDS, is_doubted
 from lycheedeal.relay._context import RelayContext
-from lycheedeal.relay._effects import Effect, SendPeer
+from lycheedeal.relay._effects import Effect, Part, Record, SendPeer
 from lycheedeal.relay._events import (
     DutyChanged,
     Event,
@@ -98,7 +98,7 @@
             case DutyChanged(active=active):
                 self._active = self._own.on_duty = active
             case PeerSpoke(message=LoadReport() as report):
-                self._reported(report)
+                yield from self._reported(report)
             case Tick(now=now):
                 self._sample(now)
                 yield from self._report(now)
@@ -160,7 +160,7 @@
             _add_up(region, _without_judgement(told.loads))
         zones = self._own.zone, *self._told_by_zone
         for report in self._split(LoadScope.REGION, zones, region):
-            self._apply(report)
+            yield from self._apply(report)
             yield Publish(SpreadWanted(report))
         for report in self._split(LoadScope.ZONE, (self._own.zone,), own_zone):
             for collector in self._neighbours.keepers_elsewhere():
@@ -182,7 +182,7 @@
             yield LoadReport(self._own, scope, zones, first, last, rows)
             first = Token(last + 1)
 
-    def _reported(self, report: LoadReport) -> None:
+    def _reported(self, report: LoadReport) -> Iterator[Effect]:
         self._neighbours.heard(report.peer)
         now = self._context.clock.monotonic()
         is_own_zone = report.peer.zone == self._own.zone
@@ -194,15 +194,35 @@
                 zone = report.peer.zone
                 self._told_by_zone.setdefault(zone, _Told()).take(report, now)
             case LoadScope.REGION if is_own_zone:
-                self._apply(report)
+                yield from self._apply(report)
 
-    def _apply(self, report: LoadReport) -> None:
+    def _apply(self, report: LoadReport) -> Iterator[Effect]:
         now = self._context.clock.monotonic()
         for token, upstream in self._table.by_token.items():
-            if report.first <= token <= report.last:
-                load = report.loads.get(token, Load(0, 0))
-                by_own_zone = upstream.listing.zone in report.zones
-                upstream.reported = ReportedLoad(now, load, by_own_zone)
+            if not report.first <= token <= report.last:
+                continue
+            was_doubted = is_doubted(upstream, now)
+            load = report.loads.get(token, Load(0, 0))
+            by_own_zone = upstream.listing.zone in report.zones
+            upstream.reported = ReportedLoad(now, load, by_own_zone)
+            if is_doubted(upstream, now) is not was_doubted:
+                yield self._judged(upstream, load, report.peer)
+
+    def _judged(self, upstream: Upstream, load: Load, collector: Peer) -> Record:
+        doubted = load.doubting > load.vouching
+        self._context.metrics.add('upstreams', 'doubted' if doubted else 'trusted')
+        return Record(
+            Part.LOADS,
+            'doubt',
+            'Zone doubts an upstream.' if doubted else 'Zone trusts an upstream.',
+            {
+                'upstream': upstream.listing.upstream_id,
+                'doubting': load.doubting,
+                'vouching': load.vouching,
+                'keeper': collector.host_id,
+                'state': upstream.state.value,
+            },
+        )
 
 
 def _newer(told_by_key: dict[_KeyT, _Told], oldest: float) -> dict[_KeyT, _Told]:
--- a/tests/unit/test_relay_doubt.py
+++ b/tests/unit/test_relay_doubt.py
@@ -82,18 +82,23 @@
     assert callers.run(10) < 0.03
 
 
+def judgements(host: RelayHost) -> list[str]:
+    return [one.text for one in host.records if one.kind == 'doubt']
+
+
 def test_upstream_that_answers_again_is_back(callers: Callers) -> None:
     callers.silent.add(DEAD)
     callers.run(8)
     callers.silent.clear()
     callers.run(8)
-    before = sum(len(host.sent) for host in callers.world.hosts.values())
+    for host in callers.world.hosts.values():
+        assert judgements(host)[0] == 'Zone doubts an upstream.'
+        assert judgements(host)[-1] == 'Zone trusts an upstream.'
     for host in callers.world.hosts.values():
         host.sent.clear()
     callers.run(5)
     sent = [one for host in callers.world.hosts.values() for one in host.sent]
     share = sum(one.upstream.listing.upstream_id == DEAD for one in sent) / len(sent)
-    assert before
     assert share > 0.05
 
 
