Bind the daemon's UDP sockets with the relay's function

Cause: open_socket repeated bind_datagrams but for the size of the buffer. Change: the size is a parameter. No behaviour changes; unit tests pass.

--- a/src/lycheedeal/datagrams.py
+++ b/src/lycheedeal/datagrams.py
@@ -11,11 +11,14 @@
 _RECEIVE_BUFFER_BYTES: Final = 1024 * 1024
 
 
-def bind_datagrams(endpoint: Endpoint) -> socket.socket:
+def bind_datagrams(
+    endpoint: Endpoint,
+    buffer_bytes: int = _RECEIVE_BUFFER_BYTES,
+) -> socket.socket:
     """Return a non-blocking UDP socket; raises OSError."""
     datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     datagrams.setblocking(False)
-    datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     try:
         datagrams.bind(endpoint)
     except OSError:
--- a/src/lycheedeal/runtime/_sockets.py
+++ b/src/lycheedeal/runtime/_sockets.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import Any, Final
 
+from lycheedeal.datagrams import bind_datagrams
 from lycheedeal.exceptions import DecodeError
 from lycheedeal.kernel import (
     CallerInput,
@@ -41,7 +41,7 @@
 _PAYLOAD_START: Final = FABRIC_HEADER_SIZE + CALLER_PACKET_HEADER
 _MAX_CACHED_CALLERS: Final = 50_000
 # A burst of callers that all come back at once must fit in the socket.
-_RECEIVE_BUFFER: Final = 4 * 1024 * 1024
+_RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
 
 Deliver = Callable[[Event], None]
 
@@ -226,13 +226,6 @@
     Raises OSError if the address cannot be bound.
     """
     loop = asyncio.get_running_loop()
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
-    try:
-        bound.bind(local)
-    except OSError:
-        bound.close()
-        raise
+    bound = bind_datagrams(local, _RECEIVE_BUFFER_BYTES)
     transport, _ = await loop.create_datagram_endpoint(lambda: protocol, sock=bound)
     return transport
