Keep a zone to one host on duty when many hosts end at once

- A message for an earlier holder of an address went in circles within the new holder for as long as the old name was known.
A message now carries the start of its range, which rises with each hop.
- A host that knew no collector told its own load as that of the region, for instance when the host on duty had just stopped.
Only hosts on duty tell sums now.
- When the host on duty died with half of the zone, all 29 others took the duty and took up to 9 s, with the old pace of beacons up to 2 s in waves, until one was left: the dead were to pass the beacons on, a crowd on duty made the next beacon late, and the first one came before the store had answered.
A host tells all hosts itself for 7 s after it took the duty, tells them at once when its news are fresh, and works out the pause from the crowd that is left.
Now one is left after 0.1 s.

--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -189,11 +189,13 @@
 
     ``ages_ms`` is the time since the store confirmed each kind, in the order
     of StoreKind; a negative age means that the sender gives the duty up.
+    ``peers`` are some of the ``zone_size`` hosts that it knows in the zone.
     """
 
     peer: Peer
     ages_ms: tuple[int, ...]
     revisions: tuple[int, ...]
+    zone_size: int
     peers: tuple[Peer, ...]
 
 
@@ -254,11 +256,12 @@
 class Spread:
     """A message for the hosts of a zone that the receiver passes on.
 
-    It goes to the hosts that come after the receiver in the order of this
-    message, and before ``end``.
+    It goes to the hosts with a place from ``start`` before ``end`` in the order
+    of this message. The receiver's own place comes before ``start``.
     """
 
     order: int
+    start: int
     end: int
     message: SpreadMessage
 
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -21,6 +21,12 @@
         """Note that the content of a kind was right at a time."""
         self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
 
+    def renew(self, kind: StoreKind, at: float, limit_seconds: float) -> bool:
+        """Confirm a kind; True if its content was older than a limit till now."""
+        was_old = self.oldest() >= limit_seconds
+        self.confirm(kind, at)
+        return was_old and self.oldest() < limit_seconds
+
     def age(self, kind: StoreKind) -> float:
         """Return the age of one kind."""
         age = self._context.clock.monotonic() - self._confirmed_at[kind]
--- a/src/lycheedeal/relay/_neighbours.py
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -15,9 +15,11 @@
 # a second.
 _ROSTER_SIZE: Final = 16
 _NAMED_IN_BEACON: Final = 4
-# Beacons name all hosts of a zone, and all hosts report their load, at least
-# twice in this time for each host of the zone.
-_PEER_SECONDS_PER_HOST: Final = 0.2
+# Both times grow with the zone. In this time for each host, the beacons name all
+# hosts four times,
+_NAMED_SECONDS_PER_HOST: Final = 0.4
+# and in this time each host reports its load to the one on duty three times.
+_REPORT_SECONDS_PER_HOST: Final = 0.1
 
 
 class Neighbours:
@@ -31,6 +33,8 @@
         self._offset = 0
         # The host on duty that this one hears from; None if it is itself.
         self.keeper: HostId | None = None
+        # As the host on duty knows it; this one may know fewer.
+        self.zone_size = 1
 
     def __len__(self) -> int:
         """Return the number of known hosts."""
@@ -63,7 +67,10 @@
 
     def expire(self) -> None:
         """Leave out hosts that fell silent."""
-        in_crowd = _PEER_SECONDS_PER_HOST * len(self._peers_by_id)
+        if self.own.on_duty:
+            in_crowd = _REPORT_SECONDS_PER_HOST * len(self._peers_by_id)
+        else:
+            in_crowd = _NAMED_SECONDS_PER_HOST * self.zone_size
         oldest = self._clock.monotonic() - max(_PEER_SECONDS, in_crowd)
         self._peers_by_id = {
             host_id: peer
@@ -97,10 +104,9 @@
             if peer.on_duty and peer.heard_at >= oldest
         ]
 
-    def first_on_duty(self) -> Peer | None:
-        """Return the first host on duty of the own zone; None if it is this one."""
-        first = min((self.own, *self.on_duty()), key=rank)
-        return None if first is self.own else first
+    def first_on_duty(self) -> Peer:
+        """Return the first host on duty of the own zone, with this one among them."""
+        return min((self.own, *self.on_duty()), key=rank)
 
     def rosters(self, asking: Peer) -> Iterator[tuple[Peer, ...]]:
         """Yield the hosts of another host's zone, in groups for a datagram."""
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -85,13 +85,14 @@
         if now < self._next_report:
             return
         collector = self._collector()
-        if collector is None:
+        if collector is self._neighbours.own:
             self._next_report = now + _REPORT_SECONDS
             yield from self._report_total(now)
-            return
-        self._next_report = now + self._host_pause()
-        for report in self._split(LoadScope.HOST, (self._own.zone,), self._own_loads()):
-            yield SendPeer(collector.endpoint, report)
+        elif collector is not None:
+            self._next_report = now + self._host_pause()
+            zones = (self._own.zone,)
+            for report in self._split(LoadScope.HOST, zones, self._own_loads()):
+                yield SendPeer(collector.endpoint, report)
 
     def _host_pause(self) -> float:
         """Return the seconds between two reports of a host to the collector."""
@@ -99,7 +100,7 @@
         return max(_REPORT_SECONDS, crowd)
 
     def _collector(self) -> Peer | None:
-        """Return the host that adds up this zone's reports; None if it is this one.
+        """Return the host that adds up this zone's reports, if one is known.
 
         While the store is away several hosts are on duty; the first collects.
         """
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -19,6 +19,7 @@
     Roster,
     SnapshotWanted,
     Spread,
+    SpreadMessage,
 )
 from lycheedeal.relay._records import (
     Entry,
@@ -77,15 +78,22 @@
         case Beacon():
             peers_fields = [_peer_fields(peer) for peer in message.peers]
             own = _peer_fields(message.peer)
-            return ['beacon', own, message.ages_ms, message.revisions, peers_fields]
+            return [
+                'beacon',
+                own,
+                message.ages_ms,
+                message.revisions,
+                message.zone_size,
+                peers_fields,
+            ]
         case ContentPart():
             return ['content', *_part_fields(message)]
         case BeaconWanted(peer=peer):
             return ['wanted', _peer_fields(peer)]
         case SnapshotWanted(host_id=host_id, kind=kind):
             return ['snapshot', host_id, kind.value]
-        case Spread(order=order, end=end, message=inner):
-            return ['spread', order, end, _fields(inner)]
+        case Spread(order=order, start=start, end=end, message=inner):
+            return ['spread', order, start, end, _fields(inner)]
         case LoadReport():
             return [
                 'load',
@@ -171,16 +179,22 @@
             peer,
             [int(), int()] as ages,
             [int(), int()] as revisions,
+            int() as zone_size,
             peers,
         ]:
-            others = tuple(map(_peer, peers))
-            return Beacon(_peer(peer), tuple(ages), tuple(revisions), others)
+            return Beacon(
+                _peer(peer),
+                tuple(ages),
+                tuple(revisions),
+                zone_size,
+                tuple(map(_peer, peers)),
+            )
         case ['content', *rest]:
             return _content_part(rest)
         case ['wanted', peer]:
             return BeaconWanted(_peer(peer))
-        case ['spread', int() as order, int() as end, list() as inner]:
-            return _spread(order, end, inner)
+        case ['spread', int() as order, int() as start, int() as end, list() as inner]:
+            return Spread(order, start, end, _spread_message(inner))
         case ['snapshot', str() as host_id, kind]:
             return SnapshotWanted(HostId(host_id), StoreKind(kind))
         case [
@@ -205,11 +219,11 @@
     raise DecodeError('unknown message')
 
 
-def _spread(order: int, end: int, inner: list[Any]) -> Spread:
+def _spread_message(inner: list[Any]) -> SpreadMessage:
     message = _message(inner)
     match message:
         case Beacon() | ContentPart() | LoadReport():
-            return Spread(order, end, message)
+            return message
         case _:
             raise DecodeError('message cannot be spread')
 
--- a/src/lycheedeal/relay/spreading.py
+++ b/src/lycheedeal/relay/spreading.py
@@ -62,10 +62,7 @@
         if _origin(spread.message) == self._own_id:
             return
         yield Publish(PeerSpoke(spread.message))
-        own_place = _place(spread.order, self._own_id)
-        yield from self._pass_on(
-            spread.message, spread.order, own_place + 1, spread.end
-        )
+        yield from self._pass_on(spread.message, spread.order, spread.start, spread.end)
 
     def _pass_on(
         self,
@@ -85,8 +82,11 @@
             return
         firsts = [placed[len(placed) * one // groups] for one in range(groups)]
         ends = [place for place, _, _ in firsts[1:]]
-        for (_, _, peer), group_end in zip(firsts, (*ends, end), strict=True):
-            yield SendPeer(peer.endpoint, Spread(order, group_end, message))
+        for (place, _, peer), group_end in zip(firsts, (*ends, end), strict=True):
+            # The start rises with each hop, also if the address has another
+            # holder by now: no message goes in circles.
+            spread = Spread(order, place + 1, group_end, message)
+            yield SendPeer(peer.endpoint, spread)
 
 
 def _origin(message: SpreadMessage) -> HostId:
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -53,6 +53,9 @@
 # Each next host waits this much longer before it takes the duty, in seconds.
 _STAGGER_SECONDS: Final = 0.12
 _LAST_STAGGER_SECONDS: Final = 0.6
+# A host that takes the duty tells each host itself until those that died with
+# the one before are forgotten, and would not pass its beacons on.
+_DIRECT_SECONDS: Final = 7.0
 # A beacon can be lost with a host that should have passed it on.
 _DOUBTED_SECONDS: Final = 1.5 * _BEACON_SECONDS
 # Between two looks for hosts that fell silent.
@@ -80,8 +83,9 @@
         self._stopping = False
         self._started_at = context.clock.monotonic()
         self._keeper_heard_at = self._started_at
+        self._duty_since = self._started_at
         self._behind_since: dict[StoreKind, float] = {}
-        self._next_beacon = 0.0
+        self._beacon_at = 0.0
         self._next_question = 0.0
         self._next_upkeep = 0.0
         self._next_seek = 0.0
@@ -95,7 +99,9 @@
             case ContentChanged():
                 yield from self._content_changed(event)
             case ContentConfirmed(kind=kind, at=at):
-                self._freshness.confirm(kind, at)
+                if self._freshness.renew(kind, at, _FRESH_SECONDS):
+                    # Others wait for a host on duty that is well.
+                    self._beacon_at = 0.0
             case PeerSpoke():
                 yield from self._peer_spoke(event)
             case StopRequested():
@@ -157,6 +163,7 @@
         if beacon.peer.zone != self._own.zone:
             return
         self._neighbours.heard(beacon.peer)
+        self._neighbours.zone_size = beacon.zone_size
         for peer in beacon.peers:
             self._neighbours.named(peer)
         now = self._context.clock.monotonic()
@@ -227,11 +234,8 @@
 
     def _tick(self, now: float) -> Iterator[Effect]:
         yield from self._decide_duty(now)
-        if self._active and not self._stopping and now >= self._next_beacon:
-            # While the store is away many hosts are on duty and tell so.
-            crowd = len(self._neighbours.on_duty()) / _BEACON_CROWD
-            self._next_beacon = now + _BEACON_SECONDS * max(crowd, 1)
-            yield Publish(SpreadWanted(self._own_beacon()))
+        if self._active and not self._stopping:
+            yield from self._send_beacon(now)
         if not self._active and now >= self._next_question:
             yield from self._ask_keeper(now)
         if now >= self._next_upkeep:
@@ -241,6 +245,19 @@
         if now >= self._next_seek:
             yield from self._greet_seeds()
 
+    def _send_beacon(self, now: float) -> Iterator[Effect]:
+        # While the store is away many hosts are on duty and tell so.
+        crowd = len(self._neighbours.on_duty()) / _BEACON_CROWD
+        if now < self._beacon_at + _BEACON_SECONDS * max(crowd, 1):
+            return
+        self._beacon_at = now
+        beacon = self._own_beacon()
+        if now >= self._duty_since + _DIRECT_SECONDS:
+            yield Publish(SpreadWanted(beacon))
+            return
+        for peer in self._neighbours.of_own_zone():
+            yield SendPeer(peer.endpoint, beacon)
+
     def _decide_duty(self, now: float) -> Iterator[Effect]:
         if self._active:
             return
@@ -259,8 +276,9 @@
         if active == self._active:
             return
         self._active = active
+        self._duty_since = self._context.clock.monotonic()
         self._own.on_duty = active
-        self._next_beacon = 0.0
+        self._beacon_at = 0.0
         yield Publish(DutyChanged(active))
         yield Record(
             Part.ZONE,
@@ -294,7 +312,8 @@
         if self._stopping:
             ages = (_GIVEN_UP_MS,) * len(StoreKind)
         revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
-        return Beacon(self._own, ages, revisions, self._neighbours.some())
+        size = sum(1 for _ in self._neighbours.of_own_zone()) + 1
+        return Beacon(self._own, ages, revisions, size, self._neighbours.some())
 
 
 register(
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -147,7 +147,8 @@
         self, world: 'World', name: str, zone: str, seeds: tuple[Endpoint, ...] = ()
     ) -> None:
         self.world = world
-        self.endpoint = Endpoint(f'10.0.0.{len(world.hosts) + 1}', 7720)
+        world.addresses += 1
+        self.endpoint = Endpoint(f'10.0.0.{world.addresses}', 7720)
         settings = relay.RelaySettings(
             HostId(name), Zone(zone), self.endpoint, 0.5, seeds, stop_seconds=6
         )
@@ -247,6 +248,7 @@
         self.clock = Clock()
         self.store = Store()
         self.hosts: dict[Endpoint, RelayHost] = {}
+        self.addresses = 0
         self.later: list[tuple[RelayHost, relay.Event]] = []
         self.datagrams: list[tuple[Endpoint, bytes]] = []
         self.cut: set[Endpoint] = set()
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -65,6 +65,7 @@
         peers,
         st.tuples(numbers, numbers),
         st.tuples(numbers, numbers),
+        numbers,
         st.tuples(peers, peers),
     )
     | parts
@@ -86,7 +87,7 @@
     | st.builds(
         relay.SnapshotWanted, names.map(HostId), st.sampled_from(relay.StoreKind)
     )
-    | st.builds(relay.Spread, numbers, numbers, spread_messages)
+    | st.builds(relay.Spread, numbers, numbers, numbers, spread_messages)
     | spread_messages
 )
 
@@ -125,8 +126,8 @@
         b'[2,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,0,1,"A"]',
         b'[2,"load",["a","z","10.0.0.1",1,1,true],"town",["z"],0,0,1,""]',
         b'[2,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,1,1,""]',
-        b'[2,"spread",1,2,["snapshot","a","upstreams"]]',
-        b'[2,"spread",1,2,["spread",1,2,["wanted",["a","z","10.0.0.1",1,1,true]]]]',
+        b'[2,"spread",1,2,3,["snapshot","a","upstreams"]]',
+        b'[2,"spread",1,2,3,["spread",1,2,3,["wanted",["a","z","10.0.0.1",1,1,true]]]]',
         b'[2,"greeting",["a","z","10.0.0.1","port",1],true]',
         b'[2,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
         b' ' * (MAX_BYTES + 1),
--- a/tests/unit/test_relay_loads.py
+++ b/tests/unit/test_relay_loads.py
@@ -3,7 +3,8 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Zone
+from lycheedeal.ids import Endpoint, Zone
+from lycheedeal.relay.peer_codec import decode_message
 from tests.relay_world import CALLER, RelayHost, World, listing, packet
 
 SOUTH, NORTH = Zone('south'), Zone('north')
@@ -134,3 +135,26 @@
     world.kill(busy)
     world.run(8)
     assert share_of_north(other, flows=50) < 0.3
+
+
+def test_only_hosts_on_duty_tell_sums(world: World) -> None:
+    """Hosts that knew no collector told their own load as that of all."""
+    senders: list[relay.Peer] = []
+    send = world.send
+
+    def record(host: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        match decode_message(datagram):
+            case relay.Spread(message=relay.LoadReport(peer=peer)):
+                senders.append(peer)
+        send(host, endpoint, datagram)
+
+    world.send = record  # type: ignore[method-assign]
+    for _ in range(2):
+        for keeper in world.on_duty():
+            keeper.dispatch(relay.StopRequested())
+            world.run(0.1)
+            world.kill(keeper)
+        world.add('s-new', SOUTH)
+        world.run(3)
+    assert senders
+    assert all(peer.on_duty for peer in senders)
--- a/tests/unit/test_relay_spreading.py
+++ b/tests/unit/test_relay_spreading.py
@@ -44,7 +44,10 @@
 @pytest.fixture(scope='module')
 def calm() -> CountingWorld:
     """Return a zone at rest; tests that use it leave it so."""
-    return zone_of(HOSTS)
+    world = zone_of(HOSTS)
+    # A host that has just taken the duty tells each host itself.
+    world.run(8)
+    return world
 
 
 @pytest.fixture
@@ -141,12 +144,38 @@
     world.store.configure(2, *ROUTES)
     world.run(IN_FORCE_SECONDS)
     assert versions(world) == {2}
-    world.run(5)
-    assert len(world.on_duty()) == 1
+    for _ in range(50):
+        world.run(0.1)
+        assert len(world.on_duty()) == 1
 
 
 def test_own_message_that_comes_back_is_dropped(calm: CountingWorld) -> None:
     (keeper,) = calm.on_duty()
-    beacon = relay.Beacon(keeper.context.settings.own_peer, (0, 0), (1, 1), ())
-    spread = relay.Spread(7, 1 << 32, beacon)
+    beacon = relay.Beacon(keeper.context.settings.own_peer, (0, 0), (1, 1), 4, ())
+    spread = relay.Spread(7, 0, 1 << 32, beacon)
     assert not keeper.kernel.dispatch(relay.PeerSpoke(spread))
+
+
+def test_address_with_another_holder_makes_no_circle() -> None:
+    """A host that got a message for an earlier holder of its address sent it to
+    itself for ever."""
+    world = zone_of(4)
+    keeper, other, *_ = world.hosts.values()
+    settings = other.context.settings
+    stale = relay.Peer(HostId('gone'), settings.zone, other.endpoint, 0.5)
+    for host in world.hosts.values():
+        host.dispatch(relay.PeerSpoke(relay.Greeting(stale, asks=False)))
+    world.messages_by_host.clear()
+    for order in range(0, 1 << 32, 1 << 27):
+        beacon = relay.Beacon(keeper.context.settings.own_peer, (0, 0), (1, 1), 4, ())
+        spread = relay.Spread(order, 0, 1 << 32, beacon)
+        other.dispatch(relay.PeerSpoke(spread))
+        for _ in range(HOSTS):
+            deliver(world)
+        assert not world.datagrams
+
+
+def deliver(world: World) -> None:
+    """Deliver the datagrams that are on their way, and no answers to them."""
+    for host, event in list(world._due()):
+        host.dispatch(event)
