Keep the log writer working when its reader stops

Cause, found by the first tests of the writer: with 256 KB waiting for a reader that had stopped, the report of lines left out did not fit either and was counted in the table that was being walked: RuntimeError in the tick of each second, which skipped the level of lines left out and all that a tick does after it.

Change: a line that does not fit is reported to the caller; counts that could not be reported stay for the next second; lost lines are counted by their ends.

--- a/src/lycheedeal/hosting/_logs.py
+++ b/src/lycheedeal/hosting/_logs.py
@@ -45,7 +45,8 @@
             self._leave_out(record.kind)
             return
         self._lines_by_kind[record.kind] = count + 1
-        self._queue(record)
+        if not self._queue(record):
+            self._leave_out(record.kind)
 
     def flush(self) -> None:
         """Write queued lines until the reader takes no more."""
@@ -57,7 +58,7 @@
                 return
             except OSError:
                 # Nobody reads any more; the count of lost lines remains.
-                self.left_out += len(self._pending)
+                self.left_out += chunk.count(b'\n')
                 written = len(chunk)
             self._pending.clear()
             self._pending_bytes = len(chunk) - written
@@ -74,8 +75,10 @@
         self.flush()
 
     def _report_left_out(self) -> None:
-        for kind, count in self._left_out_by_kind.items():
-            self._queue(
+        reported = [
+            kind
+            for kind, count in self._left_out_by_kind.items()
+            if self._queue(
                 Record(
                     Part.LOG,
                     'left out',
@@ -83,13 +86,16 @@
                     {'kind_left_out': kind, 'lines': count},
                 ),
             )
-        self._left_out_by_kind.clear()
+        ]
+        for kind in reported:
+            self._left_out_by_kind.pop(kind)
 
     def _leave_out(self, kind: str) -> None:
         self.left_out += 1
         self._left_out_by_kind[kind] = self._left_out_by_kind.get(kind, 0) + 1
 
-    def _queue(self, record: Record) -> None:
+    def _queue(self, record: Record) -> bool:
+        """Queue a line; False if too much is waiting."""
         line = json.dumps(
             {
                 'time': round(time.time(), 4),
@@ -102,7 +108,7 @@
             separators=(',', ':'),
         ).encode()
         if self._pending_bytes + len(line) > _MAX_PENDING_BYTES:
-            self._leave_out(record.kind)
-            return
+            return False
         self._pending.extend((line, b'\n'))
         self._pending_bytes += len(line) + 1
+        return True
