--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -1,6 +1,7 @@
 """Hosts of the packet relay on virtual time, with a small store."""
 
 import random
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -262,6 +263,15 @@
         self.run(1.5)
         return host
 
+    def add_together(self, hosts: int, seconds: float) -> None:
+        """Start hosts of one zone at once and let them find each other."""
+        for one in range(hosts):
+            host = RelayHost(self, f'host-{one}', 'south', tuple(self.hosts)[:1])
+            self.hosts[host.endpoint] = host
+        for host in self.hosts.values():
+            host.dispatch(relay.Started())
+        self.run(seconds)
+
     def kill(self, host: RelayHost) -> None:
         del self.hosts[host.endpoint]
 
@@ -294,3 +304,18 @@
             host = self.hosts.get(endpoint)
             if host is not None:
                 yield host, relay.PeerSpoke(decode_message(datagram))
+
+
+class CountingWorld(World):
+    """Counts what each host sends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bytes_by_host: Counter[str] = Counter()
+        self.messages_by_host: Counter[str] = Counter()
+
+    def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        name = sender.context.settings.host_id
+        self.bytes_by_host[name] += len(datagram)
+        self.messages_by_host[name] += 1
+        super().send(sender, endpoint, datagram)
--- a/tests/unit/test_relay_doubt.py
+++ b/tests/unit/test_relay_doubt.py
@@ -61,12 +61,7 @@
 def callers() -> Callers:
     world = World()
     world.store.put(*(listing(f'i-{one:x}') for one in range(1, UPSTREAMS + 1)))
-    for one in range(HOSTS):
-        host = RelayHost(world, f'host-{one}', 'south', tuple(world.hosts)[:1])
-        world.hosts[host.endpoint] = host
-    for host in world.hosts.values():
-        host.dispatch(relay.Started())
-    world.run(6)
+    world.add_together(HOSTS, seconds=6)
     callers = Callers(world)
     assert callers.run(3) == 0
     return callers
--- a/tests/unit/test_relay_spreading.py
+++ b/tests/unit/test_relay_spreading.py
@@ -1,12 +1,10 @@
 """Packet relay: messages that the hosts of a zone pass on to each other."""
 
-from collections import Counter
-
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint, HostId
-from tests.relay_world import ROUTES, RelayHost, World, listing
+from lycheedeal.ids import HostId
+from tests.relay_world import ROUTES, CountingWorld, World, listing
 
 HOSTS = 60
 # Control traffic that a host may send, in bytes a second.
@@ -14,30 +12,10 @@
 IN_FORCE_SECONDS = 3.0
 
 
-class CountingWorld(World):
-    """Counts what each host sends."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.bytes_by_host: Counter[str] = Counter()
-        self.messages_by_host: Counter[str] = Counter()
-
-    def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
-        name = sender.context.settings.host_id
-        self.bytes_by_host[name] += len(datagram)
-        self.messages_by_host[name] += 1
-        super().send(sender, endpoint, datagram)
-
-
 def zone_of(hosts: int) -> CountingWorld:
     world = CountingWorld()
     world.store.put(*(listing(f'i-{one:x}') for one in range(1, 41)))
-    for one in range(hosts):
-        host = RelayHost(world, f'host-{one}', 'south', tuple(world.hosts)[:1])
-        world.hosts[host.endpoint] = host
-    for host in world.hosts.values():
-        host.dispatch(relay.Started())
-    world.run(8)
+    world.add_together(hosts, seconds=8)
     return world
 
 
@@ -74,10 +52,8 @@
 def test_change_costs_each_host_a_few_messages(world: CountingWorld) -> None:
     (keeper,) = world.on_duty()
     host_id = keeper.context.settings.host_id
-    world.run(0.4)
-    world.messages_by_host.clear()
     part = relay.ContentPart(
-        HostId(host_id),
+        host_id,
         relay.StoreKind.UPSTREAMS,
         0,
         1,
