Name the times and methods of the relay's zone for what they are

REPORT_SECONDS and _REPORT_SECONDS meant how long a report counts and the pause between two; _REPAIR_SECONDS was only used threefold; some() did not say whose hosts.

--- a/src/lycheedeal/relay/_neighbours.py
+++ b/src/lycheedeal/relay/_neighbours.py
@@ -15,10 +15,10 @@
 # a second.
 _ROSTER_SIZE: Final = 16
 _NAMED_IN_BEACON: Final = 4
-# Both times grow with the zone. In this time for each host, the beacons name all
-# hosts four times,
+# In a large zone hosts are remembered longer, by seconds for each host of it.
+# Beacons name all hosts four times in this time.
 _NAMED_SECONDS_PER_HOST: Final = 0.4
-# and in this time each host reports its load to the one on duty three times.
+# Each host reports to the one on duty three times in this time.
 _REPORT_SECONDS_PER_HOST: Final = 0.1
 
 
@@ -118,8 +118,8 @@
         for start in range(0, len(known), _ROSTER_SIZE):
             yield tuple(known[start : start + _ROSTER_SIZE])
 
-    def some(self) -> tuple[Peer, ...]:
-        """Return hosts of the own zone, as many as fit, in turn."""
+    def next_named(self) -> tuple[Peer, ...]:
+        """Return the hosts of the own zone that the next beacon names, in turn."""
         peers = list(self.of_own_zone())
         if len(peers) <= _NAMED_IN_BEACON:
             return tuple(peers)
--- a/src/lycheedeal/relay/_told.py
+++ b/src/lycheedeal/relay/_told.py
@@ -8,7 +8,7 @@
 from lycheedeal.relay._records import Load, Loads, Token, Upstream
 
 # Reports count for this long, in seconds.
-REPORT_SECONDS: Final = 3.5
+REPORT_VALID_SECONDS: Final = 3.5
 # Hosts that must doubt an upstream before the others avoid it too; one host may
 # have a fault of its own.
 _MIN_DOUBTING: Final = 2
@@ -51,7 +51,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the report still counts."""
-        return self.at + REPORT_SECONDS > now
+        return self.at + REPORT_VALID_SECONDS > now
 
     def doubts(self, upstream: Upstream, now: float) -> bool:
         """Tell whether more hosts of the zone doubt an upstream than vouch for it."""
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -34,9 +34,10 @@
     Upstream,
 )
 from lycheedeal.relay._table import UpstreamTable
-from lycheedeal.relay._told import REPORT_SECONDS, ToldLoads
+from lycheedeal.relay._told import REPORT_VALID_SECONDS, ToldLoads
 
-_REPORT_SECONDS: Final = 1.0
+# Between two reports, unless a crowd makes them rarer.
+_REPORT_PAUSE_SECONDS: Final = 1.0
 # Reports that a collecting host takes in a second; beyond that they come rarer.
 _REPORTS_PER_SECOND: Final = 35
 # Keeps a datagram below 1,400 bytes; a row takes 14.
@@ -86,7 +87,7 @@
             return
         collector = self._collector()
         if collector is self._neighbours.own:
-            self._next_report = now + _REPORT_SECONDS
+            self._next_report = now + _REPORT_PAUSE_SECONDS
             yield from self._report_total(now)
         elif collector is not None:
             self._next_report = now + self._host_pause()
@@ -97,7 +98,7 @@
     def _host_pause(self) -> float:
         """Return the seconds between two reports of a host to the collector."""
         crowd = len(self._neighbours) / _REPORTS_PER_SECOND
-        return max(_REPORT_SECONDS, crowd)
+        return max(_REPORT_PAUSE_SECONDS, crowd)
 
     def _collector(self) -> Peer | None:
         """Return the host that adds up this zone's reports, if one is known.
@@ -120,9 +121,9 @@
         }
 
     def _report_total(self, now: float) -> Iterator[Effect]:
-        oldest = now - REPORT_SECONDS * self._host_pause() / _REPORT_SECONDS
+        oldest = now - REPORT_VALID_SECONDS * self._host_pause() / _REPORT_PAUSE_SECONDS
         self._told_by_host = _newer(self._told_by_host, oldest)
-        self._told_by_zone = _newer(self._told_by_zone, now - REPORT_SECONDS)
+        self._told_by_zone = _newer(self._told_by_zone, now - REPORT_VALID_SECONDS)
         own_zone = self._own_loads()
         for told in self._told_by_host.values():
             _add_up(own_zone, told.all_loads())
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -63,8 +63,8 @@
 # Greetings to the seeds.
 _SEEK_SECONDS: Final = 0.3
 _SEED_SECONDS: Final = 5.0
-# Two parts of one change may take this long to arrive, in seconds.
-_REPAIR_SECONDS: Final = 0.3
+# A host that is still behind after this time reads from the store itself.
+_BEHIND_SECONDS: Final = 0.9
 _GIVEN_UP_MS: Final = -1
 
 
@@ -198,7 +198,7 @@
                 self._behind_since.pop(kind, None)
                 continue
             since = self._behind_since.setdefault(kind, now)
-            if now - since > _REPAIR_SECONDS * 3:
+            if now - since > _BEHIND_SECONDS:
                 self._behind_since[kind] = now
                 yield Publish(RefreshWanted(kind))
             else:
@@ -313,7 +313,7 @@
             ages = (_GIVEN_UP_MS,) * len(StoreKind)
         revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
         size = sum(1 for _ in self._neighbours.of_own_zone()) + 1
-        return Beacon(self._own, ages, revisions, size, self._neighbours.some())
+        return Beacon(self._own, ages, revisions, size, self._neighbours.next_named())
 
 
 register(
