Report a change as unknown if one of its writes may be stored

Cause: ChangeTransaction took a shard of the written generation without the record of the change as proof that the write had failed.

Ruled out: telling the two histories apart by the version of the object, which starts again at 1 when an object is recreated, and by the records, which are the same when the object is recreated from the body before the write.

Change: a write without an answer makes every later refusal CHANGE_UNKNOWN. The change is still proposed again, and accepted if a later write is stored.

--- a/src/lycheedeal/configuration/_transaction.py
+++ b/src/lycheedeal/configuration/_transaction.py
@@ -84,7 +84,9 @@
     ``deadline`` is a monotonic time in seconds. ``base`` is the shard that the
     change was last applied to, and ``last_write`` the last write that was sent.
     ``unresolved`` is true while that write may have taken effect or may still
-    do so.
+    do so. ``may_be_stored`` is true once any write was left without an answer:
+    a later shard without the record of the change does not prove that the write
+    failed, because the object may have been recreated from an older body.
     """
 
     request: ChangeRequested
@@ -93,6 +95,7 @@
     base: Shard | None = None
     last_write: Write | None = None
     unresolved: bool = False
+    may_be_stored: bool = False
     index: ShardIndex = field(init=False)
 
     def __post_init__(self) -> None:
@@ -134,7 +137,7 @@
         self.unresolved = False
         conflict = self._find_conflict(shard)
         if conflict:
-            return Decide(ErrorKind.CONFLICT, shard.generation, conflict)
+            return self._refuse(ErrorKind.CONFLICT, shard.generation, conflict)
         return self._propose(stored, others, wall_time)
 
     def after_write(self, status: ApiStatus, in_force: Shard, now: float) -> Step:
@@ -144,6 +147,7 @@
                 return self._accept(self.last_write.shard, in_force)
             case ApiStatus.UNKNOWN:
                 self.unresolved = True
+                self.may_be_stored = True
                 return self.retry_or_decide(
                     ErrorKind.CHANGE_UNKNOWN,
                     'the platform did not answer the write',
@@ -172,18 +176,23 @@
         """Return a retry, or the outcome after the last attempt or the deadline.
 
         ``error`` and ``detail`` describe the failure of this attempt. They are
-        replaced by CHANGE_UNKNOWN while a write is unresolved.
+        replaced by CHANGE_UNKNOWN if an earlier write may have taken effect.
         """
         self.attempts += 1
         if self.attempts < max_attempts and now < self.deadline:
             return Retry()
-        if self.unresolved:
-            return Decide(
-                ErrorKind.CHANGE_UNKNOWN,
-                Generation(0),
-                'a write was sent, but its outcome could not be read back',
-            )
-        return Decide(error, Generation(0), detail)
+        return self._refuse(error, Generation(0), detail)
+
+    def _refuse(self, error: ErrorKind, generation: Generation, detail: str) -> Decide:
+        """Return a refusal, or CHANGE_UNKNOWN if the change may be stored."""
+        if not self.may_be_stored:
+            return Decide(error, generation, detail)
+        return Decide(
+            ErrorKind.CHANGE_UNKNOWN,
+            Generation(0),
+            'a write was sent, but its outcome could not be read back; '
+            f'last attempt: {detail}',
+        )
 
     def _after_restore_read(
         self,
@@ -200,7 +209,7 @@
             return self.last_write or Retry()
         self.unresolved = False
         if not self._has_regressed(shard, in_force):
-            return Decide(
+            return self._refuse(
                 ErrorKind.CONFLICT,
                 shard.generation,
                 f'stored generation {shard.generation} is not older than '
@@ -244,9 +253,9 @@
         )
 
     def _may_still_take_effect(self, shard: Shard) -> bool:
-        # The caller found no record of this change. A generation as high as the
-        # one written is then taken as proof that another change was stored in
-        # its place.
+        # The caller found no record of this change. At a generation as high as the
+        # one written, the object was changed or recreated since it was read, and
+        # the condition of the write does not hold any more.
         if not self.unresolved or self.last_write is None:
             return False
         return shard.generation < self.last_write.shard.generation
@@ -304,7 +313,7 @@
             shard = propose()
             body = encode_shard(shard)
         except InvalidConfigurationError as error:
-            return Decide(
+            return self._refuse(
                 ErrorKind.INVALID_CONFIGURATION,
                 stored.shard.generation,
                 error.detail,
--- a/tests/unit/test_configuration_plugin.py
+++ b/tests/unit/test_configuration_plugin.py
@@ -3,9 +3,15 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import settings
+from hypothesis import seed, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from lycheedeal import kernel, messages, model
 from lycheedeal.configuration import apply_change, decode_shard, encode_shard
@@ -327,6 +333,36 @@
     assert host.outcome() is ErrorKind.CHANGE_UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ('change', 'other'),
+    [
+        (CHANGES[3], CHANGES[4]),
+        (CREATE_KIND, CREATE_KIND),
+        (model.CreateUpstream(SERVICE, model.UpstreamId('u2'), OTHER_ENDPOINT, ZONE),)
+        * 2,
+    ],
+)
+def test_stored_change_is_not_refused_after_the_object_was_recreated(
+    change: model.Change, other: model.Change
+) -> None:
+    """Guards against "refused" for a change whose write had taken effect.
+
+    Its answer was lost, the object was recreated from the body before the write,
+    and another change was stored at the same generation.
+    """
+    store, host, other_host = ObjectStore(), new_host(), new_host('h2')
+    before = encode_shard(shard_at(3))
+    store.put(KEY, before, 0)
+    host.request(change, 'c1')
+    host.answer(host.pop_call(READ), store)
+    lose_answer(host, store)
+    store.delete(KEY, None)
+    store.put(KEY, before, 0)
+    other_host.request(other, 'c2')
+    assert other_host.run_until_decided(store) is None
+    assert host.run_until_decided(store) in {None, ErrorKind.CHANGE_UNKNOWN}
+
+
 def test_invalid_shard_leaves_the_last_valid_one_in_force() -> None:
     """Guards against a damaged object or shard copy that clears the configuration."""
     host = new_host()
@@ -591,3 +627,12 @@
     stateful_step_count=40,
 )
 test_operators = ConcurrentOperators.TestCase
+
+
+@pytest.mark.parametrize('number', [5, 7])
+def test_operators_with_seeds_that_failed(number: int) -> None:
+    """Guards against CONFLICT for a stored change after the object was recreated."""
+    run_state_machine_as_test(  # type: ignore[no-untyped-call]
+        seed(number)(ConcurrentOperators),
+        settings=settings(test_operators.settings, derandomize=False, database=None),
+    )
