Hold SIGHUP during the start of a relay, and all signals during its end

Change: lycheedeal.signals blocks SIGHUP before the program loads, so that it stays pending and reloads the settings once they can be read; the end of the program blocks all handled signals. Before its own code runs no process can survive SIGHUP: the soak restarts a relay that ends then, as the platform does, and reports one that ends later. The tests of the relay use a loopback address of their own instead of ports chosen before they are bound.

--- a/deploy/relay.py
+++ b/deploy/relay.py
@@ -15,6 +15,11 @@
 # If the bundle is unusable, modules are loaded from their own files.
 module_bundle.install(os.path.join(os.path.dirname(__file__), 'modules.bundle'))
 
+from lycheedeal.signals import hold_hangup  # noqa: E402
+
+# Before the other imports, during which the platform may change the settings.
+hold_hangup()
+
 from lycheedeal.platform.start import main  # noqa: E402
 
 sys.exit(main())
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -93,7 +93,22 @@
     environment.rng.shuffle(relay.seeds)
     relay.write_settings()
     if relay.is_running and relay.in_rotation and environment.rng.random() < 0.7:
-        relay.send(signal.SIGHUP)
+        await _send_hangup(environment, relay)
+
+
+async def _send_hangup(environment: Environment, relay: Relay) -> None:
+    """Send SIGHUP; restart the process if it ends, as the platform does.
+
+    It must not end once its own code runs.
+    """
+    must_survive = relay.survives_hangup()
+    relay.send(signal.SIGHUP)
+    await asyncio.sleep(environment.rng.uniform(0.05, 1))
+    if relay.is_running or relay.exit_status != -signal.SIGHUP:
+        return
+    if must_survive:
+        environment.findings.report_violation('HANGUP', f'{relay.name} ended by SIGHUP')
+    await relay.spawn()
 
 
 async def harm_link(environment: Environment) -> None:
--- a/soak/_relays.py
+++ b/soak/_relays.py
@@ -91,11 +91,30 @@
         assert self._process is not None
         return await self._process.wait()
 
+    def survives_hangup(self) -> bool:
+        """Return whether the process blocks or handles SIGHUP.
+
+        No process does in the first milliseconds, before its own code runs.
+        """
+        assert self._process is not None
+        try:
+            status = Path(f'/proc/{self._process.pid}/status').read_text()
+        except OSError:
+            return False
+        masks = dict(line.split(':\t', 1) for line in status.splitlines())
+        held = int(masks['SigBlk'], 16) | int(masks['SigCgt'], 16)
+        return bool(held >> signal.SIGHUP - 1 & 1)
+
     @property
     def is_running(self) -> bool:
         """Whether the process was started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def exit_status(self) -> int | None:
+        """Status of the last process, negative for a signal; None while it runs."""
+        return None if self._process is None else self._process.returncode
+
     async def probe(self) -> None:
         """Probe readiness once and update the state in rotation.
 
--- a/src/lycheedeal/platform/program.py
+++ b/src/lycheedeal/platform/program.py
@@ -12,6 +12,7 @@
 from lycheedeal.hosting import LogWriter, RelayRuntime, SystemClock
 from lycheedeal.platform._front_end import PlatformFrontEnd
 from lycheedeal.platform._settings import PlatformSettings, load_settings
+from lycheedeal.signals import hold_all, release_hangup
 
 # Exit status of the process.
 _INVALID_SETTINGS_STATUS: Final = 2
@@ -49,6 +50,9 @@
     runtime = RelayRuntime(context, front_end, logs)
     try:
         await runtime.start()
+        release_hangup()
         await runtime.wait()
     finally:
+        # The event loop removes its signal handlers when it is closed.
+        hold_all()
         runtime.close()
--- a/src/lycheedeal/platform/start.py
+++ b/src/lycheedeal/platform/start.py
@@ -13,12 +13,17 @@
 
 from lycheedeal.datagrams import bind_datagrams
 from lycheedeal.ids import Endpoint
+from lycheedeal.signals import hold_hangup
 
 _SETTINGS_VARIABLE: Final = 'LYCHEEDEAL_CONFIG'
 
 
 def main() -> int:
-    """Run the program until it is stopped; return the exit status."""
+    """Run the program until it is stopped; return the exit status.
+
+    A SIGHUP is held until the program can read its settings again.
+    """
+    hold_hangup()
     path = os.environ.get(_SETTINGS_VARIABLE, '')
     packet_socket = bind_packet_socket(path)
     program = importlib.import_module('lycheedeal.platform.program')
--- a/tests/functional/test_relay_process.py
+++ b/tests/functional/test_relay_process.py
@@ -1,6 +1,8 @@
 """The relay as a separate process, with a stand-in store on loopback."""
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import signal
@@ -21,13 +23,14 @@
 # On one loopback address, caller and relay could not share a port, so the caller has
 # another address.
 CALLER = ('127.0.0.2', 40001)
+PACKET_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 8172, 8167, 9109, 7720
+HARNESS_NUMBERS = itertools.count(1)
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
+def own_loopback_ip() -> str:
+    """Return a loopback address that no other test and no other run uses."""
+    pid = os.getpid()
+    return f'127.{128 + pid // 250 % 120}.{pid % 250}.{next(HARNESS_NUMBERS) % 250}'
 
 
 def ip_to_int(ip: str) -> int:
@@ -60,9 +63,8 @@
         self.store = ObjectStoreServer()
         self.target = Target()
         self.target_port = 0
-        self.packet_endpoint = ('127.0.0.1', free_port(socket.SOCK_DGRAM))
-        self.ready_port = free_port()
-        self.metrics_port = free_port()
+        self.ip = own_loopback_ip()
+        self.packet_endpoint = (self.ip, PACKET_PORT)
         self.process: asyncio.subprocess.Process | None = None
         self.lines: list[dict[str, Any]] = []
 
@@ -82,6 +84,8 @@
         await self.store.put('config', 'main', {'version': 3, 'routes': [route]})
         await self.put_target('i-7f3a91c2', 'ready')
         self.write_settings()
+
+    async def start_process(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -104,24 +108,27 @@
         await self.store.put('servers', name, spec)
 
     def write_settings(self, **changes: Any) -> None:
+        (self.folder / 's.json').write_text(self.settings_text(**changes))
+
+    def settings_text(self, **changes: Any) -> str:
         settings = {
             'host': 'edge-1',
-            'ip': '127.0.0.1',
+            'ip': self.ip,
             'zone': 'south',
-            'packets': f'{self.packet_endpoint[0]}:{self.packet_endpoint[1]}',
-            'readiness': f'127.0.0.1:{self.ready_port}',
-            'metrics_port': self.metrics_port,
-            'peer_port': free_port(socket.SOCK_DGRAM),
+            'packets': f'{self.ip}:{PACKET_PORT}',
+            'readiness': f'{self.ip}:{READY_PORT}',
+            'metrics_port': METRICS_PORT,
+            'peer_port': PEER_PORT,
             'seeds': [],
             'core_share': 0.5,
             'stop_seconds': 6,
             'store': f'127.0.0.1:{self.store.endpoint.port}',
             **changes,
         }
-        (self.folder / 's.json').write_text(json.dumps(settings))
+        return json.dumps(settings)
 
     async def get(self, port: int, path: str) -> tuple[int, bytes]:
-        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        reader, writer = await asyncio.open_connection(self.ip, port)
         writer.write(f'GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n'.encode())
         answer = await reader.read()
         writer.close()
@@ -130,7 +137,7 @@
 
     async def is_ready(self) -> bool:
         try:
-            status, _ = await self.get(self.ready_port, '/readyz')
+            status, _ = await self.get(READY_PORT, '/readyz')
         except OSError:
             return False
         return status == 200
@@ -175,6 +182,7 @@
 async def running(folder: Path) -> AsyncIterator[RelayHarness]:
     harness = RelayHarness(folder)
     await harness.start()
+    await harness.start_process()
     try:
         await harness.wait_until(harness.is_ready)
         yield harness
@@ -215,6 +223,69 @@
     asyncio.run(scenario())
 
 
+async def open_for_reader(path: Path) -> int:
+    """Open a named pipe for writing as soon as a process has opened it for reading."""
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while True:
+            with contextlib.suppress(OSError):
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            await asyncio.sleep(0.001)
+
+
+def test_sighup_during_the_start_is_not_lost(tmp_path: Path) -> None:
+    """Guards against a relay that ends, or keeps old settings, after an early SIGHUP.
+
+    The settings file is a named pipe, so the relay waits at each read of it until
+    the test has sent the signal.
+    """
+
+    async def scenario() -> None:
+        harness = RelayHarness(tmp_path)
+        await harness.start()
+        path = tmp_path / 's.json'
+        path.unlink()
+        os.mkfifo(path)
+        await harness.start_process()
+        process = harness.process
+        assert process is not None
+        try:
+            for _ in range(2):
+                with open(await open_for_reader(path), 'w') as pipe:
+                    process.send_signal(signal.SIGHUP)
+                    pipe.write(harness.settings_text())
+                # The reader of this round has closed the pipe before the next one.
+                await asyncio.sleep(0.05)
+            # The signal that was held makes the relay read its settings once more.
+            with open(await open_for_reader(path), 'w') as pipe:
+                path.unlink()
+                harness.write_settings(seeds=['127.0.0.1:9'])
+                pipe.write(harness.settings_text(seeds=['127.0.0.1:9']))
+            line = await harness.next_log_line('Settings were read again')
+            assert line['seeds'] == 1
+        finally:
+            await harness.close()
+
+    asyncio.run(scenario())
+
+
+def test_signals_during_the_end_do_not_change_the_status(tmp_path: Path) -> None:
+    """Guards against a planned stop that is reported as a crash."""
+
+    async def scenario() -> None:
+        async with running(tmp_path) as harness:
+            process = harness.process
+            assert process is not None
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while process.returncode is None:
+                    process.send_signal(signal.SIGHUP)
+                    process.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(0.0005)
+            assert process.returncode == 0
+
+    asyncio.run(scenario())
+
+
 def test_settings_change_is_detected_without_signal(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running(tmp_path) as harness:
@@ -260,7 +331,7 @@
         async with running(tmp_path) as harness:
             harness.send(make_packet(SYN))
             await harness.receive()
-            status, body = await harness.get(harness.metrics_port, '/metrics')
+            status, body = await harness.get(METRICS_PORT, '/metrics')
             assert status == 200
             assert b'lycheedeal_packets_total{kind="opened"} 1.0' in body
 
