Let the daemon choose its ports and report them

Change: Listeners binds all addresses before the kernel is built. Without it port 0 stays an invalid setting.

The new test fails before the change: port 0 is refused.

--- a/bench/_echo.py
+++ b/bench/_echo.py
@@ -1,10 +1,10 @@
 """UDP echo server, the baseline for the packet rate of the daemon.
 
-Run as ``python -m bench._echo PORT``.
+Run as ``python -m bench._echo``. The port that the system chose is the first line
+of its output.
 """
 
 import asyncio
-import sys
 from typing import Any
 
 import uvloop
@@ -18,11 +18,14 @@
         self._transport.sendto(data, addr)
 
 
-async def _main(port: int) -> None:
+async def _main() -> None:
     loop = asyncio.get_running_loop()
-    await loop.create_datagram_endpoint(_EchoProtocol, local_addr=('127.0.0.1', port))
+    transport, _ = await loop.create_datagram_endpoint(
+        _EchoProtocol, local_addr=('127.0.0.1', 0)
+    )
+    print(transport.get_extra_info('sockname')[1], flush=True)
     await asyncio.Event().wait()
 
 
 if __name__ == '__main__':
-    uvloop.run(_main(int(sys.argv[1])))
+    uvloop.run(_main())
--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -1,27 +1,26 @@
 """Starts programs under test and reads their resource usage from ``/proc``."""
 
 import asyncio
+import json
 import os
-import socket
 import sys
+import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 from lycheedeal.model import Endpoint
+from lycheedeal.settings import parse_endpoint
 
 FLOW_KEY = b'bench flow key 0'
 LOOPBACK = '127.0.0.1'
-
-
-def free_endpoint(kind: socket.SocketKind = socket.SOCK_DGRAM) -> Endpoint:
-    """Return a loopback endpoint that is free now.
-
-    Another process may take the port before the caller binds it.
-    """
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((LOOPBACK, 0))
-        return Endpoint(*probe.getsockname())
+# Lets the system choose the port of a listener.
+ANY_PORT = Endpoint(LOOPBACK, 0)
+# Nothing listens at this port.
+_UNUSED_URL = f'http://{LOOPBACK}:1'
+_START_TIMEOUT_SECONDS = 30.0
+_POLL_SECONDS = 0.01
 
 
 def cpu_seconds(pid: int) -> float:
@@ -42,13 +41,16 @@
 
 
 @asynccontextmanager
-async def program(*arguments: str) -> AsyncIterator[asyncio.subprocess.Process]:
+async def program(
+    *arguments: str, stdout: int | None = None
+) -> AsyncIterator[asyncio.subprocess.Process]:
     """Run ``python -m`` with arguments; kill the process on leaving the context."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
         *arguments,
         env={**os.environ, 'LYCHEEDEAL_FLOW_KEY': FLOW_KEY.hex()},
+        stdout=stdout,
         stderr=asyncio.subprocess.DEVNULL,
     )
     try:
@@ -59,19 +61,64 @@
         await process.wait()
 
 
-def daemon_arguments(data: Endpoint) -> tuple[str, ...]:
-    """Return the arguments of a daemon without peers and without a platform.
+@dataclass(frozen=True, slots=True)
+class DaemonProcess:
+    """A running daemon and the addresses that it listens on."""
+
+    process: asyncio.subprocess.Process
+    data: Endpoint
+    peer: Endpoint
+    gossip: Endpoint
+    admin: Endpoint
 
-    ``data`` is the endpoint of its packets. Nothing listens at the platform URL.
+
+@asynccontextmanager
+async def daemon(
+    *arguments: str, platform_url: str = _UNUSED_URL
+) -> AsyncIterator[DaemonProcess]:
+    """Run a daemon on ports that the system chooses; kill it on leaving.
+
+    ``arguments`` add to those of a host without peers. Raises RuntimeError if the
+    daemon exits before it listens, and TimeoutError if it does neither.
     """
-    return (
-        'lycheedeal.cli.daemon',
-        f'--data={data}',
-        f'--peer={free_endpoint()}',
-        f'--gossip={free_endpoint(socket.SOCK_STREAM)}',
-        f'--admin={free_endpoint(socket.SOCK_STREAM)}',
-        '--host-id=bench-1',
-        '--zone=bench',
-        '--region=bench',
-        f'--platform-url=http://{free_endpoint(socket.SOCK_STREAM)}',
-    )
+    with tempfile.TemporaryDirectory() as directory:
+        address_file = Path(directory, 'addresses.json')
+        command = daemon_arguments(
+            f'--address-file={address_file}',
+            f'--platform-url={platform_url}',
+            *arguments,
+        )
+        async with program(*command) as process:
+            addresses = await _read_addresses(address_file, process)
+            yield DaemonProcess(process, **addresses)
+
+
+def daemon_arguments(*arguments: str) -> tuple[str, ...]:
+    """Return module and arguments of a daemon without peers; later ones override."""
+    defaults = {
+        'data': str(ANY_PORT),
+        'peer': str(ANY_PORT),
+        'gossip': str(ANY_PORT),
+        'admin': str(ANY_PORT),
+        'host-id': 'bench-1',
+        'zone': 'bench',
+        'region': 'bench',
+        'platform-url': _UNUSED_URL,
+    }
+    given = dict(one.removeprefix('--').split('=', 1) for one in arguments)
+    flags = (f'--{name}={text}' for name, text in {**defaults, **given}.items())
+    return ('lycheedeal.cli.daemon', *flags)
+
+
+async def _read_addresses(
+    path: Path, process: asyncio.subprocess.Process
+) -> dict[str, Endpoint]:
+    async with asyncio.timeout(_START_TIMEOUT_SECONDS):
+        while not path.exists():
+            if process.returncode is not None:
+                raise RuntimeError(
+                    f'daemon exited with status {process.returncode} at its start'
+                )
+            await asyncio.sleep(_POLL_SECONDS)
+    texts: dict[str, str] = json.loads(path.read_text())
+    return {name: parse_endpoint(text) for name, text in texts.items()}
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import re
-import socket
 import tempfile
 import time
 from contextlib import AsyncExitStack
@@ -19,8 +18,9 @@
 import uvloop
 
 from bench._processes import (
+    DaemonProcess,
     cpu_seconds,
-    free_endpoint,
+    daemon,
     program,
     resident_bytes,
     thread_count,
@@ -58,25 +58,16 @@
     async with AsyncExitStack() as stack:
         directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         url = await _start_platform(stack, directory)
-        peers = [free_endpoint() for _ in range(size)]
-        admins = [free_endpoint(socket.SOCK_STREAM) for _ in range(size)]
-        processes = [
-            await stack.enter_async_context(
-                program(
-                    'lycheedeal.cli.daemon',
-                    f'--data={free_endpoint()}',
-                    f'--peer={peers[number]}',
-                    f'--gossip={free_endpoint(socket.SOCK_STREAM)}',
-                    f'--admin={admins[number]}',
-                    f'--host-id=host-{number}',
-                    '--zone=bench',
-                    '--region=bench',
-                    f'--platform-url={url}',
-                    f'--peer-seeds={peers[number - 1]}',
-                ),
+        daemons: list[DaemonProcess] = []
+        for number in range(size):
+            # Each host finds the zone through the one started before it.
+            seeds = ','.join(str(one.peer) for one in daemons[-1:])
+            arguments = (f'--host-id=host-{number}', f'--peer-seeds={seeds}')
+            daemons.append(
+                await stack.enter_async_context(daemon(*arguments, platform_url=url))
             )
-            for number in range(size)
-        ]
+        processes = [one.process for one in daemons]
+        admins = [one.admin for one in daemons]
         session = await stack.enter_async_context(aiohttp.ClientSession())
         await asyncio.sleep(SETTLE_SECONDS)
         before = [await _control_bytes(session, admin) for admin in admins]
--- a/bench/packets.py
+++ b/bench/packets.py
@@ -15,9 +15,9 @@
 
 from bench._processes import (
     FLOW_KEY,
+    LOOPBACK,
     cpu_seconds,
-    daemon_arguments,
-    free_endpoint,
+    daemon,
     program,
     resident_bytes,
     thread_count,
@@ -118,12 +118,12 @@
 
 
 async def _measure_echo() -> tuple[float, float]:
-    target = free_endpoint()
     loop = asyncio.get_running_loop()
     # As long as a flow packet with the header of the fabric.
     datagram = bytes(165)
-    async with program('bench._echo', str(target.port)) as process:
-        await asyncio.sleep(1)
+    async with program('bench._echo', stdout=asyncio.subprocess.PIPE) as process:
+        assert process.stdout is not None
+        target = Endpoint(LOOPBACK, int(await process.stdout.readline()))
         transport, caller = await loop.create_datagram_endpoint(
             lambda: _Caller(target, [datagram]), sock=_bind_socket()
         )
@@ -138,14 +138,14 @@
         _Upstream, sock=_bind_socket()
     )
     upstream = Endpoint(*upstream_transport.get_extra_info('sockname'))
-    data = free_endpoint()
     bound = _bind_socket()
     caller_endpoint = Endpoint(*bound.getsockname())
     datagrams = list(flow_packets(caller_endpoint, upstream, FLOW_COUNT))
     started = time.perf_counter()
-    async with program(*daemon_arguments(data)) as process:
+    async with daemon() as running:
+        process = running.process
         transport, caller = await loop.create_datagram_endpoint(
-            lambda: _Caller(data, datagrams), sock=bound
+            lambda: _Caller(running.data, datagrams), sock=bound
         )
         while not caller.received:
             caller.send(1)
--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -6,7 +6,6 @@
 import os
 import secrets
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -188,20 +187,6 @@
         return json.loads(path.read_text())
 
 
-def choose_ports(kind: socket.SocketKind, count: int) -> list[Endpoint]:
-    """Return free loopback endpoints.
-
-    All sockets are bound before the first is closed, so the ports differ.
-    """
-    with contextlib.ExitStack() as stack:
-        endpoints: list[Endpoint] = []
-        for _ in range(count):
-            one = stack.enter_context(socket.socket(socket.AF_INET, kind))
-            one.bind((LOOPBACK, 0))
-            endpoints.append(Endpoint(*one.getsockname()))
-        return endpoints
-
-
 def _send_signal(
     process: asyncio.subprocess.Process, signal_number: signal.Signals
 ) -> None:
--- a/demo/_startup.py
+++ b/demo/_startup.py
@@ -1,14 +1,14 @@
 """Steps that start the platform, the upstreams, the daemons and the fabric."""
 
 import asyncio
-import socket
 from typing import Final
 
 import aiohttp
 
 from demo import _plan
-from demo._fleet import LOOPBACK, DemoError, Fleet, Host, UpstreamProcess, choose_ports
+from demo._fleet import LOOPBACK, DemoError, Fleet, Host, UpstreamProcess
 from lycheedeal.model import Endpoint, HostId, ServiceName, UpstreamId, Zone
+from lycheedeal.settings import parse_endpoint
 
 ZONES: Final = (Zone('coyhaique'), Zone('cochrane'))
 SERVICES: Final = (ServiceName('bitacora-api'), ServiceName('reparo'))
@@ -71,17 +71,8 @@
 
 async def _start_hosts(fleet: Fleet) -> None:
     for zone in ZONES:
-        peers = choose_ports(socket.SOCK_DGRAM, 2 * _HOSTS_PER_ZONE)
-        admins = choose_ports(socket.SOCK_STREAM, 2 * _HOSTS_PER_ZONE)
         for index in range(_HOSTS_PER_ZONE):
-            host = await _start_host(
-                fleet,
-                HostId(f'{zone}-{index}'),
-                zone,
-                (peers[2 * index], peers[2 * index + 1]),
-                (admins[2 * index], admins[2 * index + 1]),
-                peers[1::2],
-            )
+            host = await _start_host(fleet, HostId(f'{zone}-{index}'), zone)
             fleet.hosts_by_id[host.host_id] = host
             await _register_host(fleet, host)
     await asyncio.gather(
@@ -102,26 +93,24 @@
         response.raise_for_status()
 
 
-async def _start_host(
-    fleet: Fleet,
-    host_id: HostId,
-    zone: Zone,
-    udp_endpoints: tuple[Endpoint, Endpoint],
-    tcp_endpoints: tuple[Endpoint, Endpoint],
-    peers: list[Endpoint],
-) -> Host:
-    data, peer = udp_endpoints
-    gossip, admin = tcp_endpoints
-    seeds = ','.join(str(one) for one in peers if one != peer)
+async def _start_host(fleet: Fleet, host_id: HostId, zone: Zone) -> Host:
+    # A host finds its zone through the hosts that were started before it.
+    earlier = (one.peer for one in fleet.hosts_by_id.values() if one.zone == zone)
+    seeds = ','.join(map(str, earlier))
+    address_file = f'{host_id}.addresses'
+    listeners = ('--data', '--peer', '--gossip', '--admin')
     process = await fleet.processes.start(
         host_id,
         'lycheedeal.cli.daemon',
         *('--host-id', host_id, '--region', _REGION, '--zone', zone),
-        *('--data', data, '--peer', peer, '--gossip', gossip, '--admin', admin),
+        *(part for flag in listeners for part in (flag, f'{LOOPBACK}:0')),
+        *('--address-file', fleet.path(address_file)),
         *('--platform-url', fleet.platform_url, '--peer-seeds', seeds),
         *('--drain-seconds', _DRAIN_SECONDS),
     )
-    return Host(host_id, zone, data, peer, gossip, admin, process)
+    texts = await fleet.read_port_file(address_file, process)
+    addresses = {name: parse_endpoint(text) for name, text in texts.items()}
+    return Host(host_id=host_id, zone=zone, process=process, **addresses)
 
 
 async def _wait_for_host(fleet: Fleet, host: Host) -> None:
--- a/src/lycheedeal/model/_settings.py
+++ b/src/lycheedeal/model/_settings.py
@@ -15,6 +15,8 @@
     are peer endpoints of other hosts of the same zone. ``drain_seconds`` is
     the longest time that a planned stop waits for unfinished work,
     ``max_flows`` the number of established flows that the route table holds.
+    The daemon writes the addresses that it listens on to ``address_file``, unless
+    that is empty.
     """
 
     host_id: HostId
@@ -31,3 +33,4 @@
     max_flows: int = 300_000
     log_json: bool = False
     log_level: str = 'INFO'
+    address_file: str = ''
--- a/src/lycheedeal/runtime/_admin.py
+++ b/src/lycheedeal/runtime/_admin.py
@@ -60,8 +60,11 @@
         """The address to listen on; after the start with the actual port."""
         return self._listen
 
-    async def start(self) -> None:
-        """Start to listen; raises OSError if the address cannot be bound."""
+    async def start(self, listener: socket.socket | None = None) -> None:
+        """Serve on a listening socket, or on a new one for the address.
+
+        Raises OSError if the address cannot be bound.
+        """
         app = web.Application(
             client_max_size=_MAX_BODY_BYTES,
             middlewares=(_errors_as_json,),
@@ -79,7 +82,7 @@
         await self._runner.setup()
         # A socket is passed instead of an address, for which uvloop would start
         # four threads for name resolution.
-        listener = socket.create_server(self._listen)
+        listener = listener or socket.create_server(self._listen)
         self._listen = Endpoint(*listener.getsockname())
         await web.SockSite(self._runner, listener).start()
 
--- a/src/lycheedeal/runtime/_daemon.py
+++ b/src/lycheedeal/runtime/_daemon.py
@@ -27,7 +27,7 @@
 from lycheedeal.runtime._admin import AdminServer
 from lycheedeal.runtime._clock import SystemClock
 from lycheedeal.runtime._executor import Executor, Outputs
-from lycheedeal.runtime._gossip import GossipLink
+from lycheedeal.runtime._listeners import Listeners
 from lycheedeal.runtime._logs import LogSink
 from lycheedeal.runtime._metrics import MetricsSink
 from lycheedeal.runtime._platform import PlatformClient
@@ -39,6 +39,7 @@
     UpstreamPaths,
     UpstreamProtocol,
     open_socket,
+    serve_socket,
 )
 from lycheedeal.steering import SteeringPlugin
 from lycheedeal.telemetry import TelemetryPlugin
@@ -48,17 +49,22 @@
 # A longer gap between ticks means that the process was paused.
 MIN_PAUSE_SECONDS: Final = 2
 _SYSTEM_CHOSEN_PORT: Final = 0
+# Exit status of a daemon that cannot open its sockets.
+_START_FAILED_STATUS: Final = 1
 _MS_PER_SECOND: Final = 1000
+_LOG_PART: Final = 'runtime'
 
 
 class Daemon:
     """One incarnation of the load balancer on an entry host.
 
-    ``start`` binds the sockets and starts to serve; ``close`` releases them.
+    ``start`` starts to serve on the bound sockets; ``close`` releases them.
     """
 
-    def __init__(self, settings: HostSettings) -> None:
-        """Build the kernel without binding any socket."""
+    def __init__(self, listeners: Listeners) -> None:
+        """Build the kernel; ``close`` also closes the listeners."""
+        self._listeners = listeners
+        settings = listeners.settings
         self._settings = settings
         self._clock = SystemClock()
         context = Context(
@@ -76,15 +82,17 @@
         self._exit_status: asyncio.Future[int] | None = None
 
     async def start(self) -> None:
-        """Bind all sockets, dispatch ``Started`` and start the ticks.
+        """Serve on all sockets, dispatch ``Started`` and start the ticks.
 
-        Raises OSError if an address cannot be bound.
+        Raises OSError if a socket towards upstreams cannot be bound, or if the
+        address file cannot be written.
         """
         self._exit_status = asyncio.get_running_loop().create_future()
         await self._open_sockets()
-        await self._outputs.gossip.start()
+        self._outputs.gossip.start(self._deliver_gossip, self._refuse_gossip)
         await self._outputs.platform.start()
-        await self._outputs.admin.start()
+        await self._outputs.admin.start(self._listeners.admin)
+        self._listeners.write_address_file()
         self._last_tick = self._clock.monotonic()
         self._deliver(Started())
         self._tick()
@@ -92,15 +100,13 @@
     async def serve(self) -> int:
         """Start, wait until the kernel exits and return the exit status.
 
-        The status is 1 if an address cannot be bound.
+        The status is 1 if the sockets or the address file cannot be opened.
         """
         try:
             await self.start()
         except OSError as error:
-            self._log(
-                LogLevel.ERROR, f'cannot bind a listening address, exiting: {error}'
-            )
-            return 1
+            self._log(LogLevel.ERROR, f'cannot start, exiting: {error}')
+            return _START_FAILED_STATUS
         self._log(LogLevel.INFO, f'host {self._settings.host_id} is serving')
         status = await self._exit_status if self._exit_status else 0
         self._log(LogLevel.INFO, f'stopped with exit status {status}')
@@ -112,16 +118,16 @@
             self._timer.cancel()
         await self._outputs.admin.close()
         await self._outputs.platform.close()
-        await self._outputs.gossip.close()
         for transport in self._transports():
             transport.close()
+        self._listeners.close()
 
     def stop(self) -> None:
         """Start a planned stop; may be called more than once."""
         self._deliver(StopRequested())
 
     def _log(self, level: LogLevel, text: str) -> None:
-        self._outputs.logs.write(Log('runtime', level, text))
+        self._outputs.logs.write(Log(_LOG_PART, level, text))
 
     def _make_outputs(self) -> Outputs:
         settings = self._settings
@@ -131,9 +137,7 @@
             callers=CallerSender(),
             paths=UpstreamPaths(),
             send_to_peer=self._send_to_peer,
-            gossip=GossipLink(
-                settings.gossip, self._deliver_gossip, self._refuse_gossip
-            ),
+            gossip=self._listeners.gossip,
             platform=PlatformClient(settings.platform_url, self._deliver),
             admin=AdminServer(
                 settings.admin,
@@ -156,9 +160,9 @@
             local = Endpoint(self._settings.data.ip, _SYSTEM_CHOSEN_PORT)
             paths.transports.append(await open_socket(upstream_protocol, local))
         peer_protocol = PeerProtocol(self._deliver)
-        self._peer_transport = await open_socket(peer_protocol, self._settings.peer)
+        self._peer_transport = await serve_socket(peer_protocol, self._listeners.peer)
         fabric_protocol = FabricProtocol(self._deliver, routes, paths)
-        callers.transport = await open_socket(fabric_protocol, self._settings.data)
+        callers.transport = await serve_socket(fabric_protocol, self._listeners.data)
 
     def _transports(self) -> list[asyncio.DatagramTransport]:
         transports = (self._outputs.callers.transport, self._peer_transport)
@@ -200,7 +204,14 @@
 
 
 async def _serve(settings: HostSettings) -> int:
-    daemon = Daemon(settings)
+    try:
+        listeners = Listeners(settings)
+    except OSError as error:
+        logs = LogSink(settings.log_level, settings.log_json)
+        text = f'cannot bind a listening address, exiting: {error}'
+        logs.write(Log(_LOG_PART, LogLevel.ERROR, text))
+        return _START_FAILED_STATUS
+    daemon = Daemon(listeners)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop)
--- a/src/lycheedeal/runtime/_gossip.py
+++ b/src/lycheedeal/runtime/_gossip.py
@@ -58,15 +58,13 @@
     def __init__(
         self,
         listen: Endpoint,
-        deliver: Callable[[GossipMessage], None],
-        on_invalid: Callable[[DecodeError], None],
         silence_seconds: float = _SILENCE_TIMEOUT_SECONDS,
     ) -> None:
         """Create the link without opening a socket.
 
         Port 0 in ``listen`` lets the system choose a port; ``endpoint`` has it
-        after the start. ``on_invalid`` gets the errors of invalid frames.
-        Connections without messages for ``silence_seconds`` are closed.
+        afterwards. Connections without messages for ``silence_seconds`` are
+        closed.
         """
         self.endpoint = listen
         self.bytes_in = 0
@@ -76,13 +74,13 @@
         self._silence_seconds = silence_seconds
         self._last_receipt_by_pipe: dict[int, float] = {}
         self._silence_timer: asyncio.TimerHandle | None = None
-        self._deliver = deliver
-        self._on_invalid = on_invalid
+        self._deliver: Callable[[GossipMessage], None] | None = None
+        self._on_invalid: Callable[[DecodeError], None] | None = None
         self._socket: Any = None
         self._receive_fd = -1
         self._dialers_by_endpoint: dict[Endpoint, Any] = {}
 
-    async def start(self) -> None:
+    def listen(self) -> None:
         """Open the socket and listen; raises OSError if the endpoint is in use."""
         _limit_threads()
         self._socket = pynng.Bus0(
@@ -102,15 +100,29 @@
             ) from error
         ip, _, port = str(listener.local_address).rpartition(':')
         self.endpoint = Endpoint(ip, int(port))
+
+    def start(
+        self,
+        deliver: Callable[[GossipMessage], None],
+        on_invalid: Callable[[DecodeError], None],
+    ) -> None:
+        """Deliver messages from now on; the link has to listen.
+
+        ``on_invalid`` gets the errors of invalid frames.
+        """
+        self._deliver = deliver
+        self._on_invalid = on_invalid
         self._receive_fd = self._socket.recv_fd
         asyncio.get_running_loop().add_reader(self._receive_fd, self._receive)
         self._close_silent_connections()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close the socket; messages that are still queued may be lost."""
         if self._socket is None:
             return
-        asyncio.get_running_loop().remove_reader(self._receive_fd)
+        if self._receive_fd >= 0:
+            asyncio.get_running_loop().remove_reader(self._receive_fd)
+            self._receive_fd = -1
         if self._silence_timer is not None:
             self._silence_timer.cancel()
         self._socket.close()
@@ -177,6 +189,8 @@
             pipe.close()
 
     def _handle_frame(self, frame: bytes) -> None:
+        if self._deliver is None or self._on_invalid is None:
+            return
         try:
             message = decode_frame(frame)
         except DecodeError as error:
--- a/src/lycheedeal/runtime/_sockets.py
+++ b/src/lycheedeal/runtime/_sockets.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -43,7 +44,7 @@
 # Decoded caller addresses; the cache is cleared when it is full.
 _MAX_CACHED_CALLERS: Final = 50_000
 # Holds a burst of datagrams from callers that all reconnect at once.
-_RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
 
 Deliver = Callable[[Event], None]
 
@@ -231,7 +232,14 @@
 
     Raises OSError if the address cannot be bound.
     """
+    return await serve_socket(protocol, bind_datagrams(local, RECEIVE_BUFFER_BYTES))
+
+
+async def serve_socket(
+    protocol: asyncio.DatagramProtocol,
+    bound: socket.socket,
+) -> asyncio.DatagramTransport:
+    """Deliver the datagrams of a bound UDP socket to a protocol."""
     loop = asyncio.get_running_loop()
-    bound = bind_datagrams(local, _RECEIVE_BUFFER_BYTES)
     transport, _ = await loop.create_datagram_endpoint(lambda: protocol, sock=bound)
     return transport
--- a/src/lycheedeal/settings/_load.py
+++ b/src/lycheedeal/settings/_load.py
@@ -7,7 +7,7 @@
 from lycheedeal.exceptions import SettingsError
 from lycheedeal.model import Endpoint, HostSettings
 from lycheedeal.settings._table import FLOW_KEY, FLOW_KEY_FILE, SETTINGS, Setting
-from lycheedeal.settings._value_types import convert
+from lycheedeal.settings._value_types import ListenType, convert
 
 # UDP and TCP listeners; two of the same protocol cannot share an address.
 _LISTENERS_BY_PROTOCOL: Final = (('data', 'peer'), ('gossip', 'admin'))
@@ -32,6 +32,8 @@
         _choose_key_setting(flags, environment), flags, environment, fields, faults
     )
     faults.extend(_find_shared_addresses(fields))
+    if not fields.get('address_file'):
+        faults.extend(_find_unreported_ports(flags, fields))
     if faults:
         raise SettingsError(tuple(faults))
     return HostSettings(**fields)
@@ -44,10 +46,9 @@
     fields: dict[str, Any],
     faults: list[str],
 ) -> None:
-    source = f'--{setting.flag}'
+    source = _source_of(setting, flags)
     text = flags.get(setting.flag)
     if text is None:
-        source = setting.variable
         text = environment.get(setting.variable, setting.default)
     if text is None:
         faults.append(_missing_text(setting))
@@ -58,6 +59,10 @@
         faults.append(f'{source}: {error}')
 
 
+def _source_of(setting: Setting, flags: Mapping[str, str]) -> str:
+    return f'--{setting.flag}' if setting.flag in flags else setting.variable
+
+
 def _missing_text(setting: Setting) -> str:
     if setting is FLOW_KEY:
         return f'--{FLOW_KEY_FILE.flag} or {FLOW_KEY.variable} is required'
@@ -80,9 +85,23 @@
     return FLOW_KEY
 
 
+def _find_unreported_ports(
+    flags: Mapping[str, str],
+    fields: Mapping[str, Any],
+) -> Iterator[str]:
+    for setting in SETTINGS:
+        if not isinstance(setting.value_type, ListenType):
+            continue
+        address: Endpoint | None = fields.get(setting.field_name)
+        if address is not None and not address.port:
+            source = _source_of(setting, flags)
+            yield f'{source}: port 0 needs --address-file, which reports the port'
+
+
 def _find_shared_addresses(fields: Mapping[str, Any]) -> Iterator[str]:
     for names in _LISTENERS_BY_PROTOCOL:
         for first, second in combinations(names, 2):
             address: Endpoint | None = fields.get(first)
-            if address is not None and address == fields.get(second):
+            is_fixed = address is not None and address.port > 0
+            if is_fixed and address == fields.get(second):
                 yield f'--{second}: address {address} is already used by --{first}'
--- a/src/lycheedeal/settings/_table.py
+++ b/src/lycheedeal/settings/_table.py
@@ -63,19 +63,20 @@
     Setting('region', value_types.NameType(), 'region of this host'),
     Setting('zone', value_types.NameType(), 'availability zone of this host'),
     Setting(
-        'data', value_types.EndpointType(), 'UDP address for packets from the fabric'
+        'data',
+        value_types.ListenType(),
+        'UDP address for packets from the fabric; with port 0 the system chooses a '
+        'port for this and the other listeners',
     ),
     Setting(
         'peer',
-        value_types.EndpointType(),
+        value_types.ListenType(),
         'UDP address for messages and probes of other hosts',
     ),
-    Setting(
-        'gossip', value_types.EndpointType(), 'TCP address for configuration gossip'
-    ),
+    Setting('gossip', value_types.ListenType(), 'TCP address for configuration gossip'),
     Setting(
         'admin',
-        value_types.EndpointType(),
+        value_types.ListenType(),
         'TCP address for HTTP requests of operators',
     ),
     Setting('platform_url', value_types.UrlType(), 'object API, http://IP:PORT'),
@@ -103,6 +104,12 @@
         'lowest severity of log lines to write: DEBUG, INFO, WARNING or ERROR',
         'INFO',
     ),
+    Setting(
+        'address_file',
+        value_types.PathType(),
+        'file to which the daemon writes the addresses that it listens on, as JSON',
+        '',
+    ),
     Setting('log_json', value_types.SwitchType(), 'write log lines as JSON', 'false'),
     FLOW_KEY_FILE,
 )
--- a/src/lycheedeal/settings/_value_types.py
+++ b/src/lycheedeal/settings/_value_types.py
@@ -30,6 +30,11 @@
     """IPv4 address and port, ``IP:PORT``."""
 
 
+@dataclass(frozen=True, slots=True)
+class ListenType:
+    """IPv4 address and port to listen on; port 0 lets the system choose one."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsType:
     """Comma-separated IPv4 addresses and ports; may be empty."""
@@ -66,6 +71,11 @@
     """Secret key of 16 to 64 bytes in hexadecimal digits."""
 
 
+@dataclass(frozen=True, slots=True)
+class PathType:
+    """Path of a file that the daemon writes; empty for none."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyFileType:
     """Path of a file that holds a secret key in hexadecimal digits."""
@@ -74,12 +84,14 @@
 ValueType = (
     NameType
     | EndpointType
+    | ListenType
     | EndpointsType
     | UrlType
     | NumberType
     | ChoiceType
     | SwitchType
     | KeyType
+    | PathType
     | KeyFileType
 )
 
@@ -95,6 +107,8 @@
             value = _parse_name(text)
         case EndpointType():
             value = parse_endpoint(text)
+        case ListenType():
+            value = _parse_endpoint(text, min_port=0)
         case EndpointsType():
             value = parse_endpoints(text)
         case UrlType():
@@ -105,6 +119,8 @@
             value = _parse_choice(choices, text)
         case SwitchType():
             value = _parse_switch(text)
+        case PathType():
+            value = text
         case KeyType():
             value = _parse_key(text)
         case KeyFileType():
@@ -114,10 +130,14 @@
 
 def parse_endpoint(text: str) -> Endpoint:
     """Return the endpoint of ``IP:PORT``; raises ValueError if it is invalid."""
+    return _parse_endpoint(text, min_port=1)
+
+
+def _parse_endpoint(text: str, min_port: int) -> Endpoint:
     ip, colon, port = text.strip().partition(':')
     if not colon:
         raise ValueError('expected IP:PORT')
-    return Endpoint(_parse_ip(ip), _parse_port(port))
+    return Endpoint(_parse_ip(ip), _parse_port(port, min_port))
 
 
 def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
@@ -142,10 +162,10 @@
     return str(address)
 
 
-def _parse_port(text: str) -> int:
-    if _DIGITS.fullmatch(text) and 1 <= int(text) <= _MAX_PORT:
+def _parse_port(text: str, min_port: int) -> int:
+    if _DIGITS.fullmatch(text) and min_port <= int(text) <= _MAX_PORT:
         return int(text)
-    raise ValueError(f'port {text!r} is not between 1 and {_MAX_PORT}')
+    raise ValueError(f'port {text!r} is not between {min_port} and {_MAX_PORT}')
 
 
 def _parse_name(text: str) -> str:
--- a/tests/functional/test_configuration_gossip.py
+++ b/tests/functional/test_configuration_gossip.py
@@ -47,10 +47,10 @@
 async def exchange() -> None:
     received: asyncio.Queue[GossipMessage] = asyncio.Queue()
     decode_errors: list[DecodeError] = []
-    first = GossipLink(ANY_PORT, received.put_nowait, decode_errors.append)
-    second = GossipLink(ANY_PORT, received.put_nowait, decode_errors.append)
-    await first.start()
-    await second.start()
+    first, second = GossipLink(ANY_PORT), GossipLink(ANY_PORT)
+    for link in (first, second):
+        link.listen()
+        link.start(received.put_nowait, decode_errors.append)
     try:
         first.set_neighbours((second.endpoint,))
         digest = messages.Digest(
@@ -69,8 +69,8 @@
         first.set_neighbours(())
         assert not decode_errors
     finally:
-        await first.close()
-        await second.close()
+        first.close()
+        second.close()
 
 
 def test_links_exchange_digests_and_shards_on_uvloop() -> None:
@@ -88,14 +88,15 @@
         await asyncio.sleep(60)
 
     server = await asyncio.start_server(accept, '127.0.0.1', 0)
-    link = GossipLink(ANY_PORT, print, print, silence_seconds=0.2)
-    await link.start()
+    link = GossipLink(ANY_PORT, silence_seconds=0.2)
+    link.listen()
+    link.start(print, print)
     link.set_neighbours((model.Endpoint(*server.sockets[0].getsockname()),))
     try:
         for _ in range(3):
             await asyncio.wait_for(connections.get(), 20)
     finally:
-        await link.close()
+        link.close()
         server.close()
 
 
--- a/tests/functional/test_configuration_spread.py
+++ b/tests/functional/test_configuration_spread.py
@@ -29,7 +29,7 @@
     def __init__(self, name: str, url: str) -> None:
         super().__init__(name, Clock())
         self.client = PlatformClient(url, self.handle)
-        self.link = GossipLink(ANY_PORT, self.receive_gossip, print)
+        self.link = GossipLink(ANY_PORT)
 
     def handle(self, event: kernel.Event) -> None:
         super().handle(event)
@@ -48,7 +48,8 @@
     hosts = [Host(f'h{number}', url) for number, url in enumerate(urls)]
     for host in hosts:
         await host.client.start()
-        await host.link.start()
+        host.link.listen()
+        host.link.start(host.receive_gossip, print)
     members = tuple(
         replace(host.context.member, gossip=host.link.endpoint) for host in hosts
     )
@@ -61,7 +62,7 @@
     finally:
         for host in hosts:
             await host.client.close()
-            await host.link.close()
+            host.link.close()
         await server.close()
 
 
--- a/tests/functional/test_daemon.py
+++ b/tests/functional/test_daemon.py
@@ -11,7 +11,7 @@
 import aiohttp
 import pytest
 
-from bench._processes import FLOW_KEY, daemon_arguments, free_endpoint, program
+from bench._processes import FLOW_KEY, daemon, daemon_arguments
 from bench.packets import flow_packets
 from lycheedeal.model import Endpoint
 
@@ -49,8 +49,7 @@
 ) -> tuple[bytes, Any]:
     """Send a packet every 0.1 s until the daemon forwards it to the upstream.
 
-    Returns the forwarded packet and its source address. Before the daemon has
-    started, packets are lost.
+    Returns the forwarded packet and its source address.
     """
     async with asyncio.timeout(WAIT_SECONDS):
         while True:
@@ -65,11 +64,11 @@
 async def _serve_packets_then_stop() -> int | None:
     caller, caller_endpoint = await _bind()
     upstream, upstream_endpoint = await _bind()
-    data = free_endpoint()
     packet = next(flow_packets(caller_endpoint, upstream_endpoint, 1))
-    async with program(*daemon_arguments(data)) as process:
+    async with daemon() as running:
+        process = running.process
         forwarded, host_address = await _send_until_forwarded(
-            caller, upstream, packet, data
+            caller, upstream, packet, running.data
         )
         assert forwarded[0] == PACKET_TYPE
         upstream.transport.sendto(forwarded, host_address)
@@ -91,26 +90,41 @@
     assert asyncio.run(_serve_packets_then_stop()) == 0
 
 
+async def _start_beside_each_other() -> list[Endpoint]:
+    async with daemon('--host-id=h1') as first, daemon('--host-id=h2') as second:
+        return [
+            address
+            for one in (first, second)
+            for address in (one.data, one.peer, one.gossip, one.admin)
+        ]
+
+
+def test_daemon_chooses_its_ports_and_reports_them() -> None:
+    """Guards against ports that are chosen before they are bound.
+
+    Another process may take such a port in between, and the daemon then exits.
+    """
+    addresses = asyncio.run(_start_beside_each_other())
+    assert all(address.port for address in addresses)
+    assert len(set(addresses)) == len(addresses)
+
+
 async def _send_garbage() -> str:
     caller, caller_endpoint = await _bind()
     upstream, upstream_endpoint = await _bind()
-    data = free_endpoint()
-    arguments = daemon_arguments(data)
-    peer_argument = next(one for one in arguments if one.startswith('--peer='))
-    admin_argument = next(one for one in arguments if one.startswith('--admin='))
     packet = next(flow_packets(caller_endpoint, upstream_endpoint, 1))
     rng = random.Random(1)
-    async with program(*arguments) as process:
+    async with daemon() as running:
+        data = running.data
         await _send_until_forwarded(caller, upstream, packet, data)
-        peer_port = int(peer_argument.rpartition(':')[2])
         for size in (0, 1, 2, 11, 12, 13, 60, 64, 65, 400, 1400):
             for head in (b'', packet[:13], b'\x12\x01', b'\x22'):
                 garbage = head + rng.randbytes(size)
                 caller.transport.sendto(garbage, data)
-                caller.transport.sendto(garbage, ('127.0.0.1', peer_port))
+                caller.transport.sendto(garbage, running.peer)
         await _send_until_forwarded(caller, upstream, packet, data)
-        assert process.returncode is None
-        url = f'http://{admin_argument.removeprefix("--admin=")}/metrics'
+        assert running.process.returncode is None
+        url = f'http://{running.admin}/metrics'
         async with aiohttp.ClientSession() as session, session.get(url) as response:
             return await response.text()
 
@@ -149,7 +163,8 @@
     """Guards against a daemon that keeps running without its sockets."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound_socket:
         bound_socket.bind(('127.0.0.1', 0))
-        arguments = daemon_arguments(Endpoint(*bound_socket.getsockname()))[1:]
+        used = Endpoint(*bound_socket.getsockname())
+        arguments = daemon_arguments(f'--data={used}')[1:]
         status, output = asyncio.run(_run_daemon(*arguments))
     assert status not in {0, None}
     assert 'Traceback' not in output
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -92,6 +92,15 @@
     assert '--admin' in faults[1]
 
 
+def test_port_chosen_by_the_system_has_to_be_reported() -> None:
+    """Guards against listeners at ports that nobody can know."""
+    flags = {'data': '127.0.0.1:0', 'peer': '127.0.0.1:0', 'address-file': 'ports'}
+    loaded = load_settings(flags, ENVIRONMENT)
+    assert loaded.data == loaded.peer == Endpoint('127.0.0.1', 0)
+    (fault,) = faults_of({}, peer='127.0.0.1:0')
+    assert fault.startswith('--peer: port 0 needs --address-file')
+
+
 def test_key_file(tmp_path: Path) -> None:
     """Guards against an ignored key file and a key in an error message."""
     path = tmp_path / 'key'
