Bind the token of a flow to its route, so that it outlives a change of services

Cause: forwarding dropped packets of open flows whose upstream belongs to none of the route's present services ('token is of another service'). A route's services are for new flows: flows opened earlier lasted until their deadline.

Ruled out: forwarding whatever the services are (a forged token would lead anywhere); remembering earlier services (nobody knows them after a loss of all hosts); keeping them in the store (away when needed, and each call counts).

Change: the lower 12 bits of a token depend on the upstream and the route. A host that recognizes them forwards without asking for the route's services; the token of an upstream itself, as older builds write it, still has to match them. Forward carries the token that is written.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -63,7 +63,7 @@
     def forward(raw: bytes) -> bytes:
         for effect in kernel.dispatch(relay.PacketArrived(decode_packet(raw))):
             if isinstance(effect, relay.Forward):
-                return encode_forwarded(effect.packet.raw, effect.upstream.token, 1)
+                return encode_forwarded(effect.packet.raw, effect.token, 1)
         raise RuntimeError('the relay kernel did not forward the packet')
 
     return forward
--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -53,8 +53,10 @@
     def close(self) -> None:
         """Close all sockets."""
 
-    def forward(self, packet: relay.Packet, upstream: relay.Upstream) -> None:
-        """Send a packet to an upstream, with the upstream's token."""
+    def forward(
+        self, packet: relay.Packet, upstream: relay.Upstream, token: relay.Token
+    ) -> None:
+        """Send a packet to an upstream, with the token of its flow."""
 
     def reset(self, packet: relay.Packet) -> None:
         """Send a reset of the packet's flow to its caller."""
@@ -142,7 +144,7 @@
     def _execute(self, effect: relay.Effect) -> None:
         match effect:
             case relay.Forward():
-                self._front_end.forward(effect.packet, effect.upstream)
+                self._front_end.forward(effect.packet, effect.upstream, effect.token)
             case relay.LogRecord():
                 self._logs.write(effect)
             case relay.Reset(packet=packet):
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -95,14 +95,16 @@
             asyncio.get_running_loop().remove_reader(self._packet_socket)
             self._packet_socket.close()
 
-    def forward(self, packet: relay.Packet, upstream: relay.Upstream) -> None:
-        """Send a packet to its upstream, with the upstream's token in the header."""
+    def forward(
+        self, packet: relay.Packet, upstream: relay.Upstream, token: relay.Token
+    ) -> None:
+        """Send a packet to its upstream, with the token of the flow in the header."""
         upstream_id = upstream.listing.upstream_id
         numeric_id = self._numeric_ids.get(upstream_id)
         if numeric_id is None:
             numeric_id = numeric_upstream_id(upstream_id)
             self._numeric_ids[upstream_id] = numeric_id
-        datagram = encode_forwarded(packet.raw, upstream.token, numeric_id)
+        datagram = encode_forwarded(packet.raw, token, numeric_id)
         self._send(datagram, upstream.listing.endpoint)
 
     def reset(self, packet: relay.Packet) -> None:
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -83,7 +83,8 @@
     flow_text,
     route_key,
 )
-from lycheedeal.relay._upstream_table import UpstreamTable, token_of
+from lycheedeal.relay._tokens import token_of
+from lycheedeal.relay._upstream_table import UpstreamTable
 
 RELAY_PLUGINS: Final = (
     'lycheedeal.relay.reading',
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -11,17 +11,18 @@
 from lycheedeal.dispatch import Publish
 from lycheedeal.ids import Endpoint
 from lycheedeal.relay._events import PeerMessage
-from lycheedeal.relay._records import Packet, Revision, StoreKind, Upstream
+from lycheedeal.relay._records import Packet, Revision, StoreKind, Token, Upstream
 
 Detail = str | int | float | bool | None
 
 
 @dataclass(slots=True, eq=False, repr=False)
 class Forward:
-    """Sends a packet to an upstream, with the upstream's token added."""
+    """Sends a packet to an upstream, with the token of the flow written into it."""
 
     packet: Packet
     upstream: Upstream
+    token: Token
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -160,11 +160,12 @@
 
     Times are seconds of the monotonic clock: ``state_since`` that of the last change of
     state, ``warm_at`` the end of the warm-up, and ``avoided_until`` the end of the
-    time without new flows.
+    time without new flows. ``secret`` binds the tokens of its flows to their routes.
     """
 
     listing: Listing
     token: Token
+    secret: int
     state: UpstreamState
     state_since: float
     warm_at: float = 0
--- a/src/lycheedeal/relay/_upstream_table.py
+++ b/src/lycheedeal/relay/_upstream_table.py
@@ -1,22 +1,16 @@
 """Table of upstreams by token, id, address and service."""
 
-import zlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Final
 
 from lycheedeal.ids import Endpoint, ServiceName, UpstreamId
-from lycheedeal.relay._records import Listing, Token, Upstream, UpstreamState
+from lycheedeal.relay._records import RouteKey, Token, Upstream, UpstreamState
 from lycheedeal.relay._reported_loads import ReportedLoads
+from lycheedeal.relay._tokens import bind_token, upstream_part
 
-
-def token_of(listing: Listing) -> Token:
-    """Return the 32-bit token of an incarnation, which is never 0.
-
-    Every host derives the same token from the entry alone, so any of them can
-    forward a packet to its upstream.
-    """
-    text = f'{listing.upstream_id}/{listing.started_ms}/{listing.service}'
-    return Token(zlib.crc32(text.encode()) or 1)
+_NO_SECRETS: Final[Mapping[Token, int]] = MappingProxyType({})
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -34,24 +28,45 @@
     # Current incarnations by tokens of earlier ones with the same id, address and
     # service.
     successors_by_token: dict[Token, Upstream] = field(default_factory=dict)
+    # Secrets of all incarnations that lead to an upstream, by their tokens, grouped
+    # by the part of the token that names the upstream.
+    secrets_by_part: dict[int, dict[Token, int]] = field(default_factory=dict)
+
+    def find_on_route(self, token: Token, route: RouteKey) -> Upstream | None:
+        """Return the upstream of a flow that a host opened on this route.
+
+        None means that no known upstream has this token for the route.
+        """
+        for own_token, secret in self.secrets_by_part.get(
+            upstream_part(token), _NO_SECRETS
+        ).items():
+            if bind_token(own_token, secret, route) == token:
+                return self.find(own_token)
+        return None
 
     def find(self, token: Token) -> Upstream | None:
-        """Return the upstream for packets with a token, or None if unknown."""
+        """Return the upstream with a token of its own, or None if unknown."""
         return self.by_token.get(token) or self.successors_by_token.get(token)
 
+    def flow_token(self, upstream: Upstream, route: RouteKey) -> Token:
+        """Return the token for the packets of a flow."""
+        return bind_token(upstream.token, upstream.secret, route)
+
     def replace(self, known: Upstream, successor: Upstream) -> None:
         """Direct packets with the token of an incarnation to its successor.
 
         Before the restart was known, flows were opened at the successor with the
         earlier token. It resets flows of the earlier incarnation itself.
         """
-        earlier = [
+        tokens = [
             token for token, one in self.successors_by_token.items() if one is known
         ]
+        tokens.append(known.token)
+        secrets = {token: self._secrets_of(token)[token] for token in tokens}
         self.remove(known)
-        self.successors_by_token.update(
-            dict.fromkeys((*earlier, known.token), successor)
-        )
+        for token, secret in secrets.items():
+            self.successors_by_token[token] = successor
+            self._secrets_of(token)[token] = secret
 
     def ready(self, service: ServiceName) -> Iterator[Upstream]:
         """Yield the upstreams of a service that accept new flows."""
@@ -63,6 +78,7 @@
         """Add an incarnation as the current one of its id and address."""
         self.by_token[upstream.token] = upstream
         listing = upstream.listing
+        self._secrets_of(upstream.token)[upstream.token] = upstream.secret
         self.current_by_id[listing.upstream_id] = upstream
         self.current_by_endpoint[listing.endpoint] = upstream
         of_service = self.current_by_service.setdefault(listing.service, {})
@@ -71,11 +87,13 @@
     def remove(self, upstream: Upstream) -> None:
         """Remove an incarnation, and all tokens that lead to it."""
         self.by_token.pop(upstream.token, None)
-        self.successors_by_token = {
-            token: successor
-            for token, successor in self.successors_by_token.items()
-            if successor is not upstream
-        }
+        earlier = [
+            token for token, one in self.successors_by_token.items() if one is upstream
+        ]
+        for token in earlier:
+            self.successors_by_token.pop(token)
+        for token in (upstream.token, *earlier):
+            self._forget_secret(token)
         listing = upstream.listing
         if self.current_by_id.get(listing.upstream_id) is upstream:
             self.current_by_id.pop(listing.upstream_id)
@@ -86,3 +104,14 @@
                 self.current_by_service.pop(listing.service)
         if self.current_by_endpoint.get(listing.endpoint) is upstream:
             self.current_by_endpoint.pop(listing.endpoint)
+
+    def _secrets_of(self, token: Token) -> dict[Token, int]:
+        return self.secrets_by_part.setdefault(upstream_part(token), {})
+
+    def _forget_secret(self, token: Token) -> None:
+        if token in self.by_token or token in self.successors_by_token:
+            return
+        secrets = self._secrets_of(token)
+        secrets.pop(token, None)
+        if not secrets:
+            self.secrets_by_part.pop(upstream_part(token))
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -114,12 +114,16 @@
                 yield from self._handle_established(packet)
 
     def _handle_established(self, packet: Packet) -> Iterator[Effect]:
-        upstream = self._table.find(packet.token)
+        upstream = self._table.find_on_route(packet.token, packet.route)
+        was_opened_here = upstream is not None
+        if upstream is None:
+            # Hosts of an older build write the token of the upstream itself.
+            upstream = self._table.find(packet.token)
         if upstream is None:
             yield from self._handle_unknown_token(packet)
         elif packet.route in self._removed:
             yield from self._reset(packet, 'route was removed', upstream)
-        elif self._is_foreign(packet.route, upstream):
+        elif not was_opened_here and self._is_foreign(packet.route, upstream):
             self._count('foreign service')
             yield self._drop(packet, 'token is of another service', upstream)
         elif upstream.state is UpstreamState.GONE:
@@ -127,7 +131,11 @@
         else:
             self.flow_table.update(packet, upstream, self._context.clock.monotonic())
             self._count('forwarded')
-            yield Forward(packet, upstream)
+            yield self._forward(packet, upstream)
+
+    def _forward(self, packet: Packet, upstream: Upstream) -> Forward:
+        token = self._table.flow_token(upstream, packet.route)
+        return Forward(packet, upstream, token)
 
     def _is_foreign(self, key: RouteKey, upstream: Upstream) -> bool:
         route = self._routes_by_key.get(key)
@@ -173,7 +181,7 @@
             return
         self.flow_table.add(packet, choice.upstream, now)
         self._count('opened' if choice.local else 'opened in another zone')
-        yield Forward(packet, choice.upstream)
+        yield self._forward(packet, choice.upstream)
         yield LogRecord(
             Part.FORWARDING,
             'opening',
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -39,7 +39,7 @@
 )
 
 # Hosts of different versions refuse each other's messages.
-PROTOCOL_VERSION: Final = 2
+PROTOCOL_VERSION: Final = 3
 # Largest datagram that is decoded, in bytes.
 MAX_DATAGRAM_BYTES: Final = 8192
 # The mean number of requests in flight is encoded in this many steps for each.
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -22,7 +22,8 @@
     Upstream,
     UpstreamState,
 )
-from lycheedeal.relay._upstream_table import UpstreamTable, token_of
+from lycheedeal.relay._tokens import secret_of, token_of
+from lycheedeal.relay._upstream_table import UpstreamTable
 
 # An incarnation is kept for this long after it is gone, so that packets of its
 # flows are reset. Longer than a flow may be open, which is 60 s on the platform.
@@ -83,7 +84,7 @@
         if known is not None and known.token == token:
             yield from self._update_known(known, listing, state)
         else:
-            upstream = Upstream(listing, token, state, now)
+            upstream = Upstream(listing, token, secret_of(listing), state, now)
             if known is not None:
                 yield from self._replace_restarted(known, upstream)
             yield from self._add_incarnation(upstream)
