Slim the module bundle, read it at once and load extensions by their paths

Cause: a start reads the bundle in 280 pieces of 8 KB, searches three folders for each of 20 extensions, and evaluates the annotations of functions.

Change: the bundle is read in one call and leaves out what only lazy libraries import; extensions are found by their paths in the bundle; annotations of functions are left out.

--- a/deploy/expand_data_classes.py
+++ b/deploy/expand_data_classes.py
@@ -51,18 +51,19 @@
     """
     expander = _Expander()
     tree: ast.Module = expander.visit(ast.parse(source, path))
-    # Annotations are for the type checker; nothing evaluates them.
-    lines = ['from __future__ import annotations']
     if expander.needs_sentinel:
-        lines.append(f'{_UNSET} = object()')
-    start = _first_statement(tree)
-    added = ast.parse('\n'.join(lines)).body
-    tree.body = [*tree.body[:start], *added, *tree.body[start:]]
+        start = _first_statement(tree)
+        sentinel = ast.parse(f'{_UNSET} = object()').body
+        tree.body = [*tree.body[:start], *sentinel, *tree.body[start:]]
     return ast.fix_missing_locations(tree)
 
 
 class _Expander(ast.NodeTransformer):
-    """Replaces the decorator of each data class by the methods that it makes."""
+    """Replaces the decorator of each data class by the methods that it makes.
+
+    Also removes the annotations of functions: they are for the type checker, but
+    would be evaluated at the import.
+    """
 
     def __init__(self) -> None:
         self.needs_sentinel = False
@@ -81,8 +82,21 @@
             raise NotExpandableError(node, 'module is imported as a whole')
         return node
 
+    def visit_FunctionDef(self, node: ast.FunctionDef) -> ast.FunctionDef:
+        """Remove the annotations of a function."""
+        _remove_annotations(node)
+        self.generic_visit(node)
+        return node
+
+    def visit_AsyncFunctionDef(self, node: ast.AsyncFunctionDef) -> ast.AST:
+        """Remove the annotations of a coroutine function."""
+        _remove_annotations(node)
+        self.generic_visit(node)
+        return node
+
     def visit_ClassDef(self, node: ast.ClassDef) -> ast.ClassDef:
         """Write out a data class."""
+        self.generic_visit(node)
         if not any(_is_data_class(one) for one in node.decorator_list):
             return node
         options = _options_of(node)
@@ -108,6 +122,15 @@
         return node
 
 
+def _remove_annotations(node: ast.FunctionDef | ast.AsyncFunctionDef) -> None:
+    node.returns = None
+    given = node.args
+    optional = (given.vararg, given.kwarg)
+    for one in (*given.posonlyargs, *given.args, *given.kwonlyargs, *optional):
+        if one is not None:
+            one.annotation = None
+
+
 def _is_data_class(decorator: ast.expr) -> bool:
     name = decorator.func if isinstance(decorator, ast.Call) else decorator
     return isinstance(name, ast.Name) and name.id == _DECORATOR
--- a/deploy/module_bundle.py
+++ b/deploy/module_bundle.py
@@ -9,13 +9,17 @@
 import marshal
 import sys
 from importlib._bootstrap import ModuleSpec
-from importlib._bootstrap_external import MAGIC_NUMBER
+from importlib._bootstrap_external import (
+    MAGIC_NUMBER,
+    ExtensionFileLoader,
+    SourceFileLoader,
+)
 from types import CodeType, FrameType, MappingProxyType, ModuleType
 
-# Marshalled code of a module, path of its source file, and whether it is a package.
-# A module that is loaded at its first use also has the constants that do not count
-# as a use; for all others they are None.
-Entry = tuple[bytes, str, bool, dict[str, object] | None]
+# Marshalled code of a module, path of its file, whether it is a package, and the
+# constants of a lazy module that do not count as a use; for all others they are None.
+# The code is None for a lazy module and for an extension, which have their own files.
+Entry = tuple[bytes | None, str, bool, dict[str, object] | None]
 
 
 class LazyLogger:
@@ -81,7 +85,9 @@
         entry = self._entries_by_name.get(name)
         if entry is None:
             return None
-        _, origin, is_package, _ = entry
+        code, origin, is_package, constants = entry
+        if code is None and constants is None:
+            return ModuleSpec(name, ExtensionFileLoader(name, origin), origin=origin)
         spec = ModuleSpec(name, self, origin=origin, is_package=is_package)
         spec.has_location = True
         if is_package:
@@ -107,8 +113,11 @@
         exec(code, module.__dict__)  # noqa: WPS421 a loader has to execute code
 
     def get_code(self, name: str) -> CodeType:
-        """Return the code object of a module in the bundle."""
-        code: CodeType = marshal.loads(self._entries_by_name[name][0])
+        """Return the code object of a module."""
+        packed, origin, _, _ = self._entries_by_name[name]
+        if packed is None:
+            return SourceFileLoader(name, origin).get_code(name)
+        code: CodeType = marshal.loads(packed)
         return code
 
 
@@ -120,9 +129,10 @@
     """
     try:
         with open(path, 'rb') as bundle:
-            if bundle.read(len(MAGIC_NUMBER)) != MAGIC_NUMBER:
-                return False
-            entries_by_name = marshal.load(bundle)
+            content = memoryview(bundle.read())
+        if content[: len(MAGIC_NUMBER)] != MAGIC_NUMBER:
+            return False
+        entries_by_name = marshal.loads(content[len(MAGIC_NUMBER) :])
     except (OSError, EOFError, ValueError):
         return False
     sys.meta_path.insert(0, BundleFinder(entries_by_name))
--- a/deploy/pack_modules.py
+++ b/deploy/pack_modules.py
@@ -3,10 +3,12 @@
 import ast
 import importlib
 import marshal
+import os
+import subprocess
 import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
-from importlib.machinery import SourceFileLoader
+from importlib.machinery import ExtensionFileLoader, SourceFileLoader
 from importlib.util import MAGIC_NUMBER
 from types import MappingProxyType, ModuleType
 from typing import Final
@@ -33,6 +35,20 @@
 )
 
 
+# Prints the names of the modules that a start loads.
+_PROBE: Final = """
+import sys
+sys.modules['ssl'] = None
+import module_bundle
+module_bundle.install(sys.argv[1])
+import lycheedeal.platform.start, lycheedeal.platform.program
+import lycheedeal.relay
+for plugin in lycheedeal.relay.RELAY_PLUGINS:
+    __import__(plugin)
+print(*sys.modules)
+"""
+
+
 def main(path: str) -> None:
     """Import the modules of ``lychee-relay`` and write their code to a bundle."""
     # As in deploy/relay.py: asyncio is loaded without TLS.
@@ -42,10 +58,33 @@
     relay = importlib.import_module(f'{_OWN_PACKAGE}.relay')
     for plugin in relay.RELAY_PLUGINS:
         importlib.import_module(plugin)
-    entries_by_name = dict(_entries(tuple(_sources())))
+    entries_by_name = dict((*_entries(tuple(_sources())), *_extensions()))
+    _write(path, entries_by_name)
+    # Now that the lazy libraries are lazy, much of what they import is not needed.
+    loaded = _loaded_with(path)
+    needed = {
+        module_name: entry
+        for module_name, entry in entries_by_name.items()
+        if module_name in loaded
+    }
+    _write(path, needed)
+
+
+def _write(path: str, entries_by_name: dict[str, Entry]) -> None:
     with open(path, 'wb') as bundle:
-        bundle.write(MAGIC_NUMBER)
-        marshal.dump(entries_by_name, bundle)
+        bundle.write(MAGIC_NUMBER + marshal.dumps(entries_by_name))
+
+
+def _loaded_with(path: str) -> frozenset[str]:
+    """Return the names of the modules that a start with the bundle loads."""
+    probe = subprocess.run(
+        [sys.executable, '-S', '-c', _PROBE, path],
+        cwd=os.path.dirname(path),
+        stdout=subprocess.PIPE,
+        check=True,
+        text=True,
+    )
+    return frozenset(probe.stdout.split())
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +129,17 @@
             source.path,
             _optimize=_STRIPPED,
         )
-        entry = marshal.dumps(code), source.path, source.is_package, constants
-        yield source.name, entry
+        packed = marshal.dumps(code) if constants is None else None
+        yield source.name, (packed, source.path, source.is_package, constants)
+
+
+def _extensions() -> Iterator[tuple[str, Entry]]:
+    """Yield the loaded extensions; with their paths no folder is searched."""
+    for name, module in tuple(sys.modules.items()):
+        spec = getattr(module, '__spec__', None)
+        loader = getattr(spec, 'loader', None)
+        if isinstance(loader, ExtensionFileLoader) and spec.name == name:
+            yield name, (None, spec.origin, False, None)
 
 
 def _expand_own(sources: tuple[_Source, ...]) -> dict[str, ast.Module]:
