Keep an upstream gone while a later one holds its address

Change: an entry whose address has a holder with a later start time names an upstream that is gone.

Both cases of the new test fail before the change: with the earlier and with the later name.

--- a/src/lycheedeal/relay/_upstream_table.py
+++ b/src/lycheedeal/relay/_upstream_table.py
@@ -75,12 +75,16 @@
                 yield upstream
 
     def add(self, upstream: Upstream) -> None:
-        """Add an incarnation as the current one of its id and address."""
+        """Add an incarnation as the current one of its id, and of its address.
+
+        One that is gone already does not hold its address.
+        """
         self.by_token[upstream.token] = upstream
         listing = upstream.listing
         self._secrets_of(upstream.token)[upstream.token] = upstream.secret
         self.current_by_id[listing.upstream_id] = upstream
-        self.current_by_endpoint[listing.endpoint] = upstream
+        if upstream.state is not UpstreamState.GONE:
+            self.current_by_endpoint[listing.endpoint] = upstream
         of_service = self.current_by_service.setdefault(listing.service, {})
         of_service[listing.upstream_id] = upstream
 
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -79,6 +79,8 @@
     def _update_entry(self, listing: Listing) -> Iterator[Effect]:
         now = self._context.clock.monotonic()
         state = UpstreamState.DRAINING if listing.draining else UpstreamState.READY
+        if self._has_later_holder(listing):
+            state = UpstreamState.GONE
         known = self.table.current_by_id.get(listing.upstream_id)
         token = token_of(listing)
         if known is not None and known.token == token:
@@ -92,6 +94,18 @@
         if current is not None:
             current.warm_at = now + listing.warmup_ms / 1000
 
+    def _has_later_holder(self, listing: Listing) -> bool:
+        """Return whether an upstream that started later has the address.
+
+        The entry is then a remainder: it lapses some time after its upstream ended.
+        """
+        holder = self.table.current_by_endpoint.get(listing.endpoint)
+        if holder is None or holder.state is UpstreamState.GONE:
+            return False
+        if holder.listing.upstream_id == listing.upstream_id:
+            return False
+        return holder.listing.started_ms > listing.started_ms
+
     def _replace_restarted(
         self, known: Upstream, upstream: Upstream
     ) -> Iterator[Effect]:
@@ -108,11 +122,14 @@
     ) -> Iterator[Effect]:
         known.listing = listing
         if known.state is not state:
-            yield from self._set_state(known, state, 'own entry')
+            reason = 'own entry'
+            if state is UpstreamState.GONE:
+                reason = 'address has a later holder'
+            yield from self._set_state(known, state, reason)
 
     def _add_incarnation(self, upstream: Upstream) -> Iterator[Effect]:
         holder = self.table.current_by_endpoint.get(upstream.listing.endpoint)
-        if holder is not None:
+        if holder is not None and upstream.state is not UpstreamState.GONE:
             yield from self._mark_gone(holder, 'address has a new holder')
         other = self.table.by_token.get(upstream.token)
         if other is not None and other.state is not UpstreamState.GONE:
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -162,6 +162,28 @@
     assert not host.sent and len(host.resets) == 1
 
 
+@pytest.mark.parametrize('name', ['i-0', 'i-77'])
+def test_stale_entry_does_not_take_its_address_back(
+    simulation: RelaySimulation, name: str
+) -> None:
+    """Guards against openings to an upstream whose address has a later holder.
+
+    Its entry may be written and read again before it lapses (incident inc-83bd), and
+    a host that starts then lists both entries, in the order of their names.
+    """
+    host = simulation.add('a')
+    port = listing('i-1').endpoint.port
+    simulation.store.put(listing(name, service=INTAKE, port=port, started_ms=9))
+    simulation.run(0.5)
+    simulation.store.put(listing('i-1'))
+    simulation.run(0.5)
+    for one in (host, simulation.add('late')):
+        assert one.states()['i-1'] is UpstreamState.GONE
+        assert one.states()[name] is UpstreamState.READY
+        opened = {one.open(CALLER + n).listing.upstream_id for n in range(20)}
+        assert opened == {'i-2'}
+
+
 def test_flow_of_an_upstream_that_ended_before_the_start_is_reset(
     simulation: RelaySimulation,
 ) -> None:
