Let one host watch the store for the leaders of all zones

Weighed: longer waits of the watches (the age of content that a cut is noticed by would grow); serializable watches (seconds old, beyond the bound of a drain); one leader for all zones that every host hears (its loss is felt everywhere).

Change: plug-in region. A leader of a zone follows the first leader of another zone that watches; it passes changes and confirmations on in its zone, and watches itself if it hears nothing for 1 s or its content is 1.9 s old. Beacons name leaders of other zones, so that a new leader knows them. Greetings moved to a module of their own.

--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -47,6 +47,7 @@
     PeerMessageReceived,
     PeerTableReady,
     RefreshRequested,
+    RegionBeacon,
     Roster,
     RoutesChanged,
     SettingsRead,
@@ -58,6 +59,7 @@
     Tick,
     UpstreamsChanged,
     WatchAnswered,
+    WatchingChanged,
 )
 from lycheedeal.relay._records import (
     ConfigurationVersion,
@@ -89,6 +91,7 @@
 RELAY_PLUGINS: Final = (
     'lycheedeal.relay.reading',
     'lycheedeal.relay.zone',
+    'lycheedeal.relay.region',
     'lycheedeal.relay.spreading',
     'lycheedeal.relay.routes',
     'lycheedeal.relay.upstreams',
@@ -146,6 +149,7 @@
     'PeerMessageReceived',
     'LogRecord',
     'RefreshRequested',
+    'RegionBeacon',
     'RelayContext',
     'RelayKernel',
     'RelaySettings',
@@ -175,6 +179,7 @@
     'UpstreamTable',
     'UpstreamsChanged',
     'WatchObjects',
+    'WatchingChanged',
     'build_kernel',
     'flow_text',
     'route_key',
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -111,6 +111,13 @@
     is_leader: bool
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class WatchingChanged:
+    """This host is to watch the store from now on, or to stop watching it."""
+
+    watches: bool
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class ContentChanged:
     """The content of a kind changed.
@@ -133,10 +140,14 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ContentConfirmed:
-    """The store confirmed the content of a kind at the monotonic time ``at``."""
+    """The store confirmed the content of a kind at the monotonic time ``at``.
+
+    ``source`` tells whether it answered this host or a peer.
+    """
 
     kind: StoreKind
     at: float
+    source: Source = Source.STORE
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -210,6 +221,18 @@
     peers: tuple[Peer, ...]
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class RegionBeacon:
+    """A leader that watches the store tells leaders of other zones how current it is.
+
+    ``ages_ms`` and ``revisions`` have the meaning that they have in ``Beacon``.
+    """
+
+    peer: Peer
+    ages_ms: tuple[int, ...]
+    revisions: tuple[int, ...]
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class ContentPart:
     """Part number ``part`` of ``parts`` of a change or snapshot of a kind.
@@ -293,6 +316,7 @@
     | Roster
     | Beacon
     | BeaconRequest
+    | RegionBeacon
     | ContentPart
     | SnapshotRequest
     | LoadReport
@@ -317,6 +341,7 @@
     | WatchAnswered
     | CallFailed
     | LeadershipChanged
+    | WatchingChanged
     | ContentChanged
     | ContentConfirmed
     | RefreshRequested
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -4,7 +4,20 @@
 
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._records import StoreKind
+from lycheedeal.relay.reading import ANSWER_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
 
+BEACON_INTERVAL_SECONDS: Final = 0.4
+# Largest age that the content of a watching host reaches while the store answers:
+# a watch waits to its end, and its answer takes the whole timeout.
+MAX_FRESH_AGE_SECONDS: Final = WATCH_WAIT_SECONDS + ANSWER_TIMEOUT_SECONDS
+# A leader is considered gone once two beacons are missing.
+LEADER_TIMEOUT_SECONDS: Final = 2.5 * BEACON_INTERVAL_SECONDS
+# Added for each host that comes before this one, so that hosts do not all become
+# leaders, or start to watch, at the same time.
+STAGGER_SECONDS: Final = 0.12
+MAX_STAGGER_SECONDS: Final = 0.6
+# Ages in the beacon of a host that resigns because its process stops.
+RESIGNED_AGES_MS: Final = (-1,) * len(StoreKind)
 # Upper limit of ages; also the age of content that was never confirmed.
 _MAX_AGE_SECONDS: Final = 3600.0
 
@@ -30,6 +43,10 @@
         self.confirm(kind, at)
         return was_old and self.oldest_age() < limit_seconds
 
+    def confirmed_at(self, kind: StoreKind) -> float:
+        """Return the time of the last confirmation of a kind."""
+        return self._confirmed_at[kind]
+
     def age(self, kind: StoreKind) -> float:
         """Return the seconds since the content of a kind was confirmed."""
         age = self._context.clock.monotonic() - self._confirmed_at[kind]
--- a/src/lycheedeal/relay/_peer_table.py
+++ b/src/lycheedeal/relay/_peer_table.py
@@ -31,7 +31,7 @@
         self.own = own
         self._clock = clock
         self._peers_by_id: dict[HostId, Peer] = {}
-        self._beacon_offset = 0
+        self._beacon_count = 0
         # The leader that this host follows; None if unknown, or if this host leads.
         self.leader_id: HostId | None = None
         # Hosts of the zone as the leader counts them; this host may know fewer.
@@ -120,12 +120,18 @@
             yield tuple(known[start : start + _ROSTER_SIZE])
 
     def next_advertised(self) -> tuple[Peer, ...]:
-        """Return the hosts that the next beacon names; all get their turn."""
-        peers = list(self.of_own_zone())
-        if len(peers) <= _BEACON_PEERS:
-            return tuple(peers)
-        self._beacon_offset = (self._beacon_offset + _BEACON_PEERS) % len(peers)
-        return tuple((peers[self._beacon_offset :] + peers)[:_BEACON_PEERS])
+        """Return the hosts that the next beacon names; all get their turn.
+
+        One of them is a leader of another zone, if any is known: a host that becomes
+        a leader has to know the others.
+        """
+        self._beacon_count += 1
+        own_zone = list(self.of_own_zone())
+        leaders = list(self.other_zone_leaders())
+        return (
+            *_take_turns(own_zone, _BEACON_PEERS, self._beacon_count),
+            *_take_turns(leaders, 1, self._beacon_count),
+        )
 
     def own_rank(self) -> int:
         """Return the number of known hosts of the zone that come before this one."""
@@ -133,6 +139,14 @@
         return sum(rank(peer) < own for peer in self.of_own_zone())
 
 
+def _take_turns(peers: list[Peer], count: int, turn: int) -> list[Peer]:
+    """Return ``count`` of the hosts, others in each turn; all if there are fewer."""
+    if len(peers) <= count:
+        return peers
+    start = count * turn % len(peers)
+    return (peers[start:] + peers)[:count]
+
+
 def rank(peer: Peer) -> tuple[float, str]:
     """Return the sort key for leadership: the largest share of a core first."""
     return -peer.core_share, peer.host_id
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -32,6 +32,7 @@
     Revision,
     Route,
     RouteKey,
+    Source,
     StoreKind,
     Token,
     Upstream,
@@ -97,7 +98,7 @@
                     and self._table_changed_at >= self._full_lists_valid_from
                 ):
                     self._full_list_at = self._confirmed_at
-            case ContentConfirmed(kind=StoreKind.UPSTREAMS, at=at):
+            case ContentConfirmed(StoreKind.UPSTREAMS, at, Source.STORE):
                 self._confirmed_at = at
             case Tick(now=now):
                 if now >= self._next_expiry:
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -19,6 +19,7 @@
     Greeting,
     LoadReport,
     PeerMessage,
+    RegionBeacon,
     Roster,
     SnapshotRequest,
     Spread,
@@ -88,17 +89,8 @@
             return ['greeting', _encode_peer(peer), wants_answer]
         case Roster(zone=zone, peers=peers):
             return ['roster', zone, [_encode_peer(peer) for peer in peers]]
-        case Beacon():
-            peers_fields = [_encode_peer(peer) for peer in message.peers]
-            own = _encode_peer(message.peer)
-            return [
-                'beacon',
-                own,
-                message.ages_ms,
-                message.revisions,
-                message.zone_size,
-                peers_fields,
-            ]
+        case Beacon() | RegionBeacon():
+            return _encode_beacon(message)
         case ContentPart():
             return ['content', *_encode_part(message)]
         case BeaconRequest(peer=peer):
@@ -120,6 +112,17 @@
             ]
 
 
+def _encode_beacon(beacon: Beacon | RegionBeacon) -> list[Any]:
+    own = _encode_peer(beacon.peer)
+    common = [own, beacon.ages_ms, beacon.revisions]
+    match beacon:
+        case RegionBeacon():
+            return ['region', *common]
+        case Beacon():
+            peers = [_encode_peer(peer) for peer in beacon.peers]
+            return ['beacon', *common, beacon.zone_size, peers]
+
+
 def _encode_loads(loads: Loads) -> str:
     rows = b''.join(
         _LOAD_ROW.pack(
@@ -187,21 +190,8 @@
             return Greeting(_decode_peer(peer), wants_answer)
         case ['roster', str() as zone, list() as peers]:
             return Roster(Zone(zone), tuple(map(_decode_peer, peers)))
-        case [
-            'beacon',
-            peer,
-            [int(), int()] as ages,
-            [int(), int()] as revisions,
-            int() as zone_size,
-            peers,
-        ]:
-            return Beacon(
-                _decode_peer(peer),
-                tuple(ages),
-                tuple(revisions),
-                zone_size,
-                tuple(map(_decode_peer, peers)),
-            )
+        case ['beacon' | 'region', *rest]:
+            return _decode_beacon(rest)
         case ['content', *rest]:
             return _decode_part(rest)
         case ['wanted', peer]:
@@ -238,6 +228,28 @@
     raise DecodeError('no known message has this tag and these fields')
 
 
+def _decode_beacon(fields: list[Any]) -> Beacon | RegionBeacon:
+    match fields:
+        case [
+            peer,
+            [int(), int()] as ages,
+            [int(), int()] as revisions,
+            int() as zone_size,
+            list() as peers,
+        ]:
+            return Beacon(
+                _decode_peer(peer),
+                tuple(ages),
+                tuple(revisions),
+                zone_size,
+                tuple(map(_decode_peer, peers)),
+            )
+        case [peer, [int(), int()] as ages, [int(), int()] as revisions]:
+            return RegionBeacon(_decode_peer(peer), tuple(ages), tuple(revisions))
+        case _:
+            raise DecodeError('beacon has wrong fields')
+
+
 def _decode_spread_message(inner: list[Any]) -> SpreadMessage:
     message = _decode_fields(inner)
     match message:
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -1,8 +1,8 @@
 """Reads the platform's store: a list of each kind of objects, then watches.
 
 Every call counts against the platform's budget for calls. A host lists each kind
-once when it starts; afterwards only the leaders of a zone keep watches open, and
-the other hosts get the changes from them.
+once when it starts; afterwards only a host that watches for the others keeps watches
+open.
 """
 
 from collections.abc import Iterator
@@ -25,7 +25,7 @@
     ContentChanged,
     ContentConfirmed,
     Event,
-    LeadershipChanged,
+    WatchingChanged,
     ListAnswered,
     RefreshRequested,
     Started,
@@ -81,7 +81,7 @@
     def __init__(self, context: RelayContext) -> None:
         """Start idle; the event ``Started`` causes the first lists."""
         self._context = context
-        self._is_leader = False
+        self._watches = False
         self._readers = {kind: _Reader(kind) for kind in StoreKind}
         self._last_failure_at = float('-inf')
 
@@ -97,8 +97,8 @@
                 yield from self._watch_answered(event)
             case CallFailed():
                 yield from self._call_failed(event)
-            case LeadershipChanged(is_leader=is_leader):
-                yield from self._leadership_changed(is_leader)
+            case WatchingChanged(watches=watches):
+                yield from self._watching_changed(watches)
             case RefreshRequested(kind=kind):
                 yield from self._refresh(self._readers[kind])
             case Tick(now=now):
@@ -111,7 +111,7 @@
         yield ListObjects(reader.kind)
 
     def _watch(self, reader: _Reader) -> Iterator[Effect]:
-        if not self._is_leader:
+        if not self._watches:
             reader.phase = _Phase.IDLE
             return
         reader.phase = _Phase.WATCHING
@@ -214,12 +214,12 @@
         jitter = self._context.rng.uniform(0.75, 1.25)
         reader.resume_at = now + min(delay, _MAX_RETRY_SECONDS) * jitter
 
-    def _leadership_changed(self, is_leader: bool) -> Iterator[Effect]:
-        if is_leader == self._is_leader:
+    def _watching_changed(self, watches: bool) -> Iterator[Effect]:
+        if watches == self._watches:
             return
-        self._is_leader = is_leader
+        self._watches = watches
         for reader in self._readers.values():
-            if not is_leader:
+            if not watches:
                 yield from self._stop_reading(reader)
             elif reader.phase is _Phase.IDLE:
                 yield from self._list(reader)
@@ -269,7 +269,7 @@
                 ListAnswered,
                 WatchAnswered,
                 CallFailed,
-                LeadershipChanged,
+                WatchingChanged,
                 RefreshRequested,
                 Tick,
             ),
--- /dev/null
+++ b/src/lycheedeal/relay/region.py
@@ -0,0 +1,202 @@
+"""One host that watches the store for all zones of the region.
+
+The leaders of zones that know each other need not all watch: the first of them
+watches, and passes changes and confirmations on to the others, which pass them on in
+their zones. A leader that hears no watching leader, or whose content is no longer
+confirmed, watches itself. As with the leaders of a zone, two that watch cost calls
+and nothing else, so a zone that is cut off from the others is never without content.
+"""
+
+from collections.abc import Iterator
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.ids import HostId
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
+from lycheedeal.relay._events import (
+    ContentChanged,
+    ContentConfirmed,
+    ContentPart,
+    Event,
+    LeadershipChanged,
+    PeerMessageReceived,
+    PeerTableReady,
+    RegionBeacon,
+    SnapshotRequest,
+    SpreadRequested,
+    StopRequested,
+    Tick,
+    WatchingChanged,
+)
+from lycheedeal.relay._freshness import (
+    BEACON_INTERVAL_SECONDS,
+    LEADER_TIMEOUT_SECONDS,
+    MAX_FRESH_AGE_SECONDS,
+    MAX_STAGGER_SECONDS,
+    RESIGNED_AGES_MS,
+    STAGGER_SECONDS,
+    Freshness,
+)
+from lycheedeal.relay._peer_table import PeerTable, rank
+from lycheedeal.relay._records import Peer, Revision, Source, StoreKind
+
+
+class RegionPlugin:
+    """Decides whether this leader of a zone watches the store."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start as a follower in its zone, which does not watch."""
+        self._context = context
+        self._own = context.settings.own_peer
+        self._peer_table = PeerTable(self._own, context.clock)
+        self._freshness = Freshness(context)
+        self._revisions = dict.fromkeys(StoreKind, Revision(0))
+        self._is_leader = False
+        self._watches = False
+        self._stopping = False
+        # The watching leader of another zone that this one follows.
+        self._followed: HostId | None = None
+        self._heard_at = float('-inf')
+        self._next_beacon = 0.0
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Yield the effects of one event."""
+        match event:
+            case PeerTableReady(peer_table=peer_table):
+                self._peer_table = peer_table
+            case LeadershipChanged(is_leader=is_leader):
+                self._is_leader = self._own.is_leader = is_leader
+                yield from self._set_watching(is_leader, 'leadership of the zone')
+            case ContentChanged(kind=kind, revision=revision):
+                self._revisions[kind] = max(self._revisions[kind], revision)
+            case ContentConfirmed():
+                yield from self._content_confirmed(event)
+            case SpreadRequested(message=ContentPart() as part):
+                if self._watches:
+                    yield from self._send_to_leaders(part)
+            case PeerMessageReceived(message=RegionBeacon() as beacon):
+                yield from self._beacon_received(beacon)
+            case StopRequested():
+                yield from self._stop()
+            case Tick(now=now):
+                yield from self._tick(now)
+
+    def _content_confirmed(self, event: ContentConfirmed) -> Iterator[Effect]:
+        self._freshness.confirm(event.kind, event.at)
+        # At once: the others measure ages from the moment of the confirmation.
+        if self._watches and event.source is Source.STORE:
+            yield from self._send_beacon()
+
+    def _beacon_received(self, beacon: RegionBeacon) -> Iterator[Effect]:
+        peer = beacon.peer
+        if peer.zone == self._own.zone or not self._is_leader:
+            return
+        self._peer_table.record_heard(peer)
+        now = self._context.clock.monotonic()
+        if beacon.ages_ms[0] < 0:
+            if self._followed == peer.host_id:
+                self._heard_at = now - LEADER_TIMEOUT_SECONDS
+            return
+        is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
+        if not is_fresh or self._goes_before(peer):
+            return
+        if self._followed != peer.host_id or self._watches:
+            self._followed = peer.host_id
+            yield from self._set_watching(False, 'a leader of another zone watches')
+        self._heard_at = now
+        for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
+            yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
+        for kind, revision in zip(StoreKind, beacon.revisions, strict=True):
+            if revision > self._revisions[kind]:
+                request = SnapshotRequest(self._own.host_id, kind)
+                yield SendPeer(peer.endpoint, request)
+
+    def _goes_before(self, peer: Peer) -> bool:
+        """Return whether this host watches rather than another one that does."""
+        if not self._watches or not self._is_fresh():
+            return False
+        return rank(self._own) < rank(peer)
+
+    def _is_fresh(self) -> bool:
+        return self._freshness.oldest_age() < MAX_FRESH_AGE_SECONDS
+
+    def _tick(self, now: float) -> Iterator[Effect]:
+        if not self._is_leader or self._stopping:
+            return
+        if not self._watches:
+            reason = self._reason_to_watch(now)
+            if reason:
+                yield from self._set_watching(True, reason)
+        elif now >= self._next_beacon and self._is_fresh():
+            yield from self._send_beacon()
+
+    def _reason_to_watch(self, now: float) -> str:
+        own = rank(self._own)
+        earlier = sum(
+            rank(peer) < own
+            for peer in self._peer_table.other_zone_leaders()
+            if peer.host_id != self._followed
+        )
+        stagger = min(earlier * STAGGER_SECONDS, MAX_STAGGER_SECONDS)
+        if self._freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger:
+            return 'content is stale'
+        if now - self._heard_at > LEADER_TIMEOUT_SECONDS + stagger:
+            return 'no beacon from the watching leader'
+        return ''
+
+    def _set_watching(self, watches: bool, reason: str) -> Iterator[Effect]:
+        if watches == self._watches:
+            return
+        self._watches = watches
+        self._next_beacon = 0.0
+        if watches:
+            self._followed = None
+        yield Publish(WatchingChanged(watches))
+        yield LogRecord(
+            Part.ZONE,
+            'duty',
+            'Host watches the store for the leaders that it knows.'
+            if watches
+            else 'Host stops watching the store.',
+            {
+                'reason': reason,
+                'followed': self._followed,
+                'age_s': round(self._freshness.oldest_age(), 2),
+            },
+        )
+
+    def _send_beacon(self) -> Iterator[Effect]:
+        now = self._context.clock.monotonic()
+        self._next_beacon = now + BEACON_INTERVAL_SECONDS
+        ages = RESIGNED_AGES_MS if self._stopping else self._freshness.ages_ms()
+        revisions = tuple(int(self._revisions[kind]) for kind in StoreKind)
+        yield from self._send_to_leaders(RegionBeacon(self._own, ages, revisions))
+
+    def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
+        for peer in self._peer_table.other_zone_leaders():
+            yield SendPeer(peer.endpoint, message)
+
+    def _stop(self) -> Iterator[Effect]:
+        self._stopping = True
+        if self._watches:
+            yield from self._send_beacon()
+
+
+register(
+    PluginSpec(
+        'region',
+        RegionPlugin,
+        frozenset(
+            (
+                PeerTableReady,
+                LeadershipChanged,
+                ContentChanged,
+                ContentConfirmed,
+                SpreadRequested,
+                PeerMessageReceived,
+                StopRequested,
+                Tick,
+            ),
+        ),
+    ),
+)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -1,7 +1,8 @@
-"""Leader of a zone: the host that watches the store for all hosts of the zone.
+"""Leader of a zone: the host that keeps all hosts of the zone current.
 
-The leader sends the others the changes that it reads, and beacons that tell how
-current it is. Leadership is not exclusive: two leaders cost additional store
+The leader watches the store, or follows the leader of another zone that does
+(``region``). It sends the others the changes that it learns, and beacons that tell
+how current it is. Leadership is not exclusive: two leaders cost additional store
 calls and nothing else, so no lease is needed. A host whose content is no longer
 confirmed becomes a leader itself; hosts with a larger share of a core go first.
 """
@@ -38,42 +39,35 @@
     StopRequested,
     Tick,
 )
-from lycheedeal.relay._freshness import Freshness
+from lycheedeal.relay._freshness import (
+    BEACON_INTERVAL_SECONDS,
+    LEADER_TIMEOUT_SECONDS,
+    MAX_FRESH_AGE_SECONDS,
+    MAX_STAGGER_SECONDS,
+    RESIGNED_AGES_MS,
+    STAGGER_SECONDS,
+    Freshness,
+)
+from lycheedeal.relay._greetings import Greetings
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import Peer, Source, StoreKind
-from lycheedeal.relay.reading import ANSWER_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
+from lycheedeal.relay._records import Source, StoreKind
 
-_BEACON_INTERVAL_SECONDS: Final = 0.4
-# With more leaders than this in the zone, the interval grows in proportion.
+# With more leaders than this in the zone, the interval between beacons grows in
+# proportion.
 _LEADERS_AT_FULL_RATE: Final = 3
-# Largest age that the content of a leader reaches while the store answers: a
-# watch waits to its end, and its answer takes the whole timeout.
-_MAX_FRESH_AGE_SECONDS: Final = WATCH_WAIT_SECONDS + ANSWER_TIMEOUT_SECONDS
-# A leader is considered gone once two beacons are missing.
-_LEADER_TIMEOUT_SECONDS: Final = 2.5 * _BEACON_INTERVAL_SECONDS
-# Added for each host that comes before this one, so that the hosts of a zone do
-# not all become leaders at the same time.
-_STAGGER_SECONDS: Final = 0.12
-_MAX_STAGGER_SECONDS: Final = 0.6
 # A new leader sends its beacons to each host itself during this time. Hosts that
 # failed together with the previous leader are still in the peer tables, and
 # would not pass a spread message on.
 _DIRECT_BEACON_SECONDS: Final = 7.0
 # After this time the leader is asked for a beacon: one is lost if a host that
 # should pass it on has failed.
-_BEACON_OVERDUE_SECONDS: Final = 1.5 * _BEACON_INTERVAL_SECONDS
+_BEACON_OVERDUE_SECONDS: Final = 1.5 * BEACON_INTERVAL_SECONDS
 # Time between two updates of the age metrics and removals of hosts that are no
 # longer heard.
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# Time between greetings to the seeds while no other host of the zone is known.
-_SEARCH_INTERVAL_SECONDS: Final = 0.3
-# Time between greetings to the seeds otherwise.
-_GREETING_INTERVAL_SECONDS: Final = 5.0
 # A host whose revision is behind that of the leader for longer than this reads
 # from the store itself.
 _MAX_LAG_SECONDS: Final = 0.9
-# Age in the beacon of a leader that resigns because its process stops.
-_RESIGNED_AGE_MS: Final = -1
 
 
 class ZonePlugin:
@@ -84,6 +78,7 @@
         self._context = context
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
+        self._greetings = Greetings(context, self._peer_table)
         self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
         self._freshness = Freshness(context)
         self._reassembler = Reassembler()
@@ -96,21 +91,22 @@
         self._last_beacon_at = 0.0
         self._next_beacon_request = 0.0
         self._next_maintenance = 0.0
-        self._next_greeting = 0.0
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host is a leader of its zone."""
+        return self._is_leader
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
         match event:
             case Started():
                 yield Publish(PeerTableReady(self._peer_table))
-                yield from self._greet_seeds()
+                yield from self._greetings.greet_seeds()
             case ContentChanged():
                 yield from self._content_changed(event)
-            case ContentConfirmed(kind=kind, at=at):
-                if self._freshness.renew(kind, at, _MAX_FRESH_AGE_SECONDS):
-                    # The others wait for a leader with fresh content: the next
-                    # tick sends a beacon.
-                    self._last_beacon_at = 0.0
+            case ContentConfirmed():
+                self._content_confirmed(event)
             case PeerMessageReceived():
                 yield from self._message_received(event)
             case StopRequested():
@@ -123,21 +119,27 @@
             return
         difference = self._copies[event.kind].apply(event)
         self._lagging_since.pop(event.kind, None)
-        if difference is None or event.source is Source.PEER or not self._is_leader:
+        if difference is None or not self._is_leader:
             return
         for part in split_part(difference, self._own.host_id):
             yield Publish(SpreadRequested(part))
 
+    def _content_confirmed(self, event: ContentConfirmed) -> None:
+        kind, at = event.kind, event.at
+        is_news = at > self._freshness.confirmed_at(kind) + BEACON_INTERVAL_SECONDS
+        was_old = self._freshness.renew(kind, at, MAX_FRESH_AGE_SECONDS)
+        # The next tick sends a beacon if the others wait for a leader with fresh
+        # content, or if the confirmation has already taken its time to this host.
+        if was_old or (is_news and event.source is Source.PEER):
+            self._last_beacon_at = 0.0
+
     def _message_received(self, event: PeerMessageReceived) -> Iterator[Effect]:
         match event.message:
-            case Greeting(peer=peer, wants_answer=wants_answer):
-                self._peer_table.record_heard(peer)
-                if peer.is_leader:
-                    yield from self._introduce_leaders(peer)
-                if wants_answer:
-                    yield from self._answer_greeting(peer)
+            case Greeting() as greeting:
+                yield from self._greeted(greeting)
             case Roster(zone=zone, peers=peers):
-                yield from self._roster_received(zone, peers)
+                if zone == self._own.zone or self._is_leader:
+                    yield from self._greetings.meet(peers)
             case Beacon() as beacon:
                 yield from self._beacon_received(beacon)
             case ContentPart() as part:
@@ -149,25 +151,12 @@
             case SnapshotRequest(host_id=host_id, kind=kind):
                 yield from self._send_snapshot(host_id, kind)
 
-    def _answer_greeting(self, peer: Peer) -> Iterator[Effect]:
-        for peers in self._peer_table.rosters(peer):
-            yield SendPeer(peer.endpoint, Roster(peer.zone, peers))
-        if self._is_leader and peer.zone == self._own.zone:
+    def _greeted(self, greeting: Greeting) -> Iterator[Effect]:
+        yield from self._greetings.answer(greeting)
+        peer = greeting.peer
+        if greeting.wants_answer and self._is_leader and peer.zone == self._own.zone:
             yield SendPeer(peer.endpoint, self._own_beacon())
 
-    def _introduce_leaders(self, leader: Peer) -> Iterator[Effect]:
-        """Send a leader the known leaders of zones other than its own."""
-        for other in self._peer_table.other_zone_leaders():
-            if other.zone != leader.zone:
-                yield SendPeer(leader.endpoint, Roster(other.zone, (other,)))
-
-    def _roster_received(self, zone: str, peers: tuple[Peer, ...]) -> Iterator[Effect]:
-        if zone != self._own.zone and not self._is_leader:
-            return
-        for peer in peers:
-            if self._peer_table.record_heard(peer):
-                yield SendPeer(peer.endpoint, Greeting(self._own, wants_answer=False))
-
     def _beacon_received(self, beacon: Beacon) -> Iterator[Effect]:
         if beacon.peer.zone != self._own.zone:
             return
@@ -179,9 +168,9 @@
         if beacon.ages_ms[0] < 0:
             if self._peer_table.leader_id == beacon.peer.host_id:
                 self._peer_table.leader_id = None
-                self._leader_heard_at = now - _LEADER_TIMEOUT_SECONDS
+                self._leader_heard_at = now - LEADER_TIMEOUT_SECONDS
             return
-        is_fresh = max(beacon.ages_ms) / 1000 < _MAX_FRESH_AGE_SECONDS
+        is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
         if not is_fresh or (self._is_leader and not self._outranked_by(beacon)):
             return
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
@@ -200,7 +189,7 @@
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
         own_age = self._freshness.oldest_age()
-        if own_age >= _MAX_FRESH_AGE_SECONDS:
+        if own_age >= MAX_FRESH_AGE_SECONDS:
             return True
         return rank(beacon.peer) < rank(self._own)
 
@@ -256,13 +245,12 @@
             self._next_maintenance = now + _MAINTENANCE_INTERVAL_SECONDS
             self._freshness.update_metrics()
             self._peer_table.expire()
-        if now >= self._next_greeting:
-            yield from self._greet_seeds()
+        yield from self._greetings.tick(now)
 
     def _send_beacon(self, now: float) -> Iterator[Effect]:
         # While the store does not answer, many hosts are leaders and send beacons.
         slowdown = len(self._peer_table.own_zone_leaders()) / _LEADERS_AT_FULL_RATE
-        if now < self._last_beacon_at + _BEACON_INTERVAL_SECONDS * max(slowdown, 1):
+        if now < self._last_beacon_at + BEACON_INTERVAL_SECONDS * max(slowdown, 1):
             return
         self._last_beacon_at = now
         beacon = self._own_beacon()
@@ -276,14 +264,14 @@
         if self._is_leader:
             return
         stagger = min(
-            self._peer_table.own_rank() * _STAGGER_SECONDS, _MAX_STAGGER_SECONDS
+            self._peer_table.own_rank() * STAGGER_SECONDS, MAX_STAGGER_SECONDS
         )
-        starting = now - self._started_at < _LEADER_TIMEOUT_SECONDS
+        starting = now - self._started_at < LEADER_TIMEOUT_SECONDS
         is_stale = (
             not starting
-            and self._freshness.oldest_age() > _MAX_FRESH_AGE_SECONDS + stagger
+            and self._freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger
         )
-        is_silent = now - self._leader_heard_at > _LEADER_TIMEOUT_SECONDS + stagger
+        is_silent = now - self._leader_heard_at > LEADER_TIMEOUT_SECONDS + stagger
         if is_stale or is_silent:
             self._peer_table.leader_id = None
             reason = 'content is stale' if is_stale else 'no beacon from the leader'
@@ -296,13 +284,16 @@
         self._leadership_changed_at = self._context.clock.monotonic()
         self._own.is_leader = is_leader
         self._last_beacon_at = 0.0
+        if is_leader:
+            # The seeds introduce the leaders of other zones.
+            self._greetings.greet_seeds_soon()
         yield Publish(LeadershipChanged(is_leader))
         yield LogRecord(
             Part.ZONE,
             'duty',
-            'Host is a leader and watches the store.'
+            'Host is a leader of its zone.'
             if is_leader
-            else 'Host stops watching the store; the leader sends changes.',
+            else 'Host is not a leader any more; another one sends changes.',
             {
                 'reason': reason,
                 'keeper': self._peer_table.leader_id,
@@ -315,21 +306,13 @@
         """Ask the leader for a beacon once its last one is overdue."""
         leader = self._peer_table.find(self._peer_table.leader_id)
         if leader is not None and now - self._leader_heard_at > _BEACON_OVERDUE_SECONDS:
-            self._next_beacon_request = now + _BEACON_INTERVAL_SECONDS
+            self._next_beacon_request = now + BEACON_INTERVAL_SECONDS
             yield SendPeer(leader.endpoint, BeaconRequest(self._own))
 
-    def _greet_seeds(self) -> Iterator[Effect]:
-        is_alone = not any(True for _ in self._peer_table.of_own_zone())
-        interval = _SEARCH_INTERVAL_SECONDS if is_alone else _GREETING_INTERVAL_SECONDS
-        self._next_greeting = self._context.clock.monotonic() + interval
-        for seed in self._context.settings.seeds:
-            if seed != self._own.endpoint:
-                yield SendPeer(seed, Greeting(self._own, wants_answer=is_alone))
-
     def _own_beacon(self) -> Beacon:
         ages = self._freshness.ages_ms()
         if self._stopping:
-            ages = (_RESIGNED_AGE_MS,) * len(StoreKind)
+            ages = RESIGNED_AGES_MS
         revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -256,7 +256,8 @@
 class RelaySimulation:
     """Hosts, the datagrams between them, and the store.
 
-    Datagrams from and to endpoints in ``disconnected`` are lost.
+    Datagrams from and to endpoints in ``disconnected`` are lost, and those between
+    ``cut_zone`` and other zones.
     """
 
     def __init__(self) -> None:
@@ -267,6 +268,7 @@
         self.pending_events: list[tuple[RelayHost, relay.Event]] = []
         self.datagrams: list[tuple[Endpoint, bytes]] = []
         self.disconnected: set[Endpoint] = set()
+        self.cut_zone = ''
 
     def add(self, name: str, zone: str = 'south') -> RelayHost:
         seeds = tuple(self.hosts)[:1]
@@ -293,9 +295,17 @@
         if (
             endpoint not in self.disconnected
             and sender.endpoint not in self.disconnected
+            and not self._is_between_parts(sender, endpoint)
         ):
             self.datagrams.append((endpoint, datagram))
 
+    def _is_between_parts(self, sender: RelayHost, endpoint: Endpoint) -> bool:
+        receiver = self.hosts.get(endpoint)
+        if receiver is None or not self.cut_zone:
+            return False
+        zones = {host.context.settings.zone for host in (sender, receiver)}
+        return self.cut_zone in zones and len(zones) == 2
+
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_SECONDS)):
             self.clock.now += STEP_SECONDS
@@ -304,6 +314,15 @@
             self._deliver_all()
 
     def leaders(self) -> list[RelayHost]:
+        """Return the leaders of all zones."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.kernel.plugins_by_name['zone'].is_leader
+        ]
+
+    def watchers(self) -> list[RelayHost]:
+        """Return the hosts that watch the store."""
         return [host for host in self.hosts.values() if host.watches]
 
     def _deliver_all(self) -> None:
--- a/tests/unit/test_explaining.py
+++ b/tests/unit/test_explaining.py
@@ -53,7 +53,7 @@
     line(100.15, 'turned away', 'x', flow='100.64.0.9:1 > 1.1.1.1:1', upstream='i-1'),
     AVOIDED,
     line(103.0, 'state', 'upstreams: Upstream changed its state.', upstream='i-1'),
-    line(101.0, 'duty', 'zone: Host is a leader and watches the store.', host='edge-2'),
+    line(101.0, 'duty', 'zone: Host is a leader of its zone.', host='edge-2'),
 ]
 
 
