Serve all hosts of a zone whatever the place of a message's origin in its order

Cause: a host that passes a message on could take its origin for the first host of a group. The origin ignores its own message, so the rest of the group missed it until the next beacon. Seen when hosts drew other orders: 3 of 60 hosts missed 3 of 10 changes.

Change: the origin is left out of the receivers. The test spreads 30 changes instead of one and fails before the change.

--- a/src/lycheedeal/relay/spreading.py
+++ b/src/lycheedeal/relay/spreading.py
@@ -76,10 +76,13 @@
         end: int,
     ) -> Iterator[Effect]:
         """Send a message to the hosts at positions from ``start`` before ``end``."""
+        # The origin has the message, and would not pass it on again.
+        origin = _origin(message)
         receivers = sorted(
             (position, peer.host_id, peer)
             for peer in self._peer_table.of_own_zone()
-            if start <= (position := _position(order_seed, peer.host_id)) < end
+            if peer.host_id != origin
+            and start <= (position := _position(order_seed, peer.host_id)) < end
         )
         groups = len(receivers) if len(receivers) <= _MAX_DIRECT_HOSTS else _FANOUT
         if not groups:
--- a/tests/unit/test_relay_spreading.py
+++ b/tests/unit/test_relay_spreading.py
@@ -76,9 +76,15 @@
 
 
 def test_change_is_in_force_everywhere_at_once(simulation: CountingSimulation) -> None:
-    simulation.store.configure(2, *ROUTES)
-    simulation.run(0.2)
-    assert versions(simulation) == {2}
+    """Guards against hosts that no host serves in the order of some message.
+
+    The host that a message comes from has a place in the order, too.
+    """
+    for version in range(2, 32):
+        simulation.store.configure(version, *ROUTES)
+        simulation.run(0.2)
+        assert versions(simulation) == {version}
+        simulation.run(0.3)
 
 
 def test_hosts_with_different_peer_tables(simulation: CountingSimulation) -> None:
