--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -34,9 +34,14 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ListObjects:
-    """Reads all objects of a kind from the store with a linearizable read."""
+    """Reads all objects of a kind from the store.
+
+    The read is linearizable unless the answer ``may_be_old`` by some seconds, which
+    costs the store a tenth.
+    """
 
     kind: StoreKind
+    may_be_old: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -69,6 +69,8 @@
     """Where content was read from."""
 
     STORE = 'store'
+    # An answer of the store that may be some seconds old.
+    OLD_STORE = 'old_store'
     PEER = 'peer'
 
 
