Revert "Let the lists of a starting host be old by some seconds"

A host that restarts would send openings, until the first beacon and the leader's content (0.5 s, at worst over 1 s), to an upstream that left seconds ago, and by a configuration that is no longer in force. That is what operators complain of: 'after a restart, a server that had left was in use again'. Waiting for a beacon before the host is ready would delay all hosts after a loss of all of them.

--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -62,11 +62,8 @@
     def reset(self, packet: relay.Packet) -> None:
         """Send a reset of the packet's flow to its caller."""
 
-    def list_objects(self, kind: relay.StoreKind, may_be_old: bool) -> None:
-        """Start a list of all objects of a kind; the answer is an event.
-
-        It ``may_be_old`` by some seconds, for a lower price.
-        """
+    def list_objects(self, kind: relay.StoreKind) -> None:
+        """Start a list of all objects of a kind; the answer is an event."""
 
     def watch_objects(
         self,
@@ -156,8 +153,8 @@
                 self._front_end.reset(packet)
             case relay.SendPeer(endpoint=endpoint, message=message):
                 self._send_peer(endpoint, message)
-            case relay.ListObjects(kind=kind, may_be_old=may_be_old):
-                self._front_end.list_objects(kind, may_be_old)
+            case relay.ListObjects(kind=kind):
+                self._front_end.list_objects(kind)
             case relay.WatchObjects():
                 self._front_end.watch_objects(
                     effect.kind,
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -112,12 +112,9 @@
         address = caller_ip(packet), self._settings.caller_port
         self._send(encode_reset(packet), address)
 
-    def list_objects(self, kind: relay.StoreKind, may_be_old: bool) -> None:
-        """Start a list of all objects of a kind; the answer is an event.
-
-        It ``may_be_old`` by some seconds, for a lower price.
-        """
-        self._store.list_objects(kind, may_be_old)
+    def list_objects(self, kind: relay.StoreKind) -> None:
+        """Start a list of all objects of a kind; the answer is an event."""
+        self._store.list_objects(kind)
 
     def watch_objects(
         self,
--- a/src/lycheedeal/platform/_objects.py
+++ b/src/lycheedeal/platform/_objects.py
@@ -34,8 +34,6 @@
     removed: list[str] = field(default_factory=list)
     unusable: list[str] = field(default_factory=list)
     version: relay.ConfigurationVersion | None = None
-    # Largest revision of an object's last change.
-    latest_revision: int = 0
 
     def add(self, kind: relay.StoreKind, item: Any, deleted: bool = False) -> None:
         """Decode one object of an answer; a later event of an object wins.
@@ -49,7 +47,6 @@
             self.unusable.append('')
             return
         self._discard_earlier(name)
-        self.latest_revision = max(self.latest_revision, _object_revision(item))
         match kind:
             case relay.StoreKind.UPSTREAMS if deleted:
                 self.removed.append(name)
@@ -85,15 +82,6 @@
         self.entries = list(routes)
 
 
-def _object_revision(item: Any) -> int:
-    """Return the revision of an object's last change; 0 if it tells none."""
-    match item:
-        case {'meta': {'revision': int() as revision}}:
-            return revision
-        case _:
-            return 0
-
-
 def numeric_upstream_id(upstream_id: UpstreamId) -> int:
     """Return the 64-bit number that precedes forwarded packets of an upstream.
 
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -32,7 +32,6 @@
 _STATUS_GONE: Final = 410
 
 EventCallback = Callable[[relay.Event], None]
-_Call = relay.ListObjects | relay.WatchObjects
 
 
 class _CallError(Exception):
@@ -66,12 +65,9 @@
         self._tasks_by_kind: dict[relay.StoreKind, asyncio.Task[None]] = {}
         self._connections_by_kind: dict[relay.StoreKind, _Connection] = {}
 
-    def list_objects(self, kind: relay.StoreKind, may_be_old: bool) -> None:
-        """Start a list of all objects of a kind.
-
-        The answer ``may_be_old`` by some seconds, at a tenth of the price.
-        """
-        self._start_call(relay.ListObjects(kind, may_be_old))
+    def list_objects(self, kind: relay.StoreKind) -> None:
+        """Start a list of all objects of a kind."""
+        self._start_call(kind, None, 0)
 
     def watch_objects(
         self,
@@ -83,7 +79,7 @@
 
         The store answers after ``wait_seconds`` at the latest.
         """
-        self._start_call(relay.WatchObjects(kind, revision, wait_seconds))
+        self._start_call(kind, revision, wait_seconds)
 
     def cancel(self, kind: relay.StoreKind) -> None:
         """Cancel the call in progress for a kind; no event is reported for it."""
@@ -98,18 +94,31 @@
             self.cancel(kind)
             self._drop_connection(kind)
 
-    def _start_call(self, call: _Call) -> None:
-        self.cancel(call.kind)
-        task = asyncio.get_running_loop().create_task(self._run_call(call))
-        self._tasks_by_kind[call.kind] = task
+    def _start_call(
+        self,
+        kind: relay.StoreKind,
+        revision: relay.Revision | None,
+        wait_seconds: float,
+    ) -> None:
+        self.cancel(kind)
+        call = self._run_call(kind, revision, wait_seconds)
+        self._tasks_by_kind[kind] = asyncio.get_running_loop().create_task(call)
 
-    async def _run_call(self, call: _Call) -> None:
-        kind = call.kind
+    async def _run_call(
+        self,
+        kind: relay.StoreKind,
+        revision: relay.Revision | None,
+        wait_seconds: float,
+    ) -> None:
         event: relay.Event
         started = time.perf_counter()
         try:
-            async with asyncio.timeout(_timeout_seconds(call)):
-                event = await self._answer(call)
+            if revision is None:
+                async with asyncio.timeout(_LIST_TIMEOUT_SECONDS):
+                    event = await self._list(kind)
+            else:
+                async with asyncio.timeout(wait_seconds + _WATCH_GRACE_SECONDS):
+                    event = await self._watch(kind, revision, wait_seconds)
         except _CallError as error:
             if error.fault is not relay.StoreFault.HISTORY_LOST:
                 self._drop_connection(kind)
@@ -124,24 +133,15 @@
             event = relay.CallFailed(kind, relay.StoreFault.UNREACHABLE, str(error))
         self._tasks_by_kind.pop(kind, None)
         outcome = 'failed' if isinstance(event, relay.CallFailed) else 'answered'
-        label = f'{_label(call)} {kind.value} {outcome}'
+        label = f'{"watch" if revision else "list"} {kind.value} {outcome}'
         self._metrics.observe('store_seconds', label, time.perf_counter() - started)
         self._report(event)
 
-    async def _answer(self, call: _Call) -> relay.ListAnswered | relay.WatchAnswered:
-        match call:
-            case relay.ListObjects(kind, may_be_old):
-                return await self._list(kind, may_be_old)
-            case relay.WatchObjects(kind, revision, wait_seconds):
-                return await self._watch(kind, revision, wait_seconds)
-
-    async def _list(
-        self, kind: relay.StoreKind, may_be_old: bool
-    ) -> relay.ListAnswered:
+    async def _list(self, kind: relay.StoreKind) -> relay.ListAnswered:
         objects = DecodedObjects()
         revision, after = 0, ''
         for _ in range(_MAX_PAGES):
-            answer = await self._get(kind, _list_query(after, may_be_old))
+            answer = await self._get(kind, f'?after={after}' if after else '')
             items = _required_field(answer, 'items', list)
             for item in items:
                 objects.add(kind, item)
@@ -153,12 +153,10 @@
             after = _last_name(items)
         return relay.ListAnswered(
             kind,
-            # The revision that comes with an old answer may be a newer one.
-            relay.Revision(objects.latest_revision if may_be_old else revision),
+            relay.Revision(revision),
             tuple(objects.entries),
             tuple(objects.unusable),
             objects.version,
-            may_be_old,
         )
 
     async def _watch(
@@ -309,34 +307,6 @@
                 yield item, False
 
 
-def _timeout_seconds(call: _Call) -> float:
-    match call:
-        case relay.ListObjects():
-            return _LIST_TIMEOUT_SECONDS
-        case relay.WatchObjects(wait_seconds=wait_seconds):
-            return wait_seconds + _WATCH_GRACE_SECONDS
-
-
-def _label(call: _Call) -> str:
-    match call:
-        case relay.ListObjects(may_be_old=True):
-            return 'old list'
-        case relay.ListObjects():
-            return 'list'
-        case relay.WatchObjects():
-            return 'watch'
-
-
-def _list_query(after: str, may_be_old: bool) -> str:
-    """Return the query of a page of a list, which starts after a name."""
-    parts = []
-    if may_be_old:
-        parts.append('serializable=1')
-    if after:
-        parts.append(f'after={after}')
-    return f'?{"&".join(parts)}' if parts else ''
-
-
 def _last_name(items: list[Any]) -> str:
     match items[-1:]:
         case [{'meta': {'name': str() as name}}]:
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -51,8 +51,7 @@
     def apply(self, event: ContentChanged) -> ContentPart | None:
         """Apply a change; return the difference to the content before it.
 
-        None means that nothing differs. The revision then stays the same, unless a
-        peer sent its whole content.
+        None means that nothing differs; the revision then stays the same.
         """
         base = self.revision
         changed = {
@@ -63,8 +62,6 @@
         removed = tuple(self._removed(event))
         same_names = event.unusable == self.unusable
         if not (changed or removed) and event.version == self.version and same_names:
-            if event.source is Source.PEER and event.complete:
-                self.revision = event.revision
             return None
         for name in (*removed, *event.unusable):
             self.entries_by_name.pop(name, None)
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -34,14 +34,9 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ListObjects:
-    """Reads all objects of a kind from the store.
-
-    The read is linearizable unless the answer ``may_be_old`` by some seconds, which
-    costs the store a tenth.
-    """
+    """Reads all objects of a kind from the store with a linearizable read."""
 
     kind: StoreKind
-    may_be_old: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -69,8 +69,7 @@
     """The store listed all objects of a kind, as of a revision.
 
     ``unusable`` names objects that exist but could not be decoded. For the
-    configuration, ``version`` is None if the store contains none. If the answer
-    ``may_be_old``, ``revision`` is that of the latest object in it.
+    configuration, ``version`` is None if the store contains none.
     """
 
     kind: StoreKind
@@ -78,7 +77,6 @@
     entries: tuple[Entry, ...]
     unusable: tuple[str, ...] = ()
     version: ConfigurationVersion | None = None
-    may_be_old: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -69,8 +69,6 @@
     """Where content was read from."""
 
     STORE = 'store'
-    # An answer of the store that may be some seconds old.
-    OLD_STORE = 'old_store'
     PEER = 'peer'
 
 
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -69,8 +69,6 @@
     kind: StoreKind
     phase: _Phase = _Phase.IDLE
     revision: Revision = Revision(0)
-    # Revision of the content in force, which may come from a peer.
-    known_revision: Revision = Revision(0)
     called_at: float = 0
     resume_at: float = 0
     failures: int = 0
@@ -91,14 +89,8 @@
         """Yield the effects of one event."""
         match event:
             case Started():
-                # The leader of the zone tells soon what the answer lacks. Without
-                # one this host watches the store, which starts with another list.
                 for reader in self._readers.values():
-                    yield from self._list(reader, may_be_old=True)
-            case ContentChanged(kind=kind, revision=revision):
-                self._readers[kind].known_revision = revision
-            case ListAnswered(may_be_old=True):
-                yield from self._old_list_answered(event)
+                    yield from self._list(reader)
             case ListAnswered():
                 yield from self._list_answered(event)
             case WatchAnswered():
@@ -112,12 +104,11 @@
             case Tick(now=now):
                 yield from self._tick(now)
 
-    def _list(self, reader: _Reader, may_be_old: bool = False) -> Iterator[Effect]:
+    def _list(self, reader: _Reader) -> Iterator[Effect]:
         reader.phase = _Phase.LISTING
         reader.called_at = self._context.clock.monotonic()
-        call = 'old list' if may_be_old else 'list'
-        self._context.metrics.add('store_calls', f'{call} {reader.kind.value}')
-        yield ListObjects(reader.kind, may_be_old)
+        self._context.metrics.add('store_calls', f'list {reader.kind.value}')
+        yield ListObjects(reader.kind)
 
     def _watch(self, reader: _Reader) -> Iterator[Effect]:
         if not self._watches:
@@ -128,30 +119,6 @@
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
         yield WatchObjects(reader.kind, reader.revision, WATCH_WAIT_SECONDS)
 
-    def _old_list_answered(self, event: ListAnswered) -> Iterator[Effect]:
-        reader = self._readers[event.kind]
-        yield from self._record_success(reader)
-        reader.has_listed = True
-        # What a peer sent meanwhile is newer.
-        if event.revision > reader.known_revision:
-            yield Publish(
-                ContentChanged(
-                    kind=event.kind,
-                    revision=event.revision,
-                    complete=True,
-                    entries=event.entries,
-                    removed=(),
-                    unusable=event.unusable,
-                    version=event.version,
-                    settled=False,
-                    source=Source.OLD_STORE,
-                ),
-            )
-        if self._watches:
-            yield from self._list(reader)
-        else:
-            reader.phase = _Phase.IDLE
-
     def _list_answered(self, event: ListAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         yield from self._record_success(reader)
@@ -299,7 +266,6 @@
         frozenset(
             (
                 Started,
-                ContentChanged,
                 ListAnswered,
                 WatchAnswered,
                 CallFailed,
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -266,8 +266,7 @@
         stagger = min(
             self._peer_table.own_rank() * STAGGER_SECONDS, MAX_STAGGER_SECONDS
         )
-        # Nothing has confirmed the content of a host that starts.
-        starting = now - self._started_at < LEADER_TIMEOUT_SECONDS + stagger
+        starting = now - self._started_at < LEADER_TIMEOUT_SECONDS
         is_stale = (
             not starting
             and self._freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger
