Refuse late copies of the store's answers

Change: data that no call waits for ends the connection. An older revision than before on the same connection, a change that the watch cannot report, and a watch that ends without changes in half of its wait are malformed answers, which end the connection, too.

tests/functional/test_store_client.py: 5 of 9 cases fail before the change. The test of signals at the end of a process took its exit status from the event loop (Popen.send_signal polls; status 255, once); it uses a descriptor now.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -28,6 +28,8 @@
         relay.StoreKind.UPSTREAMS: '/objects/servers',
     },
 )
+# Part of its wait that a watch takes at least if nothing changes.
+_MIN_WAIT_SHARE: Final = 0.5
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
 
@@ -151,6 +153,7 @@
             if not answer.get('has_more'):
                 break
             after = _last_name(items)
+        self._check_order(kind, revision)
         return relay.ListAnswered(
             kind,
             relay.Revision(revision),
@@ -166,19 +169,46 @@
         wait_seconds: float,
     ) -> relay.WatchAnswered:
         wait_ms = int(wait_seconds * 1000)
+        started = time.perf_counter()
         answer = await self._get(kind, f'?watch={revision}&wait_ms={wait_ms}')
+        waited = time.perf_counter() - started
         objects = DecodedObjects()
-        for item, deleted in _decode_events(_required_field(answer, 'events', list)):
+        events = _required_field(answer, 'events', list)
+        for item, deleted in _decode_events(events):
+            _check_event(item, revision)
             objects.add(kind, item, deleted)
+        if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
+            raise _CallError(
+                relay.StoreFault.MALFORMED,
+                f'watch without changes ended after {waited:.3f} s',
+            )
+        answer_revision = _required_field(answer, 'store_revision', int)
+        self._check_order(kind, answer_revision)
         return relay.WatchAnswered(
             kind,
-            relay.Revision(_required_field(answer, 'store_revision', int)),
+            relay.Revision(answer_revision),
             tuple(objects.entries),
             tuple(objects.removed),
             tuple(objects.unusable),
             objects.version,
         )
 
+    def _check_order(self, kind: relay.StoreKind, revision: int) -> None:
+        """Check the revision of an answer against earlier ones on the connection.
+
+        The store's revision only increases, so an older one is a late copy of an
+        earlier answer. Raises _CallError, which ends the connection.
+        """
+        connection = self._connections_by_kind.get(kind)
+        if connection is None:
+            return
+        if revision < connection.latest_revision:
+            raise _CallError(
+                relay.StoreFault.MALFORMED,
+                f'revision {revision} comes after {connection.latest_revision}',
+            )
+        connection.latest_revision = revision
+
     async def _get(self, kind: relay.StoreKind, query: str) -> dict[str, Any]:
         connection = await self._connect(kind)
         status, body = await connection.get(_PATHS[kind] + query)
@@ -220,7 +250,12 @@
 
 
 class _Connection(asyncio.Protocol):
-    """A persistent HTTP connection with at most one call in progress."""
+    """A persistent HTTP connection with at most one call in progress.
+
+    An answer that no call waits for ends the connection: what comes after it could
+    be taken for the answer to a later call. ``latest_revision`` is that of the last
+    answer.
+    """
 
     def __init__(self, host: str) -> None:
         self._host = host
@@ -229,6 +264,7 @@
         self._body = bytearray()
         self._response: asyncio.Future[tuple[int, bytes]] | None = None
         self.is_closed = False
+        self.latest_revision = 0
 
     async def get(self, path: str) -> tuple[int, bytes]:
         """Return status and body of the answer to a GET request.
@@ -273,6 +309,8 @@
 
     def on_message_begin(self) -> None:
         self._body.clear()
+        if self._response is None or self._response.done():
+            self.close()
 
     def on_body(self, body: bytes) -> None:
         self._body += body
@@ -307,6 +345,24 @@
                 yield item, False
 
 
+def _check_event(item: Any, watched: relay.Revision) -> None:
+    """Raise _CallError for a change that a watch from this revision cannot report."""
+    revision = _object_revision(item)
+    if revision is not None and revision <= watched:
+        raise _CallError(
+            relay.StoreFault.MALFORMED,
+            f'watch from revision {watched} reports revision {revision}',
+        )
+
+
+def _object_revision(item: Any) -> int | None:
+    match item:
+        case {'meta': {'revision': int() as revision}}:
+            return revision
+        case _:
+            return None
+
+
 def _last_name(items: list[Any]) -> str:
     match items[-1:]:
         case [{'meta': {'name': str() as name}}]:
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -266,7 +266,8 @@
         stagger = min(
             self._peer_table.own_rank() * STAGGER_SECONDS, MAX_STAGGER_SECONDS
         )
-        starting = now - self._started_at < LEADER_TIMEOUT_SECONDS
+        # A host whose first lists failed has no confirmed content.
+        starting = now - self._started_at < LEADER_TIMEOUT_SECONDS + stagger
         is_stale = (
             not starting
             and self._freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger
--- a/tests/functional/test_relay_process.py
+++ b/tests/functional/test_relay_process.py
@@ -275,12 +275,16 @@
         async with running(tmp_path) as harness:
             process = harness.process
             assert process is not None
-            process.send_signal(signal.SIGTERM)
+            # Popen.send_signal would take the exit status from the event loop.
+            descriptor = os.pidfd_open(process.pid)
+            signal.pidfd_send_signal(descriptor, signal.SIGTERM)
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 while process.returncode is None:
-                    process.send_signal(signal.SIGHUP)
-                    process.send_signal(signal.SIGTERM)
+                    with contextlib.suppress(ProcessLookupError):
+                        signal.pidfd_send_signal(descriptor, signal.SIGHUP)
+                        signal.pidfd_send_signal(descriptor, signal.SIGTERM)
                     await asyncio.sleep(0.0005)
+            os.close(descriptor)
             assert process.returncode == 0
 
     asyncio.run(scenario())
--- /dev/null
+++ b/tests/functional/test_store_client.py
@@ -0,0 +1,190 @@
+"""Client of the platform's store, against a server that misbehaves."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import pytest
+
+from lycheedeal import relay
+from lycheedeal.ids import Endpoint
+from lycheedeal.platform._store import StoreClient
+from lycheedeal.relay import StoreFault, StoreKind
+
+TIMEOUT_SECONDS = 10.0
+UPSTREAMS = StoreKind.UPSTREAMS
+
+# Answers the requests of one connection, which come as their paths.
+Script = Callable[[asyncio.Queue[str], asyncio.StreamWriter], Awaitable[None]]
+
+
+def response(body: Any) -> bytes:
+    content = json.dumps(body).encode()
+    return b'HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%s' % (len(content), content)
+
+
+def listed(revision: int, *names: str) -> bytes:
+    items = [{'meta': {'name': name, 'revision': revision}} for name in names]
+    return response({'items': items, 'has_more': False, 'store_revision': revision})
+
+
+def changed(revision: int, *names: str) -> bytes:
+    events = [
+        {'object': {'meta': {'name': name, 'revision': revision}}, 'deleted': True}
+        for name in names
+    ]
+    return response({'events': events, 'store_revision': revision})
+
+
+class Harness:
+    """A store with one script for each connection, and a client of it."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self._scripts: Iterator[Script] = iter(scripts)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.events: asyncio.Queue[relay.Event] = asyncio.Queue()
+
+    async def start(self) -> StoreClient:
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        endpoint = Endpoint(*server.sockets[0].getsockname())
+        return StoreClient(endpoint, self.events.put_nowait, relay.Metrics())
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        paths: asyncio.Queue[str] = asyncio.Queue()
+        script = asyncio.ensure_future(next(self._scripts)(paths, writer))
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                paths.put_nowait(head.split()[1].decode())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            script.cancel()
+
+    async def next_event(self) -> relay.Event:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            return await self.events.get()
+
+
+def play(
+    test: Callable[[Harness, StoreClient], Awaitable[None]], *scripts: Script
+) -> None:
+    async def run() -> None:
+        harness = Harness(*scripts)
+        client = await harness.start()
+        try:
+            await test(harness, client)
+        finally:
+            client.close()
+
+    asyncio.run(run())
+
+
+def assert_revision(event: relay.Event, revision: int) -> None:
+    assert isinstance(event, relay.ListAnswered | relay.WatchAnswered)
+    assert event.revision == revision
+
+
+def assert_fault(event: relay.Event, fault: StoreFault) -> None:
+    assert isinstance(event, relay.CallFailed)
+    assert event.fault is fault
+
+
+@pytest.mark.parametrize('pause_seconds', [0, 0.2])
+def test_second_copy_of_an_answer_is_not_the_next_answer(pause_seconds: float) -> None:
+    """Guards against an answer that is taken for that of the next request.
+
+    The store sends a copy of its answer at once or late, while no request waits.
+    """
+
+    async def repeat(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(5, 'i-1'))
+        await asyncio.sleep(pause_seconds)
+        writer.write(listed(5, 'i-1'))
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(6, 'i-1'))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 5)
+        await asyncio.sleep(2 * pause_seconds + 0.1)
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 6)
+
+    play(test, repeat, answer)
+
+
+@pytest.mark.parametrize(
+    'copy',
+    [
+        pytest.param(changed(7, 'i-1'), id='of a watch with changes'),
+        pytest.param(changed(7), id='of a watch without changes'),
+        pytest.param(listed(6, 'i-1'), id='of a list'),
+    ],
+)
+def test_copy_of_an_answer_to_an_earlier_request_is_refused(copy: bytes) -> None:
+    """Guards against news that come one request late from then on.
+
+    The copy arrives while the next watch waits, so only its content can tell.
+    """
+
+    async def repeat(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(changed(7, 'i-1'))
+        await paths.get()
+        writer.write(copy)
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.watch_objects(UPSTREAMS, relay.Revision(6), 1.5)
+        assert_revision(await harness.next_event(), 7)
+        client.watch_objects(UPSTREAMS, relay.Revision(7), 1.5)
+        assert_fault(await harness.next_event(), StoreFault.MALFORMED)
+
+    play(test, repeat)
+
+
+def test_older_list_on_a_connection_in_use_is_refused() -> None:
+    """Guards against content that goes back to an earlier revision."""
+
+    async def go_back(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        for revision in (6, 5):
+            await paths.get()
+            writer.write(listed(revision, 'i-1'))
+
+    async def restored(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(5, 'i-1'))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 6)
+        client.list_objects(UPSTREAMS)
+        assert_fault(await harness.next_event(), StoreFault.MALFORMED)
+        # On a new connection there is no earlier answer.
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 5)
+
+    play(test, go_back, restored)
+
+
+@pytest.mark.parametrize('kept', [10, 60, -1])
+def test_answer_that_breaks_off_is_a_failure(kept: int) -> None:
+    """Guards against part of an answer that is taken for all of it."""
+
+    async def break_off(
+        paths: asyncio.Queue[str], writer: asyncio.StreamWriter
+    ) -> None:
+        await paths.get()
+        writer.write(listed(5, 'i-1', 'i-2')[:kept])
+        await writer.drain()
+        writer.close()
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_fault(await harness.next_event(), StoreFault.UNREACHABLE)
+
+    play(test, break_off)
