Drop openings that waited while a host was paused

Change: openings that arrive more than 1.5 s after the last tick are dropped; packets of open flows go on. The test fails before the change.

--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -54,6 +54,9 @@
 # The host does not know whether the store failed before, and entries that expired
 # meanwhile may be back up to 2 s later.
 _STARTUP_GRACE_SECONDS: Final = 3.0
+# Ticks come each 0.1 s. After a longer gap the process was paused: openings that
+# waited meanwhile are older than their callers wait, and the table is old, too.
+_MAX_TICK_GAP_SECONDS: Final = 1.5
 
 
 class ForwardingPlugin:
@@ -73,6 +76,7 @@
             context.settings.flow_idle_seconds,
         )
         self._next_expiry = 0.0
+        self._last_tick = context.clock.monotonic()
         self._next_refresh = 0.0
         # When each token without an upstream was first seen.
         self._unknown_since: dict[Token, float] = {}
@@ -101,6 +105,7 @@
             case ContentConfirmed(StoreKind.UPSTREAMS, at, Source.STORE):
                 self._confirmed_at = at
             case Tick(now=now):
+                self._last_tick = now
                 if now >= self._next_expiry:
                     self._next_expiry = now + _EXPIRY_INTERVAL_SECONDS
                     self.flow_table.expire(now)
@@ -171,6 +176,10 @@
             yield from self._reset(packet, 'no route', None)
             return
         now = self._context.clock.monotonic()
+        if now - self._last_tick > _MAX_TICK_GAP_SECONDS:
+            self._count('waited during a pause')
+            yield self._drop(packet, 'host was paused', None)
+            return
         previous = yield from self._check_previous(packet, now)
         service = _pick_service(route, packet.flow)
         criteria = FlowCriteria(
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -162,6 +162,28 @@
     assert not host.sent and len(host.resets) == 1
 
 
+def test_openings_that_waited_during_a_pause_are_dropped(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a paused host that opens flows by what it knew before.
+
+    The upstreams may have left meanwhile, and the callers have given up.
+    """
+    host = simulation.add('a')
+    chosen = host.open()
+    host.sent.clear()
+    simulation.clock.now += 5
+    waiting = packet(PacketKind.OPENING, caller=CALLER + 1)
+    host.dispatch(relay.PacketArrived(waiting))
+    assert not host.sent and not host.resets
+    # Packets of open flows go on.
+    host.dispatch(relay.PacketArrived(packet(PacketKind.DATA, chosen.token)))
+    assert len(host.sent) == 1
+    simulation.run(0.2)
+    host.open(CALLER + 1)
+    assert len(host.sent) == 2
+
+
 @pytest.mark.parametrize('name', ['i-0', 'i-77'])
 def test_stale_entry_does_not_take_its_address_back(
     simulation: RelaySimulation, name: str
