--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -88,6 +88,12 @@
     st.builds(relay.Greeting, peers, st.booleans())
     | st.builds(relay.Roster, names.map(Zone), st.tuples(peers))
     | st.builds(relay.BeaconRequest, peers)
+    | st.builds(
+        relay.RegionBeacon,
+        peers,
+        st.tuples(numbers, numbers),
+        st.tuples(numbers, numbers),
+    )
     | st.builds(
         relay.SnapshotRequest, names.map(HostId), st.sampled_from(relay.StoreKind)
     )
@@ -132,6 +138,7 @@
         b'[3,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,1,1,""]',
         b'[3,"spread",1,2,3,["snapshot","a","upstreams"]]',
         b'[3,"spread",1,2,3,["spread",1,2,3,["wanted",["a","z","10.0.0.1",1,1,true]]]]',
+        b'[3,"region",["a","z","10.0.0.1",1,1,true],[1],[2,3]]',
         b'[3,"greeting",["a","z","10.0.0.1","port",1],true]',
         b'[3,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
         b' ' * (MAX_DATAGRAM_BYTES + 1),
