Apply changes to later content, and pass on each object that was written

Cause: a host lists at its start at a later revision than the leader's last change of the kind. Besides, a change and its change back in one answer left the leader's content as it was and were not passed on: a host that had listed between kept the first state for good.

Change: a change that was read by a watch contains each object that was written since its base, also those that look the same, and applies to later content; a difference between lists is exact and needs its base.

Both new tests in test_relay_zone.py fail before the change.

--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -54,12 +54,11 @@
         None means that nothing differs; the revision then stays the same.
         """
         base = self.revision
-        changed = {
-            entry_name(entry): entry
-            for entry in event.entries
-            if self.entries_by_name.get(entry_name(entry)) != entry
-        }
-        removed = tuple(self._removed(event))
+        changed = {entry_name(entry): entry for entry in event.entries}
+        removed = event.removed
+        if event.complete:
+            changed = self._differing(changed)
+            removed = tuple(self._missing(event))
         same_names = event.unusable == self.unusable
         if not (changed or removed) and event.version == self.version and same_names:
             return None
@@ -83,15 +82,21 @@
             entries=tuple(changed.values()),
             removed=removed,
             unusable=event.unusable,
+            # An object that was changed and changed back is not in it.
+            exact=event.complete,
         )
 
-    def _removed(self, event: ContentChanged) -> Iterator[str]:
-        if event.complete:
-            present = {entry_name(entry) for entry in event.entries}
-            present.update(event.unusable)
-            yield from (name for name in self.entries_by_name if name not in present)
-            return
-        yield from (name for name in event.removed if name in self.entries_by_name)
+    def _differing(self, entries_by_name: dict[str, Entry]) -> dict[str, Entry]:
+        return {
+            name: entry
+            for name, entry in entries_by_name.items()
+            if self.entries_by_name.get(name) != entry
+        }
+
+    def _missing(self, event: ContentChanged) -> Iterator[str]:
+        present = {entry_name(entry) for entry in event.entries}
+        present.update(event.unusable)
+        yield from (name for name in self.entries_by_name if name not in present)
 
     def snapshot(self) -> ContentPart:
         """Return the whole content as one part."""
@@ -134,6 +139,7 @@
             entries=tuple(islice(entries, _ENTRIES_PER_PART)),
             removed=tuple(islice(removed, _ENTRIES_PER_PART)),
             unusable=change.unusable[:_ENTRIES_PER_PART],
+            exact=change.exact,
         )
 
 
@@ -169,6 +175,7 @@
             entries=tuple(one for each in ordered for one in each.entries),
             removed=tuple(one for each in ordered for one in each.removed),
             unusable=part.unusable,
+            exact=part.exact,
         )
 
 
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -238,7 +238,9 @@
     """Part number ``part`` of ``parts`` of a change or snapshot of a kind.
 
     ``complete`` marks a snapshot. A change applies to the content at revision
-    ``base`` and leads to ``revision``. ``host_id`` is the sender.
+    ``base`` and leads to ``revision``. Unless it is ``exact``, it contains each object
+    that was written since the base, and also applies to later content. ``host_id``
+    is the sender.
     """
 
     host_id: HostId
@@ -253,6 +255,7 @@
     entries: tuple[Entry, ...]
     removed: tuple[str, ...]
     unusable: tuple[str, ...] = ()
+    exact: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -151,6 +151,7 @@
         [_encode_entry(entry) for entry in part.entries],
         part.removed,
         part.unusable,
+        part.exact,
     ]
 
 
@@ -276,6 +277,7 @@
             list() as entries,
             list() as removed,
             list() as unusable,
+            bool() as exact,
         ] if 0 <= part < parts:
             return ContentPart(
                 host_id=HostId(host_id),
@@ -290,6 +292,7 @@
                 entries=tuple(map(_decode_entry, entries)),
                 removed=tuple(map(str, removed)),
                 unusable=tuple(map(str, unusable)),
+                exact=exact,
             )
         case _:
             raise DecodeError('content message has wrong fields or part numbers')
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -215,7 +215,7 @@
         copy = self._copies[change.kind]
         if change.revision <= copy.revision:
             return
-        if not change.complete and change.base != copy.revision:
+        if not change.complete and not _applies(change, copy):
             sender = self._peer_table.find(part.host_id)
             if sender is not None:
                 request = SnapshotRequest(self._own.host_id, change.kind)
@@ -321,6 +321,13 @@
         )
 
 
+def _applies(change: ContentPart, copy: ContentCopy) -> bool:
+    """Return whether a change leads from the content of a copy to its revision."""
+    if change.exact:
+        return change.base == copy.revision
+    return change.base <= copy.revision
+
+
 register(
     PluginSpec(
         'zone',
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -57,6 +57,7 @@
     st.lists(routes | listings, max_size=4).map(tuple),
     st.lists(names, max_size=3).map(tuple),
     st.lists(names, max_size=3).map(tuple),
+    st.booleans(),
 )
 loads = st.dictionaries(
     st.integers(1, 2**32 - 1).map(relay.Token),
@@ -131,7 +132,7 @@
     [
         b'[1,"snapshot","a","upstreams"]',
         b'[3,"snapshot","a","no such kind"]',
-        b'[3,"content","a","upstreams",0,1,1,1,true,true,null,[],[],[]]',
+        b'[3,"content","a","upstreams",0,1,1,1,true,true,null,[],[],[],false]',
         b'[3,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,0,1,"AAAA"]',
         b'[3,"load",["a","z","10.0.0.1",1,1,true],"zone",["z"],0,0,1,"A"]',
         b'[3,"load",["a","z","10.0.0.1",1,1,true],"town",["z"],0,0,1,""]',
@@ -140,7 +141,7 @@
         b'[3,"spread",1,2,3,["spread",1,2,3,["wanted",["a","z","10.0.0.1",1,1,true]]]]',
         b'[3,"region",["a","z","10.0.0.1",1,1,true],[1],[2,3]]',
         b'[3,"greeting",["a","z","10.0.0.1","port",1],true]',
-        b'[3,"content","a","upstreams",0,1,0,1,true,true,null,[["route","r"]],[],[]]',
+        b'[3,"content","a","upstreams",0,1,0,1,true,true,null,[["route"]],[],[],false]',
         b' ' * (MAX_DATAGRAM_BYTES + 1),
         b'[' * 5000,
     ],
--- a/tests/unit/test_relay_zone.py
+++ b/tests/unit/test_relay_zone.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lycheedeal import relay
+from lycheedeal.ids import Endpoint
 from lycheedeal.relay import UpstreamState
 from tests.relay_simulation import ROUTES, RelayHost, RelaySimulation, listing
 
@@ -148,6 +149,55 @@
     assert disconnected_host.version() == 2
 
 
+def test_host_that_listed_later_needs_no_snapshot(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a leader that sends its whole content to each host that started.
+
+    The list of such a host has a later revision than the leader's last change of the
+    kind, since changes of all kinds share one counter.
+    """
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(0.2)
+    late = simulation.add('late')
+    requests: list[bytes] = []
+    send = simulation.send
+
+    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if b'"snapshot"' in datagram:
+            requests.append(datagram)
+        send(sender, endpoint, datagram)
+
+    simulation.send = record  # type: ignore[method-assign]
+    for draining in (True, False):
+        simulation.store.put(listing('i-1', draining=draining))
+        simulation.run(0.5)
+        expected = UpstreamState.DRAINING if draining else UpstreamState.READY
+        assert late.states()['i-1'] is expected
+    assert not requests
+
+
+def test_change_and_change_back_reach_a_host_that_listed_between(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a host that keeps a state which the leader never saw.
+
+    The leader gets both changes in one answer, and its own content stays the same.
+    """
+    # A change is answered at once; the next watch starts 0.25 s later.
+    simulation.store.put(listing('i-2', draining=True))
+    simulation.run(0.1)
+    simulation.store.put(listing('i-1', draining=True))
+    late = RelayHost(simulation, 'late', 'south', tuple(simulation.hosts)[:1])
+    simulation.hosts[late.endpoint] = late
+    late.dispatch(relay.Started())
+    simulation.run(0.1)
+    assert late.states()['i-1'] is UpstreamState.DRAINING
+    simulation.store.put(listing('i-1'))
+    simulation.run(2)
+    assert late.states()['i-1'] is UpstreamState.READY
+
+
 def test_zone_goes_on_without_the_store(simulation: RelaySimulation) -> None:
     simulation.store.up = False
     simulation.run(60)
