Move the connection to the store to a module of its own

A pure move, but for one line: data that is not HTTP ends the connection where the error is found. It ended before, too, since the parser reports the begin of an answer first; the new case of the test passes before and after.

--- /dev/null
+++ b/src/lycheedeal/platform/_connection.py
@@ -0,0 +1,100 @@
+"""Persistent HTTP/1.1 connection to the platform's object store."""
+
+import asyncio
+from typing import Final
+
+import httptools
+
+from lycheedeal import relay
+
+# Longer answers count as malformed.
+_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+
+class CallError(Exception):
+    """A store call failed; carries the fault reported to the relay kernel."""
+
+    def __init__(self, fault: relay.StoreFault, detail: str) -> None:
+        super().__init__(detail)
+        self.fault = fault
+        self.detail = detail
+
+
+class Connection(asyncio.Protocol):
+    """A persistent HTTP connection with at most one call in progress.
+
+    An answer that no call waits for ends the connection: what comes after it could
+    be taken for the answer to a later call. ``latest_revision`` is that of the last
+    answer.
+    """
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self._response: asyncio.Future[tuple[int, bytes]] | None = None
+        self.is_closed = False
+        self.latest_revision = 0
+
+    async def get(self, path: str) -> tuple[int, bytes]:
+        """Return status and body of the answer to a GET request.
+
+        Raises OSError if the connection fails, and CallError if the answer is
+        malformed or too long.
+        """
+        if self._transport is None or self.is_closed:
+            raise ConnectionResetError('connection to the store is closed')
+        self._response = asyncio.get_running_loop().create_future()
+        request = f'GET {path} HTTP/1.1\r\nHost: {self._host}\r\n\r\n'
+        self._transport.write(request.encode())
+        return await self._response
+
+    def close(self) -> None:
+        """Abort the connection without waiting for an answer in progress."""
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_closed = True
+        if exc is None:
+            exc = ConnectionResetError('store closed the connection')
+        self._fail(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass data to the parser; data without a call ends the connection."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(CallError(relay.StoreFault.MALFORMED, str(error)))
+            self.close()
+        if len(self._body) > _MAX_BODY_BYTES:
+            self._fail(
+                CallError(
+                    relay.StoreFault.MALFORMED, 'store answer is longer than 4 MiB'
+                )
+            )
+
+    def on_message_begin(self) -> None:
+        self._body.clear()
+        if self._response is None or self._response.done():
+            self.close()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        if not self._parser.should_keep_alive():
+            self.is_closed = True
+        if self._response is not None and not self._response.done():
+            answer = self._parser.get_status_code(), bytes(self._body)
+            self._response.set_result(answer)
+
+    def _fail(self, error: Exception) -> None:
+        if self._response is not None and not self._response.done():
+            self._response.set_exception(error)
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -7,10 +7,9 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-import httptools
-
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint
+from lycheedeal.platform._connection import CallError, Connection
 from lycheedeal.platform._objects import DecodedObjects
 
 # Timeout for each page of a list. The store answers within milliseconds, but may be
@@ -20,8 +19,6 @@
 _WATCH_GRACE_SECONDS: Final = 0.4
 # Pages read of one list at most; a page holds about 500 objects.
 _MAX_PAGES: Final = 400
-# Longer answers count as malformed.
-_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _PATHS: Final = MappingProxyType(
     {
         relay.StoreKind.CONFIGURATION: '/objects/config',
@@ -36,15 +33,6 @@
 EventCallback = Callable[[relay.Event], None]
 
 
-class _CallError(Exception):
-    """A store call failed; carries the fault reported to the relay kernel."""
-
-    def __init__(self, fault: relay.StoreFault, detail: str) -> None:
-        super().__init__(detail)
-        self.fault = fault
-        self.detail = detail
-
-
 class StoreClient:
     """Store client with one connection and at most one call for each kind.
 
@@ -65,7 +53,7 @@
         self.endpoint = endpoint
         self._report = report
         self._tasks_by_kind: dict[relay.StoreKind, asyncio.Task[None]] = {}
-        self._connections_by_kind: dict[relay.StoreKind, _Connection] = {}
+        self._connections_by_kind: dict[relay.StoreKind, Connection] = {}
 
     def list_objects(self, kind: relay.StoreKind) -> None:
         """Start a list of all objects of a kind."""
@@ -119,7 +107,7 @@
                 event = await self._list(kind)
             else:
                 event = await self._watch(kind, revision, wait_seconds)
-        except _CallError as error:
+        except CallError as error:
             if error.fault is not relay.StoreFault.HISTORY_LOST:
                 self._drop_connection(kind)
             event = relay.CallFailed(kind, error.fault, error.detail)
@@ -178,7 +166,7 @@
             _check_event(item, revision)
             objects.add(kind, item, deleted)
         if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.MALFORMED,
                 f'watch without changes ended after {waited:.3f} s',
             )
@@ -197,13 +185,13 @@
         """Check the revision of an answer against earlier ones on the connection.
 
         The store's revision only increases, so an older one is a late copy of an
-        earlier answer. Raises _CallError, which ends the connection.
+        earlier answer. Raises CallError, which ends the connection.
         """
         connection = self._connections_by_kind.get(kind)
         if connection is None:
             return
         if revision < connection.latest_revision:
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.MALFORMED,
                 f'revision {revision} comes after {connection.latest_revision}',
             )
@@ -213,30 +201,30 @@
         connection = await self._connect(kind)
         status, body = await connection.get(_PATHS[kind] + query)
         if status == _STATUS_GONE:
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.HISTORY_LOST,
                 'store no longer has the history since the watched revision',
             )
         if status != _STATUS_OK:
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.REFUSED, f'expected HTTP status 200, got {status}'
             )
         try:
             answer = json.loads(body)
         except ValueError as error:
-            raise _CallError(relay.StoreFault.MALFORMED, str(error)) from error
+            raise CallError(relay.StoreFault.MALFORMED, str(error)) from error
         if not isinstance(answer, dict):
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.MALFORMED, 'store answer is not a JSON object'
             )
         return answer
 
-    async def _connect(self, kind: relay.StoreKind) -> '_Connection':
+    async def _connect(self, kind: relay.StoreKind) -> Connection:
         connection = self._connections_by_kind.get(kind)
         if connection is None or connection.is_closed:
             loop = asyncio.get_running_loop()
             _, connection = await loop.create_connection(
-                lambda: _Connection(str(self.endpoint)),
+                lambda: Connection(str(self.endpoint)),
                 self.endpoint.ip,
                 self.endpoint.port,
             )
@@ -249,88 +237,10 @@
             connection.close()
 
 
-class _Connection(asyncio.Protocol):
-    """A persistent HTTP connection with at most one call in progress.
-
-    An answer that no call waits for ends the connection: what comes after it could
-    be taken for the answer to a later call. ``latest_revision`` is that of the last
-    answer.
-    """
-
-    def __init__(self, host: str) -> None:
-        self._host = host
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._body = bytearray()
-        self._response: asyncio.Future[tuple[int, bytes]] | None = None
-        self.is_closed = False
-        self.latest_revision = 0
-
-    async def get(self, path: str) -> tuple[int, bytes]:
-        """Return status and body of the answer to a GET request.
-
-        Raises OSError if the connection fails, and _CallError if the answer is
-        malformed or too long.
-        """
-        if self._transport is None or self.is_closed:
-            raise ConnectionResetError('connection to the store is closed')
-        self._response = asyncio.get_running_loop().create_future()
-        request = f'GET {path} HTTP/1.1\r\nHost: {self._host}\r\n\r\n'
-        self._transport.write(request.encode())
-        return await self._response
-
-    def close(self) -> None:
-        """Abort the connection without waiting for an answer in progress."""
-        self.is_closed = True
-        if self._transport is not None:
-            self._transport.abort()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if isinstance(transport, asyncio.Transport):
-            self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.is_closed = True
-        if exc is None:
-            exc = ConnectionResetError('store closed the connection')
-        self._fail(exc)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(_CallError(relay.StoreFault.MALFORMED, str(error)))
-        if len(self._body) > _MAX_BODY_BYTES:
-            self._fail(
-                _CallError(
-                    relay.StoreFault.MALFORMED, 'store answer is longer than 4 MiB'
-                )
-            )
-
-    def on_message_begin(self) -> None:
-        self._body.clear()
-        if self._response is None or self._response.done():
-            self.close()
-
-    def on_body(self, body: bytes) -> None:
-        self._body += body
-
-    def on_message_complete(self) -> None:
-        if not self._parser.should_keep_alive():
-            self.is_closed = True
-        if self._response is not None and not self._response.done():
-            answer = self._parser.get_status_code(), bytes(self._body)
-            self._response.set_result(answer)
-
-    def _fail(self, error: Exception) -> None:
-        if self._response is not None and not self._response.done():
-            self._response.set_exception(error)
-
-
 def _required_field(answer: dict[str, Any], name: str, expected: type) -> Any:
     content = answer.get(name)
     if not isinstance(content, expected):
-        raise _CallError(
+        raise CallError(
             relay.StoreFault.MALFORMED, f'field {name} is missing or of another type'
         )
     return content
@@ -346,10 +256,10 @@
 
 
 def _check_event(item: Any, watched: relay.Revision) -> None:
-    """Raise _CallError for a change that a watch from this revision cannot report."""
+    """Raise CallError for a change that a watch from this revision cannot report."""
     revision = _object_revision(item)
     if revision is not None and revision <= watched:
-        raise _CallError(
+        raise CallError(
             relay.StoreFault.MALFORMED,
             f'watch from revision {watched} reports revision {revision}',
         )
@@ -368,7 +278,7 @@
         case [{'meta': {'name': str() as name}}]:
             return name
         case _:
-            raise _CallError(
+            raise CallError(
                 relay.StoreFault.MALFORMED,
                 'page announces more objects but does not end with a named one',
             )
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -92,17 +92,21 @@
 
 
 @pytest.mark.parametrize('pause_seconds', [0, 0.2])
-def test_second_copy_of_an_answer_is_not_the_next_answer(pause_seconds: float) -> None:
+@pytest.mark.parametrize('extra', [listed(5, 'i-1'), b'not HTTP'])
+def test_second_copy_of_an_answer_is_not_the_next_answer(
+    pause_seconds: float, extra: bytes
+) -> None:
     """Guards against an answer that is taken for that of the next request.
 
-    The store sends a copy of its answer at once or late, while no request waits.
+    The store sends a copy of its answer, or something else, at once or late, while
+    no request waits.
     """
 
     async def repeat(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
         await paths.get()
         writer.write(listed(5, 'i-1'))
         await asyncio.sleep(pause_seconds)
-        writer.write(listed(5, 'i-1'))
+        writer.write(extra)
 
     async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
         await paths.get()
