--- a/src/lycheedeal/runtime/_daemon.py
+++ b/src/lycheedeal/runtime/_daemon.py
@@ -62,7 +62,7 @@
     """
 
     def __init__(self, listeners: Listeners) -> None:
-        """Build the kernel; ``close`` also closes the listeners."""
+        """Build the kernel for started listeners, which ``close`` closes."""
         self._listeners = listeners
         settings = listeners.settings
         self._settings = settings
@@ -204,8 +204,9 @@
 
 
 async def _serve(settings: HostSettings) -> int:
+    listeners = Listeners(settings)
     try:
-        listeners = Listeners(settings)
+        listeners.start()
     except OSError as error:
         logs = LogSink(settings.log_level, settings.log_json)
         text = f'cannot bind a listening address, exiting: {error}'
--- a/src/lycheedeal/runtime/_listeners.py
+++ b/src/lycheedeal/runtime/_listeners.py
@@ -19,17 +19,25 @@
     system chooses the port, and the kernel tells its own addresses to other hosts.
     """
 
+    data: socket.socket
+    peer: socket.socket
+    admin: socket.socket
+
     def __init__(self, settings: HostSettings) -> None:
-        """Bind all addresses in the settings.
+        """Keep the settings; ``start`` opens the sockets."""
+        self.settings = settings
+        self.gossip = GossipLink(settings.gossip)
+
+    def start(self) -> None:
+        """Bind all addresses in the settings, which hold the actual ports afterwards.
 
-        ``settings`` holds the actual ports afterwards. Raises OSError if an
-        address cannot be bound; no socket is left open then.
+        Raises OSError if an address cannot be bound; no socket is left open then.
         """
+        settings = self.settings
         with ExitStack() as stack:
             self.data = stack.enter_context(_bind_udp(settings.data))
             self.peer = stack.enter_context(_bind_udp(settings.peer))
             self.admin = stack.enter_context(socket.create_server(settings.admin))
-            self.gossip = GossipLink(settings.gossip)
             self.gossip.listen()
             stack.pop_all()
         self.settings = replace(
