--- a/demo/_startup.py
+++ b/demo/_startup.py
@@ -70,17 +70,25 @@
 
 
 async def _start_hosts(fleet: Fleet) -> None:
-    for zone in ZONES:
-        for index in range(_HOSTS_PER_ZONE):
-            host = await _start_host(fleet, HostId(f'{zone}-{index}'), zone)
-            fleet.hosts_by_id[host.host_id] = host
-            await _register_host(fleet, host)
+    await asyncio.gather(*(_start_zone(fleet, zone) for zone in ZONES))
     await asyncio.gather(
         *(_wait_for_host(fleet, host) for host in fleet.hosts_by_id.values()),
     )
     fleet.write_host_file()
 
 
+async def _start_zone(fleet: Fleet, zone: Zone) -> None:
+    first, *others = (HostId(f'{zone}-{index}') for index in range(_HOSTS_PER_ZONE))
+    await _add_host(fleet, first, zone)
+    await asyncio.gather(*(_add_host(fleet, host_id, zone) for host_id in others))
+
+
+async def _add_host(fleet: Fleet, host_id: HostId, zone: Zone) -> None:
+    host = await _start_host(fleet, host_id, zone)
+    fleet.hosts_by_id[host_id] = host
+    await _register_host(fleet, host)
+
+
 async def _register_host(fleet: Fleet, host: Host) -> None:
     entry = {
         'host_id': host.host_id,
@@ -94,7 +102,7 @@
 
 
 async def _start_host(fleet: Fleet, host_id: HostId, zone: Zone) -> Host:
-    # A host finds its zone through the hosts that were started before it.
+    # A host finds its zone through the hosts that are up before it.
     earlier = (one.peer for one in fleet.hosts_by_id.values() if one.zone == zone)
     seeds = ','.join(map(str, earlier))
     address_file = f'{host_id}.addresses'
