Use each connection to the object API for one call

Cause: docs/OPERATIONS.md said that aiohttp closes an idle connection that receives data. A write was then reported as accepted without an answer of its own.

Ruled out: checking the order of versions, since a recreated object starts at version 1 again.

--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -51,7 +51,9 @@
     def apply(self, event: ContentChanged) -> ContentPart | None:
         """Apply a change; return the difference to the content before it.
 
-        None means that nothing differs; the revision then stays the same.
+        The difference to a list holds what differs; that to other changes holds each
+        object that was written, also one that looks the same. None means that there
+        is none; the revision then stays the same.
         """
         base = self.revision
         changed = {entry_name(entry): entry for entry in event.entries}
--- a/src/lycheedeal/runtime/_platform.py
+++ b/src/lycheedeal/runtime/_platform.py
@@ -86,9 +86,13 @@
         self._watches_by_prefix: dict[str, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
-        """Open the HTTP session; connections are opened on demand."""
-        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        """Open the HTTP session; each call opens a connection of its own."""
+        # On a connection in use again, a late copy of an earlier answer would be
+        # taken for the answer to the next call.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True),
+            timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS),
+        )
 
     async def close(self) -> None:
         """Cancel all calls and watches without a reply and close the session."""
--- a/tests/functional/test_platform_client.py
+++ b/tests/functional/test_platform_client.py
@@ -1,9 +1,12 @@
 """Tests of the object API client against the stand-in platform on loopback."""
 
 import asyncio
+import json
+import re
 from collections.abc import Callable, Coroutine
 
 import aiohttp
+import pytest
 import uvloop
 
 from lycheedeal import kernel
@@ -205,3 +208,83 @@
         await session.post(f'{harness.base_url}/hosts', json={'host_id': 'h1'})
     reply = await harness.call(ApiCall.HOSTS, '')
     assert reply.body == b'[{"host_id": "h1"}]'
+
+
+def object_answer(version: int) -> bytes:
+    content = json.dumps({'key': KEY, 'version': version, 'body': 'eA=='}).encode()
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(content)
+    return head + content
+
+
+class RepeatingServer:
+    """Answers version 5 to its first call and 6 to others on later connections.
+
+    A second copy of the first answer follows on the same connection: at once, late,
+    or while the next call on it waits, which gets nothing else.
+    """
+
+    def __init__(self, copy_when: str) -> None:
+        self._copy_when = copy_when
+        self._connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connections += 1
+        try:
+            if self._connections == 1:
+                await self._repeat(reader, writer)
+            while True:
+                await self._read_call(reader)
+                writer.write(object_answer(6))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _repeat(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._read_call(reader)
+        writer.write(object_answer(5))
+        match self._copy_when:
+            case 'late':
+                await asyncio.sleep(0.1)
+            case 'next call':
+                await self._read_call(reader)
+        writer.write(object_answer(5))
+
+    async def _read_call(self, reader: asyncio.StreamReader) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).lower()
+        length = re.search(rb'content-length: (\d+)', head)
+        if length:
+            await reader.readexactly(int(length[1]))
+
+
+@pytest.mark.parametrize('operation', [ApiCall.READ, ApiCall.WRITE])
+@pytest.mark.parametrize('copy_when', ['at once', 'late', 'next call'])
+def test_second_copy_of_an_answer_is_not_the_next_answer(
+    copy_when: str, operation: ApiCall
+) -> None:
+    """Guards against a write that is accepted because of an earlier answer.
+
+    The copy of the answer comes on a connection that is in use again.
+    """
+
+    async def main() -> None:
+        handler = RepeatingServer(copy_when).serve
+        server = await asyncio.start_server(handler, '127.0.0.1', 0)
+        replies: asyncio.Queue[kernel.Event] = asyncio.Queue()
+        port = server.sockets[0].getsockname()[1]
+        client = PlatformClient(f'http://127.0.0.1:{port}', replies.put_nowait)
+        await client.start()
+        versions = []
+        for call_id, kind in enumerate((ApiCall.READ, operation)):
+            client.submit(kernel.CallApi(call_id, kind, KEY, 5, b'x'))
+            reply = await asyncio.wait_for(replies.get(), 20)
+            assert isinstance(reply, kernel.ApiReplied)
+            versions.append(reply.version)
+            await asyncio.sleep(0.3)
+        await client.close()
+        server.close()
+        assert versions == [5, 6]
+
+    asyncio.run(main())
