--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -1,7 +1,7 @@
 """Persistent HTTP/1.1 connection to the platform's object store."""
 
 import asyncio
-from typing import Final
+from typing import Final, NamedTuple
 
 import httptools
 
@@ -11,6 +11,18 @@
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 
 
+# Header with the era of the store, in each of its answers.
+_ERA_HEADER: Final = b'store-era'
+
+
+class Answer(NamedTuple):
+    """Answer of the store; its era is 0 if the answer names none."""
+
+    status: int
+    era: relay.Era
+    body: bytes
+
+
 class CallError(Exception):
     """A store call failed; carries the fault reported to the relay kernel."""
 
@@ -33,12 +45,13 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
-        self._response: asyncio.Future[tuple[int, bytes]] | None = None
+        self._era = relay.Era(0)
+        self._response: asyncio.Future[Answer] | None = None
         self.is_closed = False
         self.latest_revision = 0
 
-    async def get(self, path: str) -> tuple[int, bytes]:
-        """Return status and body of the answer to a GET request.
+    async def get(self, path: str) -> Answer:
+        """Return the answer to a GET request.
 
         Raises OSError if the connection fails, and CallError if the answer is
         malformed or too long.
@@ -82,9 +95,23 @@
 
     def on_message_begin(self) -> None:
         self._body.clear()
+        self._era = relay.Era(0)
         if self._response is None or self._response.done():
             self.close()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() != _ERA_HEADER:
+            return
+        if value.isdigit():
+            self._era = relay.Era(int(value))
+        else:
+            self._fail(
+                CallError(
+                    relay.StoreFault.MALFORMED,
+                    f'header Store-Era is not a number: {value!r}',
+                )
+            )
+
     def on_body(self, body: bytes) -> None:
         self._body += body
 
@@ -92,8 +119,8 @@
         if not self._parser.should_keep_alive():
             self.is_closed = True
         if self._response is not None and not self._response.done():
-            answer = self._parser.get_status_code(), bytes(self._body)
-            self._response.set_result(answer)
+            status = self._parser.get_status_code()
+            self._response.set_result(Answer(status, self._era, bytes(self._body)))
 
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint
@@ -33,6 +33,13 @@
 EventCallback = Callable[[relay.Event], None]
 
 
+class _Page(NamedTuple):
+    """Fields of an answer with status 200, and the era of the store."""
+
+    fields: dict[str, Any]
+    era: relay.Era
+
+
 class StoreClient:
     """Store client with one connection and at most one call for each kind.
 
@@ -127,17 +134,18 @@
 
     async def _list(self, kind: relay.StoreKind) -> relay.ListAnswered:
         objects = DecodedObjects()
-        revision, after = 0, ''
+        era, revision, after = relay.Era(0), 0, ''
         for _ in range(_MAX_PAGES):
             async with asyncio.timeout(_PAGE_TIMEOUT_SECONDS):
-                answer = await self._get(kind, f'?after={after}' if after else '')
-            items = _required_field(answer, 'items', list)
+                page = await self._get(kind, f'?after={after}' if after else '')
+            items = _required_field(page.fields, 'items', list)
             for item in items:
                 objects.add(kind, item)
             # Pages are read one after the other; a watch from the revision of the
             # first page misses no change made meanwhile.
-            revision = revision or _required_field(answer, 'store_revision', int)
-            if not answer.get('has_more'):
+            revision = revision or _required_field(page.fields, 'store_revision', int)
+            era = page.era
+            if not page.fields.get('has_more'):
                 break
             after = _last_name(items)
         self._check_order(kind, revision)
@@ -147,6 +155,7 @@
             tuple(objects.entries),
             tuple(objects.unusable),
             objects.version,
+            era,
         )
 
     async def _watch(
@@ -158,10 +167,10 @@
         wait_ms = int(wait_seconds * 1000)
         started = time.perf_counter()
         async with asyncio.timeout(wait_seconds + _WATCH_GRACE_SECONDS):
-            answer = await self._get(kind, f'?watch={revision}&wait_ms={wait_ms}')
+            page = await self._get(kind, f'?watch={revision}&wait_ms={wait_ms}')
         waited = time.perf_counter() - started
         objects = DecodedObjects()
-        events = _required_field(answer, 'events', list)
+        events = _required_field(page.fields, 'events', list)
         for item, deleted in _decode_events(events):
             _check_event(item, revision)
             objects.add(kind, item, deleted)
@@ -170,7 +179,7 @@
                 relay.StoreFault.MALFORMED,
                 f'watch without changes ended after {waited:.3f} s',
             )
-        answer_revision = _required_field(answer, 'store_revision', int)
+        answer_revision = _required_field(page.fields, 'store_revision', int)
         self._check_order(kind, answer_revision)
         return relay.WatchAnswered(
             kind,
@@ -179,6 +188,7 @@
             tuple(objects.removed),
             tuple(objects.unusable),
             objects.version,
+            page.era,
         )
 
     def _check_order(self, kind: relay.StoreKind, revision: int) -> None:
@@ -197,9 +207,9 @@
             )
         connection.latest_revision = revision
 
-    async def _get(self, kind: relay.StoreKind, query: str) -> dict[str, Any]:
+    async def _get(self, kind: relay.StoreKind, query: str) -> _Page:
         connection = await self._connect(kind)
-        status, body = await connection.get(_PATHS[kind] + query)
+        status, era, body = await connection.get(_PATHS[kind] + query)
         if status == _STATUS_GONE:
             raise CallError(
                 relay.StoreFault.HISTORY_LOST,
@@ -210,14 +220,14 @@
                 relay.StoreFault.REFUSED, f'expected HTTP status 200, got {status}'
             )
         try:
-            answer = json.loads(body)
+            fields = json.loads(body)
         except ValueError as error:
             raise CallError(relay.StoreFault.MALFORMED, str(error)) from error
-        if not isinstance(answer, dict):
+        if not isinstance(fields, dict):
             raise CallError(
                 relay.StoreFault.MALFORMED, 'store answer is not a JSON object'
             )
-        return answer
+        return _Page(fields, era)
 
     async def _connect(self, kind: relay.StoreKind) -> Connection:
         connection = self._connections_by_kind.get(kind)
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -64,6 +64,7 @@
 from lycheedeal.relay._records import (
     ConfigurationVersion,
     Entry,
+    Era,
     FlowKey,
     Listing,
     Load,
@@ -127,6 +128,7 @@
     'LeadershipChanged',
     'Effect',
     'Entry',
+    'Era',
     'Event',
     'Exit',
     'FlowKey',
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -11,6 +11,7 @@
 from lycheedeal.relay._records import (
     ConfigurationVersion,
     Entry,
+    Era,
     Loads,
     LoadScope,
     Packet,
@@ -77,6 +78,7 @@
     entries: tuple[Entry, ...]
     unusable: tuple[str, ...] = ()
     version: ConfigurationVersion | None = None
+    era: Era = Era(0)
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -93,6 +95,7 @@
     removed: tuple[str, ...] = ()
     unusable: tuple[str, ...] = ()
     version: ConfigurationVersion | None = None
+    era: Era = Era(0)
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -15,6 +15,9 @@
 Token = NewType('Token', int)
 # Position in the history of changes of the platform's store.
 Revision = NewType('Revision', int)
+# Counts the histories of the store: when it comes back from an older copy, a new one
+# begins, in which revisions are given out again.
+Era = NewType('Era', int)
 ConfigurationVersion = NewType('ConfigurationVersion', int)
 
 # Size of a route key in bits.
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -32,7 +32,7 @@
     Tick,
     WatchAnswered,
 )
-from lycheedeal.relay._records import Revision, Source, StoreFault, StoreKind
+from lycheedeal.relay._records import Era, Revision, Source, StoreFault, StoreKind
 
 # Longest wait of a watch without changes. Its empty answer confirms the content,
 # so the wait is half of the 3 s in which a change must be in force everywhere.
@@ -84,6 +84,7 @@
         self._watches = False
         self._readers = {kind: _Reader(kind) for kind in StoreKind}
         self._last_failure_at = float('-inf')
+        self._era: Era | None = None
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
@@ -122,6 +123,7 @@
     def _list_answered(self, event: ListAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         yield from self._record_success(reader)
+        yield from self._record_era(event)
         reader.revision = event.revision
         reader.has_listed = True
         yield Publish(
@@ -143,6 +145,7 @@
     def _watch_answered(self, event: WatchAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         yield from self._record_success(reader)
+        yield from self._record_era(event)
         reader.revision = event.revision
         if _has_changes(event):
             yield Publish(
@@ -177,6 +180,25 @@
                 {'objects': reader.kind.value},
             )
 
+    def _record_era(self, event: ListAnswered | WatchAnswered) -> Iterator[Effect]:
+        previous = self._era
+        self._era = event.era
+        if previous is None or previous == event.era:
+            return
+        self._context.metrics.add('store_eras', 'changed')
+        yield LogRecord(
+            Part.READING,
+            'era',
+            'Store came back from an older copy of its content.',
+            {
+                'objects': event.kind.value,
+                'era': event.era,
+                'previous': previous,
+                'revision': event.revision,
+                'last_revision': self._readers[event.kind].revision,
+            },
+        )
+
     def _call_failed(self, event: CallFailed) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         self._context.metrics.add('store_failures', event.fault.value)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -214,6 +214,8 @@
             return
         copy = self._copies[change.kind]
         if change.revision <= copy.revision:
+            self._context.metrics.add('peer_content', 'ignored')
+            yield _ignored_record(change, copy)
             return
         if not change.complete and not _applies(change, copy):
             sender = self._peer_table.find(part.host_id)
@@ -328,6 +330,22 @@
     return change.base <= copy.revision
 
 
+def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
+    return LogRecord(
+        Part.ZONE,
+        'content',
+        'Content of a peer was ignored: the own content counts as equal or newer.',
+        {
+            'objects': change.kind.value,
+            'sender': change.host_id,
+            'revision': change.revision,
+            'own_revision': copy.revision,
+            'version': change.version,
+            'own_version': copy.version,
+        },
+    )
+
+
 register(
     PluginSpec(
         'zone',
