--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -74,9 +74,11 @@
 
     Changes up to ``compacted_revision`` are no longer in the history. With
     ``watches_silent`` no watch reports a change. ``refused`` are the ids of hosts
-    whose calls fail; ``calls`` has the host id and the name of each call.
+    whose calls fail; ``calls`` has the host id and the name of each call. ``era``
+    counts how often the store came back from an older copy.
     """
 
+    era: int = 1
     revision: int = 10
     version: int = 1
     routes: tuple[relay.Route, ...] = ROUTES
@@ -101,6 +103,22 @@
         self.version, self.routes = version, routes
         self._record(relay.StoreKind.CONFIGURATION, 'main')
 
+    def copy(self) -> 'Store':
+        """Return a copy of the content and its history, for ``restore``."""
+        content = Store(revision=self.revision, version=self.version)
+        content.routes = self.routes
+        content.listings = dict(self.listings)
+        content.events = list(self.events)
+        return content
+
+    def restore(self, copy: 'Store') -> None:
+        """Go back to a copy; later changes are lost and their revisions free again."""
+        self.era += 1
+        self.revision, self.version = copy.revision, copy.version
+        self.routes = copy.routes
+        self.listings = dict(copy.listings)
+        self.events = list(copy.events)
+
     def compact(self) -> None:
         self.compacted_revision = self.revision
         self.events.clear()
@@ -116,14 +134,19 @@
             entries = self.routes
             version = relay.ConfigurationVersion(self.version)
         return relay.ListAnswered(
-            kind, relay.Revision(self.revision), entries, (), version
+            kind,
+            relay.Revision(self.revision),
+            entries,
+            (),
+            version,
+            relay.Era(self.era),
         )
 
     def changes(
         self, kind: relay.StoreKind, since: int
     ) -> relay.WatchAnswered | relay.CallFailed | None:
         """Return the answer of a watch, or None while it has to wait."""
-        if since < self.compacted_revision:
+        if not self.compacted_revision <= since <= self.revision:
             return relay.CallFailed(kind, relay.StoreFault.HISTORY_LOST, '')
         names = {name for at, one, name in self.events if one is kind and at > since}
         if not names or self.watches_silent:
@@ -131,12 +154,20 @@
         if kind is relay.StoreKind.CONFIGURATION:
             answer = self.list_all(kind)
             return relay.WatchAnswered(
-                kind, answer.revision, answer.entries, version=answer.version
+                kind,
+                answer.revision,
+                answer.entries,
+                version=answer.version,
+                era=answer.era,
             )
         present = [self.listings[name] for name in names if name in self.listings]
         removed = tuple(name for name in names if name not in self.listings)
         return relay.WatchAnswered(
-            kind, relay.Revision(self.revision), tuple(present), removed
+            kind,
+            relay.Revision(self.revision),
+            tuple(present),
+            removed,
+            era=relay.Era(self.era),
         )
 
 
@@ -213,7 +244,8 @@
         answer = store.changes(kind, watch.revision)
         if answer is None and now >= watch.until:
             revision = relay.Revision(watch.revision)
-            return relay.WatchAnswered(kind, revision, ())
+            era = relay.Era(store.era)
+            return relay.WatchAnswered(kind, revision, (), era=era)
         return answer
 
     def reaches_store(self) -> bool:
--- /dev/null
+++ b/tests/unit/test_relay_restored_store.py
@@ -0,0 +1,196 @@
+"""A store that comes back from an older copy of its content."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from lycheedeal import relay
+from lycheedeal.ids import Endpoint
+from lycheedeal.relay import UpstreamState
+from tests.relay_simulation import (
+    ROUTES,
+    STEP_SECONDS,
+    RelayHost,
+    RelaySimulation,
+    Store,
+    listing,
+)
+
+# A change must be in force on every host within this time.
+IN_FORCE_SECONDS = 3.0
+# Upstreams write their entries again within this time of the store's return.
+RETURN_SECONDS = 2.0
+OUTAGE_SECONDS = 2.0
+# The store drops the entry of an upstream that it has not heard for this long.
+LAPSE_SECONDS = 2.3
+ZONES = ('north', 'south')
+HOSTS_PER_ZONE = 3
+UPSTREAMS = 5
+
+
+@pytest.fixture
+def simulation() -> RelaySimulation:
+    simulation = RelaySimulation()
+    simulation.store.put(*(listing(f'i-{one}') for one in range(1, UPSTREAMS + 1)))
+    for number in range(HOSTS_PER_ZONE):
+        for zone in ZONES:
+            simulation.add(f'{zone}-{number}', zone)
+    simulation.run(8)
+    return simulation
+
+
+def restore_after_outage(simulation: RelaySimulation, copy: Store) -> None:
+    simulation.store.up = False
+    simulation.run(OUTAGE_SECONDS)
+    simulation.store.restore(copy)
+    simulation.store.up = True
+
+
+def add_changes(simulation: RelaySimulation, count: int) -> None:
+    """Advance the revision by changes that leave the upstreams as they were."""
+    for _ in range(count):
+        simulation.store.put(simulation.store.listings['i-5'])
+
+
+def versions(simulation: RelaySimulation) -> set[int | None]:
+    return {host.version() for host in simulation.hosts.values()}
+
+
+def states_of(simulation: RelaySimulation, name: str) -> set[UpstreamState | None]:
+    return {host.states().get(name) for host in simulation.hosts.values()}
+
+
+def steps(simulation: RelaySimulation, seconds: float) -> Iterator[None]:
+    """Run for a while; yield after each step."""
+    for _ in range(round(seconds / STEP_SECONDS)):
+        simulation.run(STEP_SECONDS)
+        yield
+
+
+def start_host(simulation: RelaySimulation, name: str) -> RelayHost:
+    host = RelayHost(simulation, name, ZONES[0], tuple(simulation.hosts)[:1])
+    simulation.hosts[host.endpoint] = host
+    host.dispatch(relay.Started())
+    return host
+
+
+@pytest.mark.parametrize('later_changes', [1, 4, 9])
+def test_change_at_a_revision_given_out_again_is_in_force(
+    simulation: RelaySimulation, later_changes: int
+) -> None:
+    """Guards against hosts that take a change of the new history for a known one."""
+    copy = simulation.store.copy()
+    add_changes(simulation, later_changes)
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(1)
+    restore_after_outage(simulation, copy)
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(4)
+    simulation.store.configure(3, *ROUTES)
+    simulation.store.put(listing('i-1', draining=True))
+    simulation.run(IN_FORCE_SECONDS)
+    assert versions(simulation) == {3}
+    assert states_of(simulation, 'i-1') == {UpstreamState.DRAINING}
+
+
+def test_content_of_the_old_history_does_not_replace_the_new_one(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a living upstream that counts as gone by an old snapshot."""
+    copy = simulation.store.copy()
+    add_changes(simulation, 9)
+    simulation.run(1)
+    # Only the host that starts reaches the store that came back.
+    simulation.store.refused.update(
+        host.context.settings.host_id for host in simulation.hosts.values()
+    )
+    simulation.store.restore(copy)
+    simulation.store.put(listing('i-6'))
+    late = start_host(simulation, 'late')
+    for _ in steps(simulation, 6):
+        assert late.states().get('i-6') is UpstreamState.READY
+    assert states_of(simulation, 'i-6') == {UpstreamState.READY}
+
+
+def test_starting_host_takes_the_newest_configuration(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a configuration that comes back older with the store."""
+    copy = simulation.store.copy()
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(1)
+    restore_after_outage(simulation, copy)
+    simulation.run(2)
+    late = start_host(simulation, 'late')
+    simulation.run(1)
+    assert late.version() == 2
+    assert versions(simulation) == {2}
+
+
+def test_watch_does_not_skip_changes_of_a_new_history(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a watch that goes on from a revision given out again."""
+    copy = simulation.store.copy()
+    add_changes(simulation, 3)
+    simulation.run(1)
+    # The store is back before the next call, so no call fails.
+    simulation.store.restore(copy)
+    simulation.store.put(listing('i-1', draining=True))
+    add_changes(simulation, 3)
+    simulation.run(IN_FORCE_SECONDS)
+    assert states_of(simulation, 'i-1') == {UpstreamState.DRAINING}
+
+
+def test_change_of_one_kind_is_seen_although_only_the_other_is_answered(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a watch of the old history that waits to its end."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    simulation.store.restore(copy)
+    add_changes(simulation, 1)
+    simulation.store.put(listing('i-6'))
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(0.5)
+    assert versions(simulation) == {2}
+
+
+@pytest.mark.parametrize('outage', [True, False])
+def test_upstream_that_the_copy_lacks_is_kept_until_it_is_back(
+    simulation: RelaySimulation, outage: bool
+) -> None:
+    """Guards against resets of flows whose upstream started after the copy."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'), listing('i-7'))
+    simulation.run(1)
+    if outage:
+        restore_after_outage(simulation, copy)
+    else:
+        simulation.store.restore(copy)
+    for _ in steps(simulation, RETURN_SECONDS - 0.3):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    simulation.store.put(listing('i-6'))
+    for _ in steps(simulation, 4):
+        assert states_of(simulation, 'i-6') == {UpstreamState.READY}
+    assert states_of(simulation, 'i-7') == {UpstreamState.GONE}
+
+
+def test_list_without_changes_costs_no_snapshots(simulation: RelaySimulation) -> None:
+    """Guards against a host that announces a position which its snapshots lack."""
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(1)
+    requests: list[bytes] = []
+    send = simulation.send
+
+    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if b'"snapshot"' in datagram:
+            requests.append(datagram)
+        send(sender, endpoint, datagram)
+
+    simulation.send = record  # type: ignore[method-assign]
+    (watcher,) = simulation.watchers()
+    watcher.dispatch(relay.RefreshRequested(relay.StoreKind.UPSTREAMS))
+    simulation.run(5)
+    assert not requests
