--- a/bench/relay.py
+++ b/bench/relay.py
@@ -44,11 +44,11 @@
     )
     kinds = relay.StoreKind
     version = relay.ConfigurationVersion(1)
-    revision = relay.Revision(1)
+    position = relay.Position(relay.Era(1), relay.Revision(1))
     kernel.dispatch(
-        relay.ListAnswered(kinds.CONFIGURATION, revision, (route,), version=version)
+        relay.ListAnswered(kinds.CONFIGURATION, position, (route,), version=version)
     )
-    kernel.dispatch(relay.ListAnswered(kinds.UPSTREAMS, revision, (listing,)))
+    kernel.dispatch(relay.ListAnswered(kinds.UPSTREAMS, position, (listing,)))
     return kernel
 
 
--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -36,7 +36,7 @@
     """A persistent HTTP connection with at most one call in progress.
 
     An answer that no call waits for ends the connection: what comes after it could
-    be taken for the answer to a later call. ``latest_revision`` is that of the last
+    be taken for the answer to a later call. ``latest_position`` is that of the last
     answer.
     """
 
@@ -48,7 +48,7 @@
         self._era = relay.Era(0)
         self._response: asyncio.Future[Answer] | None = None
         self.is_closed = False
-        self.latest_revision = 0
+        self.latest_position = relay.START_POSITION
 
     async def get(self, path: str) -> Answer:
         """Return the answer to a GET request.
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -34,10 +34,10 @@
 
 
 class _Page(NamedTuple):
-    """Fields of an answer with status 200, and the era of the store."""
+    """Fields of an answer with status 200, and the position of the store."""
 
     fields: dict[str, Any]
-    era: relay.Era
+    position: relay.Position
 
 
 class StoreClient:
@@ -134,30 +134,34 @@
 
     async def _list(self, kind: relay.StoreKind) -> relay.ListAnswered:
         objects = DecodedObjects()
-        era, revision, after = relay.Era(0), 0, ''
+        page = await self._list_page(kind, '')
+        # A watch from the position of the first page misses no change made while
+        # the others are read.
+        position = page.position
         for _ in range(_MAX_PAGES):
-            async with asyncio.timeout(_PAGE_TIMEOUT_SECONDS):
-                page = await self._get(kind, f'?after={after}' if after else '')
             items = _required_field(page.fields, 'items', list)
             for item in items:
                 objects.add(kind, item)
-            # Pages are read one after the other; a watch from the revision of the
-            # first page misses no change made meanwhile.
-            revision = revision or _required_field(page.fields, 'store_revision', int)
-            era = page.era
             if not page.fields.get('has_more'):
                 break
-            after = _last_name(items)
-        self._check_order(kind, revision)
+            page = await self._list_page(kind, f'?after={_last_name(items)}')
+            if page.position.era != position.era:
+                raise CallError(
+                    relay.StoreFault.HISTORY_LOST,
+                    'store came back from an older copy between two pages',
+                )
         return relay.ListAnswered(
             kind,
-            relay.Revision(revision),
+            position,
             tuple(objects.entries),
             tuple(objects.unusable),
             objects.version,
-            era,
         )
 
+    async def _list_page(self, kind: relay.StoreKind, query: str) -> _Page:
+        async with asyncio.timeout(_PAGE_TIMEOUT_SECONDS):
+            return await self._get(kind, query)
+
     async def _watch(
         self,
         kind: relay.StoreKind,
@@ -165,6 +169,7 @@
         wait_seconds: float,
     ) -> relay.WatchAnswered:
         wait_ms = int(wait_seconds * 1000)
+        watched_era = (await self._connect(kind)).latest_position.era
         started = time.perf_counter()
         async with asyncio.timeout(wait_seconds + _WATCH_GRACE_SECONDS):
             page = await self._get(kind, f'?watch={revision}&wait_ms={wait_ms}')
@@ -172,41 +177,23 @@
         objects = DecodedObjects()
         events = _required_field(page.fields, 'events', list)
         for item, deleted in _decode_events(events):
-            _check_event(item, revision)
+            if page.position.era == watched_era:
+                _check_event(item, revision)
             objects.add(kind, item, deleted)
         if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
             raise CallError(
                 relay.StoreFault.MALFORMED,
                 f'watch without changes ended after {waited:.3f} s',
             )
-        answer_revision = _required_field(page.fields, 'store_revision', int)
-        self._check_order(kind, answer_revision)
         return relay.WatchAnswered(
             kind,
-            relay.Revision(answer_revision),
+            page.position,
             tuple(objects.entries),
             tuple(objects.removed),
             tuple(objects.unusable),
             objects.version,
-            page.era,
         )
 
-    def _check_order(self, kind: relay.StoreKind, revision: int) -> None:
-        """Check the revision of an answer against earlier ones on the connection.
-
-        The store's revision only increases, so an older one is a late copy of an
-        earlier answer. Raises CallError, which ends the connection.
-        """
-        connection = self._connections_by_kind.get(kind)
-        if connection is None:
-            return
-        if revision < connection.latest_revision:
-            raise CallError(
-                relay.StoreFault.MALFORMED,
-                f'revision {revision} comes after {connection.latest_revision}',
-            )
-        connection.latest_revision = revision
-
     async def _get(self, kind: relay.StoreKind, query: str) -> _Page:
         connection = await self._connect(kind)
         status, era, body = await connection.get(_PATHS[kind] + query)
@@ -227,7 +214,10 @@
             raise CallError(
                 relay.StoreFault.MALFORMED, 'store answer is not a JSON object'
             )
-        return _Page(fields, era)
+        revision = relay.Revision(_required_field(fields, 'store_revision', int))
+        page = _Page(fields, relay.Position(era, revision))
+        _check_order(connection, page.position)
+        return page
 
     async def _connect(self, kind: relay.StoreKind) -> Connection:
         connection = self._connections_by_kind.get(kind)
@@ -247,6 +237,20 @@
             connection.close()
 
 
+def _check_order(connection: Connection, position: relay.Position) -> None:
+    """Check the position of an answer against earlier ones on the connection.
+
+    The store's position only increases, so an earlier one is that of a late copy of
+    an answer. Raises CallError, which ends the connection.
+    """
+    if position < connection.latest_position:
+        raise CallError(
+            relay.StoreFault.MALFORMED,
+            f'position {position} comes after {connection.latest_position}',
+        )
+    connection.latest_position = position
+
+
 def _required_field(answer: dict[str, Any], name: str, expected: type) -> Any:
     content = answer.get(name)
     if not isinstance(content, expected):
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -62,6 +62,7 @@
     WatchingChanged,
 )
 from lycheedeal.relay._records import (
+    START_POSITION,
     ConfigurationVersion,
     Entry,
     Era,
@@ -73,6 +74,7 @@
     Packet,
     PacketKind,
     Peer,
+    Position,
     Revision,
     Route,
     RouteKey,
@@ -114,6 +116,7 @@
 __all__ = (
     'BUCKET_SECONDS',
     'RELAY_PLUGINS',
+    'START_POSITION',
     'Histogram',
     'Beacon',
     'BeaconRequest',
@@ -147,6 +150,7 @@
     'PacketKind',
     'Part',
     'Peer',
+    'Position',
     'PeerMessage',
     'PeerMessageReceived',
     'LogRecord',
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -12,10 +12,11 @@
 from lycheedeal.ids import HostId
 from lycheedeal.relay._events import ContentChanged, ContentPart
 from lycheedeal.relay._records import (
+    START_POSITION,
     ConfigurationVersion,
     Entry,
     Listing,
-    Revision,
+    Position,
     Route,
     Source,
     StoreKind,
@@ -39,10 +40,10 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ContentCopy:
-    """Content of one kind of objects, as of the revision of its last change."""
+    """Content of one kind of objects, as of the position of its last change."""
 
     kind: StoreKind
-    revision: Revision = Revision(0)
+    position: Position = START_POSITION
     version: ConfigurationVersion | None = None
     settled: bool = True
     entries_by_name: dict[str, Entry] = field(default_factory=dict)
@@ -53,29 +54,34 @@
 
         The difference to a list holds what differs; that to other changes holds each
         object that was written, also one that looks the same. None means that there
-        is none; the revision then stays the same.
+        is none; the position then stays the same. In a new history of the store, equal
+        content is a difference, too: its position is another one.
         """
-        base = self.revision
+        base = self.position
         changed = {entry_name(entry): entry for entry in event.entries}
         removed = event.removed
         if event.complete:
             changed = self._differing(changed)
             removed = tuple(self._missing(event))
-        same_names = event.unusable == self.unusable
-        if not (changed or removed) and event.version == self.version and same_names:
+        is_known = (event.position.era, event.version, event.unusable) == (
+            base.era,
+            self.version,
+            self.unusable,
+        )
+        if is_known and not (changed or removed):
             return None
         for name in (*removed, *event.unusable):
             self.entries_by_name.pop(name, None)
         self.unusable = event.unusable
         self.entries_by_name.update(changed)
-        self.revision = event.revision
+        self.position = event.position
         self.version = event.version
         self.settled = event.settled
         return ContentPart(
             host_id=HostId(''),
             kind=self.kind,
             base=base,
-            revision=event.revision,
+            position=event.position,
             part=0,
             parts=1,
             complete=False,
@@ -105,8 +111,8 @@
         return ContentPart(
             host_id=HostId(''),
             kind=self.kind,
-            base=0,
-            revision=self.revision,
+            base=START_POSITION,
+            position=self.position,
             part=0,
             parts=1,
             complete=True,
@@ -132,7 +138,7 @@
             host_id=host_id,
             kind=change.kind,
             base=change.base,
-            revision=change.revision,
+            position=change.position,
             part=index,
             parts=count,
             complete=change.complete,
@@ -150,12 +156,14 @@
 
     def __init__(self) -> None:
         """Start without parts."""
-        self._parts: dict[tuple[HostId, StoreKind, int, bool], dict[int, ContentPart]]
+        self._parts: dict[
+            tuple[HostId, StoreKind, Position, bool], dict[int, ContentPart]
+        ]
         self._parts = {}
 
     def add(self, part: ContentPart) -> ContentPart | None:
         """Return the joined change, or None while parts of it are missing."""
-        key = part.host_id, part.kind, part.revision, part.complete
+        key = part.host_id, part.kind, part.position, part.complete
         parts = self._parts.setdefault(key, {})
         parts[part.part] = part
         if len(parts) < part.parts:
@@ -168,7 +176,7 @@
             host_id=part.host_id,
             kind=part.kind,
             base=part.base,
-            revision=part.revision,
+            position=part.position,
             part=0,
             parts=1,
             complete=part.complete,
@@ -186,7 +194,7 @@
     version = None if change.version is None else ConfigurationVersion(change.version)
     return ContentChanged(
         kind=change.kind,
-        revision=Revision(change.revision),
+        position=change.position,
         complete=change.complete,
         entries=change.entries,
         removed=change.removed,
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -11,12 +11,11 @@
 from lycheedeal.relay._records import (
     ConfigurationVersion,
     Entry,
-    Era,
     Loads,
     LoadScope,
     Packet,
     Peer,
-    Revision,
+    Position,
     Route,
     RouteKey,
     Source,
@@ -67,35 +66,33 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ListAnswered:
-    """The store listed all objects of a kind, as of a revision.
+    """The store listed all objects of a kind, as of a position.
 
     ``unusable`` names objects that exist but could not be decoded. For the
     configuration, ``version`` is None if the store contains none.
     """
 
     kind: StoreKind
-    revision: Revision
+    position: Position
     entries: tuple[Entry, ...]
     unusable: tuple[str, ...] = ()
     version: ConfigurationVersion | None = None
-    era: Era = Era(0)
 
 
 @dataclass(slots=True, eq=False, repr=False)
 class WatchAnswered:
-    """A watch returned the changes of a kind since the watched revision.
+    """A watch returned the changes of a kind since the watched position.
 
     The fields have the meaning that they have in ``ListAnswered``; ``removed``
     names deleted objects.
     """
 
     kind: StoreKind
-    revision: Revision
+    position: Position
     entries: tuple[Entry, ...]
     removed: tuple[str, ...] = ()
     unusable: tuple[str, ...] = ()
     version: ConfigurationVersion | None = None
-    era: Era = Era(0)
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -131,7 +128,7 @@
     """
 
     kind: StoreKind
-    revision: Revision
+    position: Position
     complete: bool
     entries: tuple[Entry, ...]
     removed: tuple[str, ...]
@@ -177,7 +174,7 @@
     """
 
     table: 'UpstreamTable'
-    revision: Revision
+    position: Position
     is_full_list: bool = False
 
 
@@ -212,14 +209,14 @@
     """A leader tells its zone how current its content is.
 
     ``ages_ms`` is the time since the store confirmed each kind, in the order of
-    StoreKind; negative ages mean that the sender resigns. ``revisions`` has the
+    StoreKind; negative ages mean that the sender resigns. ``positions`` has the
     same order. ``peers`` are some of the ``zone_size`` hosts that the sender knows
     in the zone, with itself among them.
     """
 
     peer: Peer
     ages_ms: tuple[int, ...]
-    revisions: tuple[int, ...]
+    positions: tuple[Position, ...]
     zone_size: int
     peers: tuple[Peer, ...]
 
@@ -228,28 +225,28 @@
 class RegionBeacon:
     """A leader that watches the store tells leaders of other zones how current it is.
 
-    ``ages_ms`` and ``revisions`` have the meaning that they have in ``Beacon``.
+    ``ages_ms`` and ``positions`` have the meaning that they have in ``Beacon``.
     """
 
     peer: Peer
     ages_ms: tuple[int, ...]
-    revisions: tuple[int, ...]
+    positions: tuple[Position, ...]
 
 
 @dataclass(slots=True, eq=False, repr=False)
 class ContentPart:
     """Part number ``part`` of ``parts`` of a change or snapshot of a kind.
 
-    ``complete`` marks a snapshot. A change applies to the content at revision
-    ``base`` and leads to ``revision``. Unless it is ``exact``, it contains each object
+    ``complete`` marks a snapshot. A change applies to the content at position
+    ``base`` and leads to ``position``. Unless it is ``exact``, it contains each object
     that was written since the base, and also applies to later content. ``host_id``
     is the sender.
     """
 
     host_id: HostId
     kind: StoreKind
-    base: int
-    revision: int
+    base: Position
+    position: Position
     part: int
     parts: int
     complete: bool
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import NewType
+from typing import Final, NamedTuple, NewType
 
 from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
 
@@ -13,10 +13,10 @@
 RouteName = NewType('RouteName', str)
 # Identifies one incarnation of an upstream in a packet; 0 stands for none.
 Token = NewType('Token', int)
-# Position in the history of changes of the platform's store.
+# Number of a change in a history of the platform's store.
 Revision = NewType('Revision', int)
-# Counts the histories of the store: when it comes back from an older copy, a new one
-# begins, in which revisions are given out again.
+# Number of a history of the store. When the store comes back from an older copy, a
+# new one begins, in which revisions are given out again.
 Era = NewType('Era', int)
 ConfigurationVersion = NewType('ConfigurationVersion', int)
 
@@ -24,6 +24,17 @@
 ROUTE_BITS = 48
 
 
+class Position(NamedTuple):
+    """Position in the changes of the platform's store, in all its histories."""
+
+    era: Era
+    revision: Revision
+
+
+# Before the first change.
+START_POSITION: Final = Position(Era(0), Revision(0))
+
+
 @unique
 class PacketKind(Enum):
     """What a packet of a caller means for its flow."""
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -25,11 +25,11 @@
 )
 from lycheedeal.relay._flows import FlowTable, record_unanswered
 from lycheedeal.relay._records import (
+    START_POSITION,
     ConfigurationVersion,
     FlowKey,
     Packet,
     PacketKind,
-    Revision,
     Route,
     RouteKey,
     Source,
@@ -69,7 +69,7 @@
         self._removed: frozenset[RouteKey] = frozenset()
         self._version = ConfigurationVersion(0)
         self._table = UpstreamTable()
-        self._revision = Revision(0)
+        self._position = START_POSITION
         self._table_changed_at = 0.0
         self.flow_table = FlowTable(
             context.settings.max_flows,
@@ -95,7 +95,7 @@
                 self._version = event.version
             case UpstreamsChanged():
                 self._table = event.table
-                self._revision = event.revision
+                self._position = event.position
                 self._table_changed_at = self._context.clock.monotonic()
                 if (
                     event.is_full_list
@@ -294,7 +294,8 @@
     def _state_details(self, now: float) -> dict[str, str | int | float | bool | None]:
         return {
             'version': self._version,
-            'revision': self._revision,
+            'era': self._position.era,
+            'revision': self._position.revision,
             'upstreams_age_s': round(now - self._table_changed_at, 2),
         }
 
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -27,11 +27,14 @@
 )
 from lycheedeal.relay._records import (
     Entry,
+    Era,
     Listing,
     Load,
     Loads,
     LoadScope,
     Peer,
+    Position,
+    Revision,
     Route,
     RouteKey,
     RouteName,
@@ -40,7 +43,7 @@
 )
 
 # Hosts of different versions refuse each other's messages.
-PROTOCOL_VERSION: Final = 3
+PROTOCOL_VERSION: Final = 4
 # Largest datagram that is decoded, in bytes.
 MAX_DATAGRAM_BYTES: Final = 8192
 # The mean number of requests in flight is encoded in this many steps for each.
@@ -114,7 +117,7 @@
 
 def _encode_beacon(beacon: Beacon | RegionBeacon) -> list[Any]:
     own = _encode_peer(beacon.peer)
-    common = [own, beacon.ages_ms, beacon.revisions]
+    common = [own, beacon.ages_ms, beacon.positions]
     match beacon:
         case RegionBeacon():
             return ['region', *common]
@@ -142,7 +145,7 @@
         part.host_id,
         part.kind.value,
         part.base,
-        part.revision,
+        part.position,
         part.part,
         part.parts,
         part.complete,
@@ -234,19 +237,20 @@
         case [
             peer,
             [int(), int()] as ages,
-            [int(), int()] as revisions,
+            [configuration, upstreams],
             int() as zone_size,
             list() as peers,
         ]:
             return Beacon(
                 _decode_peer(peer),
                 tuple(ages),
-                tuple(revisions),
+                (_decode_position(configuration), _decode_position(upstreams)),
                 zone_size,
                 tuple(map(_decode_peer, peers)),
             )
-        case [peer, [int(), int()] as ages, [int(), int()] as revisions]:
-            return RegionBeacon(_decode_peer(peer), tuple(ages), tuple(revisions))
+        case [peer, [int(), int()] as ages, [configuration, upstreams]]:
+            positions = _decode_position(configuration), _decode_position(upstreams)
+            return RegionBeacon(_decode_peer(peer), tuple(ages), positions)
         case _:
             raise DecodeError('beacon has wrong fields')
 
@@ -267,8 +271,8 @@
         case [
             str() as host_id,
             kind,
-            int() as base,
-            int() as revision,
+            base,
+            position,
             int() as part,
             int() as parts,
             bool() as complete,
@@ -282,8 +286,8 @@
             return ContentPart(
                 host_id=HostId(host_id),
                 kind=StoreKind(kind),
-                base=base,
-                revision=revision,
+                base=_decode_position(base),
+                position=_decode_position(position),
                 part=part,
                 parts=parts,
                 complete=complete,
@@ -298,6 +302,14 @@
             raise DecodeError('content message has wrong fields or part numbers')
 
 
+def _decode_position(fields: Any) -> Position:
+    match fields:
+        case [int() as era, int() as revision]:
+            return Position(Era(era), Revision(revision))
+        case _:
+            raise DecodeError('position is not an era and a revision')
+
+
 def _decode_loads(rows: str) -> Iterator[tuple[Token, Load]]:
     try:
         for token, scaled, *counts in _LOAD_ROW.iter_unpack(a2b_base64(rows)):
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -32,7 +32,14 @@
     Tick,
     WatchAnswered,
 )
-from lycheedeal.relay._records import Era, Revision, Source, StoreFault, StoreKind
+from lycheedeal.relay._records import (
+    START_POSITION,
+    Era,
+    Position,
+    Source,
+    StoreFault,
+    StoreKind,
+)
 
 # Longest wait of a watch without changes. Its empty answer confirms the content,
 # so the wait is half of the 3 s in which a change must be in force everywhere.
@@ -68,7 +75,7 @@
 
     kind: StoreKind
     phase: _Phase = _Phase.IDLE
-    revision: Revision = Revision(0)
+    position: Position = START_POSITION
     called_at: float = 0
     resume_at: float = 0
     failures: int = 0
@@ -84,6 +91,7 @@
         self._watches = False
         self._readers = {kind: _Reader(kind) for kind in StoreKind}
         self._last_failure_at = float('-inf')
+        # Of the last history that the store was in; None before its first answer.
         self._era: Era | None = None
 
     def handle(self, event: Event) -> Iterator[Effect]:
@@ -118,18 +126,24 @@
         reader.phase = _Phase.WATCHING
         reader.called_at = self._context.clock.monotonic()
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
-        yield WatchObjects(reader.kind, reader.revision, WATCH_WAIT_SECONDS)
+        yield WatchObjects(reader.kind, reader.position.revision, WATCH_WAIT_SECONDS)
 
     def _list_answered(self, event: ListAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
+        if self._is_of_earlier_era(event):
+            detail = f'list is of era {event.position.era}, after era {self._era}'
+            yield from self._call_failed(
+                CallFailed(event.kind, StoreFault.MALFORMED, detail)
+            )
+            return
         yield from self._record_success(reader)
-        yield from self._record_era(event)
-        reader.revision = event.revision
+        yield from self._enter_era(event)
+        reader.position = event.position
         reader.has_listed = True
         yield Publish(
             ContentChanged(
                 kind=event.kind,
-                revision=event.revision,
+                position=event.position,
                 complete=True,
                 entries=event.entries,
                 removed=(),
@@ -145,13 +159,18 @@
     def _watch_answered(self, event: WatchAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         yield from self._record_success(reader)
-        yield from self._record_era(event)
-        reader.revision = event.revision
+        yield from self._enter_era(event)
+        if event.position.era != reader.position.era:
+            # The new history may have given out the watched revision again, so the
+            # answer lacks the changes before it.
+            yield from self._list(reader)
+            return
+        reader.position = event.position
         if _has_changes(event):
             yield Publish(
                 ContentChanged(
                     kind=event.kind,
-                    revision=event.revision,
+                    position=event.position,
                     complete=event.kind is StoreKind.CONFIGURATION,
                     entries=event.entries,
                     removed=event.removed,
@@ -180,10 +199,17 @@
                 {'objects': reader.kind.value},
             )
 
-    def _record_era(self, event: ListAnswered | WatchAnswered) -> Iterator[Effect]:
+    def _is_of_earlier_era(self, event: ListAnswered) -> bool:
+        return self._era is not None and event.position.era < self._era
+
+    def _enter_era(self, event: ListAnswered | WatchAnswered) -> Iterator[Effect]:
+        """List all that is watched if an answer shows a new history of the store."""
         previous = self._era
-        self._era = event.era
-        if previous is None or previous == event.era:
+        era, revision = event.position
+        if previous is not None and era <= previous:
+            return
+        self._era = era
+        if previous is None:
             return
         self._context.metrics.add('store_eras', 'changed')
         yield LogRecord(
@@ -192,12 +218,16 @@
             'Store came back from an older copy of its content.',
             {
                 'objects': event.kind.value,
-                'era': event.era,
+                'era': era,
                 'previous': previous,
-                'revision': event.revision,
-                'last_revision': self._readers[event.kind].revision,
+                'revision': revision,
+                'last_revision': self._readers[event.kind].position.revision,
             },
         )
+        for reader in self._readers.values():
+            is_watched = reader.phase in {_Phase.WATCHING, _Phase.PAUSING}
+            if reader.kind is not event.kind and is_watched:
+                yield from self._refresh(reader)
 
     def _call_failed(self, event: CallFailed) -> Iterator[Effect]:
         reader = self._readers[event.kind]
@@ -224,7 +254,8 @@
                 'objects': event.kind.value,
                 'fault': event.fault.value,
                 'detail': event.detail,
-                'revision': reader.revision,
+                'era': reader.position.era,
+                'revision': reader.position.revision,
             },
         )
 
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -38,7 +38,7 @@
     Freshness,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import Peer, Revision, Source, StoreKind
+from lycheedeal.relay._records import START_POSITION, Peer, Source, StoreKind
 
 
 class RegionPlugin:
@@ -50,7 +50,7 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._freshness = Freshness(context)
-        self._revisions = dict.fromkeys(StoreKind, Revision(0))
+        self._positions = dict.fromkeys(StoreKind, START_POSITION)
         self._is_leader = False
         self._watches = False
         self._stopping = False
@@ -67,8 +67,8 @@
             case LeadershipChanged(is_leader=is_leader):
                 self._is_leader = self._own.is_leader = is_leader
                 yield from self._set_watching(is_leader, 'leadership of the zone')
-            case ContentChanged(kind=kind, revision=revision):
-                self._revisions[kind] = max(self._revisions[kind], revision)
+            case ContentChanged(kind=kind, position=position):
+                self._positions[kind] = max(self._positions[kind], position)
             case ContentConfirmed():
                 yield from self._content_confirmed(event)
             case SpreadRequested(message=ContentPart() as part):
@@ -106,8 +106,8 @@
         self._heard_at = now
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
             yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
-        for kind, revision in zip(StoreKind, beacon.revisions, strict=True):
-            if revision > self._revisions[kind]:
+        for kind, position in zip(StoreKind, beacon.positions, strict=True):
+            if position > self._positions[kind]:
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
 
@@ -169,8 +169,8 @@
         now = self._context.clock.monotonic()
         self._next_beacon = now + BEACON_INTERVAL_SECONDS
         ages = RESIGNED_AGES_MS if self._stopping else self._freshness.ages_ms()
-        revisions = tuple(int(self._revisions[kind]) for kind in StoreKind)
-        yield from self._send_to_leaders(RegionBeacon(self._own, ages, revisions))
+        positions = tuple(self._positions[kind] for kind in StoreKind)
+        yield from self._send_to_leaders(RegionBeacon(self._own, ages, positions))
 
     def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
         for peer in self._peer_table.other_zone_leaders():
--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -44,7 +44,11 @@
                 Part.ROUTES,
                 'unusable',
                 'Configuration is not usable; the last one stays in force.',
-                {'revision': event.revision, 'source': event.source.value},
+                {
+                    'era': event.position.era,
+                    'revision': event.position.revision,
+                    'source': event.source.value,
+                },
             )
             return
         if self.version is not None and event.version <= self.version:
@@ -65,7 +69,8 @@
                 'version': event.version,
                 'previous': previous,
                 'routes': len(by_key),
-                'revision': event.revision,
+                'era': event.position.era,
+                'revision': event.position.revision,
                 'source': event.source.value,
             },
         )
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -15,8 +15,8 @@
 from lycheedeal.relay._effects import Effect, LogRecord, Part
 from lycheedeal.relay._events import ContentChanged, Event, Tick, UpstreamsChanged
 from lycheedeal.relay._records import (
+    START_POSITION,
     Listing,
-    Revision,
     Source,
     StoreKind,
     Upstream,
@@ -39,7 +39,7 @@
         """Start with an empty table."""
         self._context = context
         self.table = UpstreamTable()
-        self._revision = Revision(0)
+        self._position = START_POSITION
         # When each entry was found missing in a store that has just recovered.
         self._missing_since: dict[str, float] = {}
         self._next_sweep = 0.0
@@ -48,11 +48,11 @@
         """Yield the effects of one event."""
         match event:
             case ContentChanged(kind=StoreKind.UPSTREAMS):
-                self._revision = event.revision
+                self._position = event.position
                 yield from self._content_changed(event)
                 is_full_list = _is_full_list(event)
                 yield Publish(
-                    UpstreamsChanged(self.table, self._revision, is_full_list)
+                    UpstreamsChanged(self.table, self._position, is_full_list)
                 )
             case Tick(now=now):
                 yield from self._tick(now)
@@ -200,7 +200,8 @@
                 'zone': listing.zone,
                 'state': upstream.state.value,
                 'reason': reason,
-                'revision': self._revision,
+                'era': self._position.era,
+                'revision': self._position.revision,
             },
         )
 
@@ -226,7 +227,7 @@
                 name, UpstreamState.GONE, 'did not come back'
             )
         if expired:
-            yield Publish(UpstreamsChanged(self.table, self._revision))
+            yield Publish(UpstreamsChanged(self.table, self._position))
 
 
 def _is_full_list(event: ContentChanged) -> bool:
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -50,7 +50,7 @@
 )
 from lycheedeal.relay._greetings import Greetings
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import Source, StoreKind
+from lycheedeal.relay._records import START_POSITION, Source, StoreKind
 
 # With more leaders than this in the zone, the interval between beacons grows in
 # proportion.
@@ -65,7 +65,7 @@
 # Time between two updates of the age metrics and removals of hosts that are no
 # longer heard.
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# A host whose revision is behind that of the leader for longer than this reads
+# A host whose position is behind that of the leader for longer than this reads
 # from the store itself.
 _MAX_LAG_SECONDS: Final = 0.9
 
@@ -184,7 +184,7 @@
         yield from self._set_leadership(
             is_leader=False, reason='another leader is heard'
         )
-        yield from self._compare_revisions(beacon)
+        yield from self._compare_positions(beacon)
 
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
@@ -193,11 +193,11 @@
             return True
         return rank(beacon.peer) < rank(self._own)
 
-    def _compare_revisions(self, beacon: Beacon) -> Iterator[Effect]:
-        """Ask for a snapshot of each kind whose revision is behind the leader's."""
+    def _compare_positions(self, beacon: Beacon) -> Iterator[Effect]:
+        """Ask for a snapshot of each kind whose position is behind the leader's."""
         now = self._context.clock.monotonic()
-        for kind, revision in zip(StoreKind, beacon.revisions, strict=True):
-            if revision <= self._copies[kind].revision:
+        for kind, position in zip(StoreKind, beacon.positions, strict=True):
+            if position <= self._copies[kind].position:
                 self._lagging_since.pop(kind, None)
                 continue
             since = self._lagging_since.setdefault(kind, now)
@@ -213,7 +213,7 @@
         if change is None:
             return
         copy = self._copies[change.kind]
-        if change.revision <= copy.revision:
+        if change.position <= copy.position:
             self._context.metrics.add('peer_content', 'ignored')
             yield _ignored_record(change, copy)
             return
@@ -228,7 +228,7 @@
     def _send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
         peer = self._peer_table.find(host_id)
         copy = self._copies[kind]
-        if peer is None or not copy.revision:
+        if peer is None or copy.position == START_POSITION:
             return
         for part in split_part(copy.snapshot(), self._own.host_id):
             yield SendPeer(peer.endpoint, part)
@@ -316,18 +316,18 @@
         ages = self._freshness.ages_ms()
         if self._stopping:
             ages = RESIGNED_AGES_MS
-        revisions = tuple(int(self._copies[kind].revision) for kind in StoreKind)
+        positions = tuple(self._copies[kind].position for kind in StoreKind)
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
-            self._own, ages, revisions, size, self._peer_table.next_advertised()
+            self._own, ages, positions, size, self._peer_table.next_advertised()
         )
 
 
 def _applies(change: ContentPart, copy: ContentCopy) -> bool:
-    """Return whether a change leads from the content of a copy to its revision."""
+    """Return whether a change leads from the content of a copy to its position."""
     if change.exact:
-        return change.base == copy.revision
-    return change.base <= copy.revision
+        return change.base == copy.position
+    return change.base <= copy.position
 
 
 def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
@@ -338,8 +338,10 @@
         {
             'objects': change.kind.value,
             'sender': change.host_id,
-            'revision': change.revision,
-            'own_revision': copy.revision,
+            'era': change.position.era,
+            'own_era': copy.position.era,
+            'revision': change.position.revision,
+            'own_revision': copy.position.revision,
             'version': change.version,
             'own_version': copy.version,
         },
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -19,14 +19,17 @@
 Script = Callable[[asyncio.Queue[str], asyncio.StreamWriter], Awaitable[None]]
 
 
-def response(body: Any) -> bytes:
+def response(body: Any, era: str = '') -> bytes:
     content = json.dumps(body).encode()
-    return b'HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%s' % (len(content), content)
+    header = f'Store-Era: {era}\r\n' if era else ''
+    head = f'HTTP/1.1 200 -\r\n{header}Content-Length: {len(content)}\r\n\r\n'
+    return head.encode() + content
 
 
-def listed(revision: int, *names: str) -> bytes:
+def listed(revision: int, *names: str, era: str = '') -> bytes:
     items = [{'meta': {'name': name, 'revision': revision}} for name in names]
-    return response({'items': items, 'has_more': False, 'store_revision': revision})
+    body = {'items': items, 'has_more': False, 'store_revision': revision}
+    return response(body, era)
 
 
 def changed(revision: int, *names: str) -> bytes:
@@ -42,17 +45,18 @@
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts: Iterator[Script] = iter(scripts)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._writers: list[asyncio.StreamWriter] = []
         self.events: asyncio.Queue[relay.Event] = asyncio.Queue()
 
     async def start(self) -> StoreClient:
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        endpoint = Endpoint(*server.sockets[0].getsockname())
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        endpoint = Endpoint(*self._server.sockets[0].getsockname())
         return StoreClient(endpoint, self.events.put_nowait, relay.Metrics())
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.append(writer)
         paths: asyncio.Queue[str] = asyncio.Queue()
         script = asyncio.ensure_future(next(self._scripts)(paths, writer))
         try:
@@ -62,6 +66,17 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             script.cancel()
 
+    async def close(self) -> None:
+        """Close all connections while the loop still runs."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+            try:
+                await writer.wait_closed()
+            except OSError:
+                # The client has already closed or reset the connection.
+                continue
+
     async def next_event(self) -> relay.Event:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             return await self.events.get()
@@ -77,13 +92,14 @@
             await test(harness, client)
         finally:
             client.close()
+            await harness.close()
 
     asyncio.run(run())
 
 
 def assert_revision(event: relay.Event, revision: int) -> None:
     assert isinstance(event, relay.ListAnswered | relay.WatchAnswered)
-    assert event.revision == revision
+    assert event.position.revision == revision
 
 
 def assert_fault(event: relay.Event, fault: StoreFault) -> None:
@@ -175,9 +191,81 @@
     play(test, go_back, restored)
 
 
-def page(number: int, more: bool) -> bytes:
+def test_list_of_a_restored_store_goes_back_to_an_earlier_revision() -> None:
+    """Guards against a client that takes the new history for copies of old answers."""
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        for era, revision in ((1, 6), (2, 5), (1, 7)):
+            await paths.get()
+            writer.write(listed(revision, 'i-1', era=str(era)))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        for era, revision in ((1, 6), (2, 5)):
+            client.list_objects(UPSTREAMS)
+            event = await harness.next_event()
+            assert isinstance(event, relay.ListAnswered)
+            assert event.position == (era, revision)
+        client.list_objects(UPSTREAMS)
+        assert_fault(await harness.next_event(), StoreFault.MALFORMED)
+
+    play(test, answer)
+
+
+@pytest.mark.parametrize('era', ['-1', 'two', '1.5'])
+def test_era_that_is_no_number_is_a_failure(era: str) -> None:
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(5, 'i-1', era=era))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_fault(await harness.next_event(), StoreFault.MALFORMED)
+
+    play(test, answer)
+
+
+def test_watch_tells_the_era_although_its_changes_have_early_revisions() -> None:
+    """Guards against changes of a new history that are refused as old copies."""
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(9, 'i-1', era='1'))
+        await paths.get()
+        item = {'meta': {'name': 'i-1', 'revision': 4}}
+        events = [{'object': item, 'deleted': True}]
+        writer.write(response({'events': events, 'store_revision': 4}, era='2'))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        await harness.next_event()
+        client.watch_objects(UPSTREAMS, relay.Revision(9), 1.5)
+        event = await harness.next_event()
+        assert isinstance(event, relay.WatchAnswered)
+        assert event.position == (2, 4)
+
+    play(test, answer)
+
+
+def page(number: int, more: bool, era: str = '') -> bytes:
     items = [{'meta': {'name': f'i-{number}', 'revision': number}}]
-    return response({'items': items, 'has_more': more, 'store_revision': 9})
+    body = {'items': items, 'has_more': more, 'store_revision': 9}
+    return response(body, era)
+
+
+def test_pages_of_two_histories_are_no_list() -> None:
+    """Guards against a list that mixes content from before and after a restore."""
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(page(1, more=True, era='1'))
+        await paths.get()
+        writer.write(page(2, more=False, era='2'))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_fault(await harness.next_event(), StoreFault.HISTORY_LOST)
+
+    play(test, answer)
 
 
 def test_long_list_may_take_longer_than_one_answer() -> None:
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -90,6 +90,10 @@
     refused: set[str] = field(default_factory=set)
     calls: list[tuple[str, str]] = field(default_factory=list)
 
+    @property
+    def position(self) -> relay.Position:
+        return relay.Position(relay.Era(self.era), relay.Revision(self.revision))
+
     def put(self, *listings: relay.Listing) -> None:
         for one in listings:
             self.listings[one.upstream_id] = one
@@ -135,11 +139,10 @@
             version = relay.ConfigurationVersion(self.version)
         return relay.ListAnswered(
             kind,
-            relay.Revision(self.revision),
+            self.position,
             entries,
             (),
             version,
-            relay.Era(self.era),
         )
 
     def changes(
@@ -155,19 +158,17 @@
             answer = self.list_all(kind)
             return relay.WatchAnswered(
                 kind,
-                answer.revision,
+                answer.position,
                 answer.entries,
                 version=answer.version,
-                era=answer.era,
             )
         present = [self.listings[name] for name in names if name in self.listings]
         removed = tuple(name for name in names if name not in self.listings)
         return relay.WatchAnswered(
             kind,
-            relay.Revision(self.revision),
+            self.position,
             tuple(present),
             removed,
-            era=relay.Era(self.era),
         )
 
 
@@ -243,9 +244,8 @@
             return relay.CallFailed(kind, relay.StoreFault.SILENT, '')
         answer = store.changes(kind, watch.revision)
         if answer is None and now >= watch.until:
-            revision = relay.Revision(watch.revision)
-            era = relay.Era(store.era)
-            return relay.WatchAnswered(kind, revision, (), era=era)
+            position = store.position._replace(revision=relay.Revision(watch.revision))
+            return relay.WatchAnswered(kind, position, ())
         return answer
 
     def reaches_store(self) -> bool:
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -15,6 +15,9 @@
 
 names = st.text(min_size=1, max_size=12)
 numbers = st.integers(0, 2**40)
+positions = st.builds(
+    relay.Position, numbers.map(relay.Era), numbers.map(relay.Revision)
+)
 endpoints = st.builds(Endpoint, st.just('10.0.0.1'), st.integers(1, 65535))
 peers = st.builds(
     relay.Peer,
@@ -47,8 +50,8 @@
     relay.ContentPart,
     names.map(HostId),
     st.sampled_from(relay.StoreKind),
-    numbers,
-    numbers,
+    positions,
+    positions,
     st.just(0),
     st.just(1),
     st.booleans(),
@@ -69,7 +72,7 @@
         relay.Beacon,
         peers,
         st.tuples(numbers, numbers),
-        st.tuples(numbers, numbers),
+        st.tuples(positions, positions),
         numbers,
         st.tuples(peers, peers),
     )
@@ -93,7 +96,7 @@
         relay.RegionBeacon,
         peers,
         st.tuples(numbers, numbers),
-        st.tuples(numbers, numbers),
+        st.tuples(positions, positions),
     )
     | st.builds(
         relay.SnapshotRequest, names.map(HostId), st.sampled_from(relay.StoreKind)
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -294,7 +294,10 @@
     host.dispatch(
         relay.WatchAnswered(
             relay.StoreKind.UPSTREAMS,
-            relay.Revision(simulation.store.revision + 1),
+            relay.Position(
+                relay.Era(simulation.store.era),
+                relay.Revision(simulation.store.revision + 1),
+            ),
             (),
             unusable=(chosen.listing.upstream_id,),
         )
--- a/tests/unit/test_relay_spreading.py
+++ b/tests/unit/test_relay_spreading.py
@@ -11,6 +11,9 @@
 BYTES_PER_SECOND = 5000
 # A change must be in force on every host within this time.
 IN_FORCE_SECONDS = 3.0
+FIRST_POSITION = relay.Position(relay.Era(0), relay.Revision(1))
+# Of the configuration and the upstreams.
+POSITIONS = (FIRST_POSITION, FIRST_POSITION)
 
 
 def zone_of(hosts: int) -> CountingSimulation:
@@ -61,8 +64,8 @@
     part = relay.ContentPart(
         host_id,
         relay.StoreKind.UPSTREAMS,
-        0,
-        1,
+        relay.START_POSITION,
+        FIRST_POSITION,
         0,
         1,
         False,
@@ -144,7 +147,7 @@
 
 def test_own_message_that_comes_back_is_dropped(idle_zone: CountingSimulation) -> None:
     (leader,) = idle_zone.leaders()
-    beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), (1, 1), 4, ())
+    beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), POSITIONS, 4, ())
     spread = relay.Spread(7, 0, 1 << 32, beacon)
     assert not leader.kernel.dispatch(relay.PeerMessageReceived(spread))
 
@@ -164,7 +167,9 @@
         )
     simulation.messages_by_host.clear()
     for order_seed in range(0, 1 << 32, 1 << 27):
-        beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), (1, 1), 4, ())
+        beacon = relay.Beacon(
+            leader.context.settings.own_peer, (0, 0), POSITIONS, 4, ()
+        )
         spread = relay.Spread(order_seed, 0, 1 << 32, beacon)
         other.dispatch(relay.PeerMessageReceived(spread))
         for _ in range(HOSTS):
