--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -123,8 +123,9 @@
     """The content of a kind changed.
 
     ``complete`` means that objects in neither ``entries`` nor ``unusable`` do not
-    exist. ``settled`` means that the store had answered for some time, so that a
-    missing entry was deleted rather than expired while the store failed.
+    exist. ``settled`` means that the store had answered from one history for some time,
+    so that a missing entry was deleted rather than expired while the store failed, or
+    lost with its history.
     """
 
     kind: StoreKind
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -53,9 +53,9 @@
 # Delay before a list after a failed call; doubles with each further failure.
 _MIN_RETRY_SECONDS: Final = 0.1
 _MAX_RETRY_SECONDS: Final = 0.8
-# Time after the last failed call during which a missing entry does not mean that
-# its upstream is gone. Entries that expired while the store did not answer are
-# written again within about 2 s, as the platform guarantees.
+# Time after the last failed call, and after the store came back from an older copy,
+# during which a missing entry does not mean that its upstream is gone. Entries that
+# expired or were lost are written again within about 2 s, as the platform guarantees.
 SETTLING_SECONDS: Final = 2.2
 
 
@@ -90,7 +90,9 @@
         self._context = context
         self._watches = False
         self._readers = {kind: _Reader(kind) for kind in StoreKind}
-        self._last_failure_at = float('-inf')
+        # Time of the last failed call, or of the last sign that the store came back
+        # from an older copy.
+        self._unsettled_at = float('-inf')
         # Of the last history that the store was in; None before its first answer.
         self._era: Era | None = None
 
@@ -191,7 +193,7 @@
     def _record_success(self, reader: _Reader) -> Iterator[Effect]:
         if reader.failures:
             reader.failures = 0
-            self._last_failure_at = self._context.clock.monotonic()
+            self._unsettled_at = self._context.clock.monotonic()
             yield LogRecord(
                 Part.READING,
                 'store',
@@ -211,6 +213,7 @@
         self._era = era
         if previous is None:
             return
+        self._unsettled_at = self._context.clock.monotonic()
         self._context.metrics.add('store_eras', 'changed')
         yield LogRecord(
             Part.READING,
@@ -261,7 +264,7 @@
 
     def _retry_later(self, reader: _Reader) -> None:
         now = self._context.clock.monotonic()
-        self._last_failure_at = now
+        self._unsettled_at = now
         reader.phase = _Phase.RETRYING
         delay = _MIN_RETRY_SECONDS * 2 ** min(reader.failures - 1, 8)
         jitter = self._context.rng.uniform(0.75, 1.25)
@@ -301,7 +304,7 @@
                     yield from self._watch(reader)
 
     def _is_settled(self) -> bool:
-        quiet = self._context.clock.monotonic() - self._last_failure_at
+        quiet = self._context.clock.monotonic() - self._unsettled_at
         return quiet >= SETTLING_SECONDS
 
 
