--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -62,8 +62,10 @@
     WatchingChanged,
 )
 from lycheedeal.relay._records import (
+    NO_EDITION,
     START_POSITION,
     ConfigurationVersion,
+    Edition,
     Entry,
     Era,
     FlowKey,
@@ -116,6 +118,7 @@
 __all__ = (
     'BUCKET_SECONDS',
     'RELAY_PLUGINS',
+    'NO_EDITION',
     'START_POSITION',
     'Histogram',
     'Beacon',
@@ -130,6 +133,7 @@
     'Detail',
     'LeadershipChanged',
     'Effect',
+    'Edition',
     'Entry',
     'Era',
     'Event',
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -12,8 +12,10 @@
 from lycheedeal.ids import HostId
 from lycheedeal.relay._events import ContentChanged, ContentPart
 from lycheedeal.relay._records import (
+    NO_EDITION,
     START_POSITION,
     ConfigurationVersion,
+    Edition,
     Entry,
     Listing,
     Position,
@@ -38,6 +40,15 @@
             return upstream_id
 
 
+def edition_of(content: 'ContentChanged | ContentPart | ContentCopy') -> Edition:
+    """Return the edition of some content."""
+    match content.kind:
+        case StoreKind.CONFIGURATION:
+            return Edition((0, content.version or 0))
+        case StoreKind.UPSTREAMS:
+            return Edition(content.position)
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class ContentCopy:
     """Content of one kind of objects, as of the position of its last change."""
@@ -54,21 +65,21 @@
 
         The difference to a list holds what differs; that to other changes holds each
         object that was written, also one that looks the same. None means that there
-        is none; the position then stays the same. In a new history of the store, equal
-        content is a difference, too: its position is another one.
+        is none, or that a configuration is not newer; the edition then stays the same.
+        In a new history of the store, equal upstreams are a difference, too: their
+        edition is another one.
         """
-        base = self.position
+        base = edition_of(self)
+        if event.kind is StoreKind.CONFIGURATION and edition_of(event) <= base:
+            return None
         changed = {entry_name(entry): entry for entry in event.entries}
         removed = event.removed
         if event.complete:
             changed = self._differing(changed)
             removed = tuple(self._missing(event))
-        is_known = (event.position.era, event.version, event.unusable) == (
-            base.era,
-            self.version,
-            self.unusable,
-        )
-        if is_known and not (changed or removed):
+        same_era = event.position.era == self.position.era
+        is_known = event.version == self.version and event.unusable == self.unusable
+        if same_era and is_known and not (changed or removed):
             return None
         for name in (*removed, *event.unusable):
             self.entries_by_name.pop(name, None)
@@ -111,7 +122,7 @@
         return ContentPart(
             host_id=HostId(''),
             kind=self.kind,
-            base=START_POSITION,
+            base=NO_EDITION,
             position=self.position,
             part=0,
             parts=1,
@@ -157,13 +168,13 @@
     def __init__(self) -> None:
         """Start without parts."""
         self._parts: dict[
-            tuple[HostId, StoreKind, Position, bool], dict[int, ContentPart]
+            tuple[HostId, StoreKind, Edition, bool], dict[int, ContentPart]
         ]
         self._parts = {}
 
     def add(self, part: ContentPart) -> ContentPart | None:
         """Return the joined change, or None while parts of it are missing."""
-        key = part.host_id, part.kind, part.position, part.complete
+        key = part.host_id, part.kind, edition_of(part), part.complete
         parts = self._parts.setdefault(key, {})
         parts[part.part] = part
         if len(parts) < part.parts:
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -10,6 +10,7 @@
 from lycheedeal.ids import HostId, Zone
 from lycheedeal.relay._records import (
     ConfigurationVersion,
+    Edition,
     Entry,
     Loads,
     LoadScope,
@@ -210,14 +211,14 @@
     """A leader tells its zone how current its content is.
 
     ``ages_ms`` is the time since the store confirmed each kind, in the order of
-    StoreKind; negative ages mean that the sender resigns. ``positions`` has the
+    StoreKind; negative ages mean that the sender resigns. ``editions`` has the
     same order. ``peers`` are some of the ``zone_size`` hosts that the sender knows
     in the zone, with itself among them.
     """
 
     peer: Peer
     ages_ms: tuple[int, ...]
-    positions: tuple[Position, ...]
+    editions: tuple[Edition, ...]
     zone_size: int
     peers: tuple[Peer, ...]
 
@@ -226,27 +227,27 @@
 class RegionBeacon:
     """A leader that watches the store tells leaders of other zones how current it is.
 
-    ``ages_ms`` and ``positions`` have the meaning that they have in ``Beacon``.
+    ``ages_ms`` and ``editions`` have the meaning that they have in ``Beacon``.
     """
 
     peer: Peer
     ages_ms: tuple[int, ...]
-    positions: tuple[Position, ...]
+    editions: tuple[Edition, ...]
 
 
 @dataclass(slots=True, eq=False, repr=False)
 class ContentPart:
     """Part number ``part`` of ``parts`` of a change or snapshot of a kind.
 
-    ``complete`` marks a snapshot. A change applies to the content at position
-    ``base`` and leads to ``position``. Unless it is ``exact``, it contains each object
-    that was written since the base, and also applies to later content. ``host_id``
-    is the sender.
+    ``complete`` marks a snapshot. A change applies to the content of edition
+    ``base`` and leads to that at ``position``. Unless it is ``exact``, it contains
+    each object that was written since the base, and also applies to later content.
+    ``host_id`` is the sender.
     """
 
     host_id: HostId
     kind: StoreKind
-    base: Position
+    base: Edition
     position: Position
     part: int
     parts: int
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -33,6 +33,11 @@
 
 # Before the first change.
 START_POSITION: Final = Position(Era(0), Revision(0))
+# Orders the contents of one kind that hosts pass on to each other: by the position in
+# the store, or by the version of a configuration. A restored store may hold an older
+# version for a while.
+Edition = NewType('Edition', tuple[int, int])
+NO_EDITION: Final = Edition((0, 0))
 
 
 @unique
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -26,6 +26,7 @@
     SpreadMessage,
 )
 from lycheedeal.relay._records import (
+    Edition,
     Entry,
     Era,
     Listing,
@@ -117,7 +118,7 @@
 
 def _encode_beacon(beacon: Beacon | RegionBeacon) -> list[Any]:
     own = _encode_peer(beacon.peer)
-    common = [own, beacon.ages_ms, beacon.positions]
+    common = [own, beacon.ages_ms, beacon.editions]
     match beacon:
         case RegionBeacon():
             return ['region', *common]
@@ -244,13 +245,13 @@
             return Beacon(
                 _decode_peer(peer),
                 tuple(ages),
-                (_decode_position(configuration), _decode_position(upstreams)),
+                (_decode_edition(configuration), _decode_edition(upstreams)),
                 zone_size,
                 tuple(map(_decode_peer, peers)),
             )
         case [peer, [int(), int()] as ages, [configuration, upstreams]]:
-            positions = _decode_position(configuration), _decode_position(upstreams)
-            return RegionBeacon(_decode_peer(peer), tuple(ages), positions)
+            editions = _decode_edition(configuration), _decode_edition(upstreams)
+            return RegionBeacon(_decode_peer(peer), tuple(ages), editions)
         case _:
             raise DecodeError('beacon has wrong fields')
 
@@ -286,7 +287,7 @@
             return ContentPart(
                 host_id=HostId(host_id),
                 kind=StoreKind(kind),
-                base=_decode_position(base),
+                base=_decode_edition(base),
                 position=_decode_position(position),
                 part=part,
                 parts=parts,
@@ -302,6 +303,14 @@
             raise DecodeError('content message has wrong fields or part numbers')
 
 
+def _decode_edition(fields: Any) -> Edition:
+    match fields:
+        case [int() as major, int() as minor]:
+            return Edition((major, minor))
+        case _:
+            raise DecodeError('edition is not a pair of numbers')
+
+
 def _decode_position(fields: Any) -> Position:
     match fields:
         case [int() as era, int() as revision]:
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -12,6 +12,7 @@
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._copies import edition_of
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import (
     ContentChanged,
@@ -38,7 +39,7 @@
     Freshness,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import START_POSITION, Peer, Source, StoreKind
+from lycheedeal.relay._records import NO_EDITION, Peer, Source, StoreKind
 
 
 class RegionPlugin:
@@ -50,7 +51,7 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._freshness = Freshness(context)
-        self._positions = dict.fromkeys(StoreKind, START_POSITION)
+        self._editions = dict.fromkeys(StoreKind, NO_EDITION)
         self._is_leader = False
         self._watches = False
         self._stopping = False
@@ -67,8 +68,9 @@
             case LeadershipChanged(is_leader=is_leader):
                 self._is_leader = self._own.is_leader = is_leader
                 yield from self._set_watching(is_leader, 'leadership of the zone')
-            case ContentChanged(kind=kind, position=position):
-                self._positions[kind] = max(self._positions[kind], position)
+            case ContentChanged(kind=kind):
+                edition = max(self._editions[kind], edition_of(event))
+                self._editions[kind] = edition
             case ContentConfirmed():
                 yield from self._content_confirmed(event)
             case SpreadRequested(message=ContentPart() as part):
@@ -106,8 +108,8 @@
         self._heard_at = now
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
             yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
-        for kind, position in zip(StoreKind, beacon.positions, strict=True):
-            if position > self._positions[kind]:
+        for kind, edition in zip(StoreKind, beacon.editions, strict=True):
+            if edition > self._editions[kind]:
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
 
@@ -169,8 +171,8 @@
         now = self._context.clock.monotonic()
         self._next_beacon = now + BEACON_INTERVAL_SECONDS
         ages = RESIGNED_AGES_MS if self._stopping else self._freshness.ages_ms()
-        positions = tuple(self._positions[kind] for kind in StoreKind)
-        yield from self._send_to_leaders(RegionBeacon(self._own, ages, positions))
+        editions = tuple(self._editions[kind] for kind in StoreKind)
+        yield from self._send_to_leaders(RegionBeacon(self._own, ages, editions))
 
     def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
         for peer in self._peer_table.other_zone_leaders():
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -17,6 +17,7 @@
     ContentCopy,
     Reassembler,
     as_content,
+    edition_of,
     split_part,
 )
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
@@ -65,7 +66,7 @@
 # Time between two updates of the age metrics and removals of hosts that are no
 # longer heard.
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# A host whose position is behind that of the leader for longer than this reads
+# A host whose edition is behind that of the leader for longer than this reads
 # from the store itself.
 _MAX_LAG_SECONDS: Final = 0.9
 
@@ -184,7 +185,7 @@
         yield from self._set_leadership(
             is_leader=False, reason='another leader is heard'
         )
-        yield from self._compare_positions(beacon)
+        yield from self._compare_editions(beacon)
 
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
@@ -193,11 +194,11 @@
             return True
         return rank(beacon.peer) < rank(self._own)
 
-    def _compare_positions(self, beacon: Beacon) -> Iterator[Effect]:
-        """Ask for a snapshot of each kind whose position is behind the leader's."""
+    def _compare_editions(self, beacon: Beacon) -> Iterator[Effect]:
+        """Ask for a snapshot of each kind whose edition is behind the leader's."""
         now = self._context.clock.monotonic()
-        for kind, position in zip(StoreKind, beacon.positions, strict=True):
-            if position <= self._copies[kind].position:
+        for kind, edition in zip(StoreKind, beacon.editions, strict=True):
+            if edition <= edition_of(self._copies[kind]):
                 self._lagging_since.pop(kind, None)
                 continue
             since = self._lagging_since.setdefault(kind, now)
@@ -213,7 +214,7 @@
         if change is None:
             return
         copy = self._copies[change.kind]
-        if change.position <= copy.position:
+        if edition_of(change) <= edition_of(copy):
             self._context.metrics.add('peer_content', 'ignored')
             yield _ignored_record(change, copy)
             return
@@ -316,18 +317,18 @@
         ages = self._freshness.ages_ms()
         if self._stopping:
             ages = RESIGNED_AGES_MS
-        positions = tuple(self._copies[kind].position for kind in StoreKind)
+        editions = tuple(edition_of(self._copies[kind]) for kind in StoreKind)
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
-            self._own, ages, positions, size, self._peer_table.next_advertised()
+            self._own, ages, editions, size, self._peer_table.next_advertised()
         )
 
 
 def _applies(change: ContentPart, copy: ContentCopy) -> bool:
-    """Return whether a change leads from the content of a copy to its position."""
+    """Return whether a change leads from the content of a copy to its edition."""
     if change.exact:
-        return change.base == copy.position
-    return change.base <= copy.position
+        return change.base == edition_of(copy)
+    return change.base <= edition_of(copy)
 
 
 def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -18,6 +18,7 @@
 positions = st.builds(
     relay.Position, numbers.map(relay.Era), numbers.map(relay.Revision)
 )
+editions = st.tuples(numbers, numbers).map(relay.Edition)
 endpoints = st.builds(Endpoint, st.just('10.0.0.1'), st.integers(1, 65535))
 peers = st.builds(
     relay.Peer,
@@ -50,7 +51,7 @@
     relay.ContentPart,
     names.map(HostId),
     st.sampled_from(relay.StoreKind),
-    positions,
+    editions,
     positions,
     st.just(0),
     st.just(1),
@@ -72,7 +73,7 @@
         relay.Beacon,
         peers,
         st.tuples(numbers, numbers),
-        st.tuples(positions, positions),
+        st.tuples(editions, editions),
         numbers,
         st.tuples(peers, peers),
     )
@@ -96,7 +97,7 @@
         relay.RegionBeacon,
         peers,
         st.tuples(numbers, numbers),
-        st.tuples(positions, positions),
+        st.tuples(editions, editions),
     )
     | st.builds(
         relay.SnapshotRequest, names.map(HostId), st.sampled_from(relay.StoreKind)
--- a/tests/unit/test_relay_spreading.py
+++ b/tests/unit/test_relay_spreading.py
@@ -13,7 +13,7 @@
 IN_FORCE_SECONDS = 3.0
 FIRST_POSITION = relay.Position(relay.Era(0), relay.Revision(1))
 # Of the configuration and the upstreams.
-POSITIONS = (FIRST_POSITION, FIRST_POSITION)
+EDITIONS = (relay.Edition((0, 1)), relay.Edition(FIRST_POSITION))
 
 
 def zone_of(hosts: int) -> CountingSimulation:
@@ -64,7 +64,7 @@
     part = relay.ContentPart(
         host_id,
         relay.StoreKind.UPSTREAMS,
-        relay.START_POSITION,
+        relay.NO_EDITION,
         FIRST_POSITION,
         0,
         1,
@@ -147,7 +147,7 @@
 
 def test_own_message_that_comes_back_is_dropped(idle_zone: CountingSimulation) -> None:
     (leader,) = idle_zone.leaders()
-    beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), POSITIONS, 4, ())
+    beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), EDITIONS, 4, ())
     spread = relay.Spread(7, 0, 1 << 32, beacon)
     assert not leader.kernel.dispatch(relay.PeerMessageReceived(spread))
 
@@ -167,9 +167,7 @@
         )
     simulation.messages_by_host.clear()
     for order_seed in range(0, 1 << 32, 1 << 27):
-        beacon = relay.Beacon(
-            leader.context.settings.own_peer, (0, 0), POSITIONS, 4, ()
-        )
+        beacon = relay.Beacon(leader.context.settings.own_peer, (0, 0), EDITIONS, 4, ())
         spread = relay.Spread(order_seed, 0, 1 << 32, beacon)
         other.dispatch(relay.PeerMessageReceived(spread))
         for _ in range(HOSTS):
