--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -25,7 +25,10 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lycheedeal.relay._context import RelaySettings
+    from lycheedeal.relay._copies import ContentCopy
     from lycheedeal.relay._peer_table import PeerTable
     from lycheedeal.relay._upstream_table import UpstreamTable
 
@@ -187,6 +190,13 @@
     peer_table: 'PeerTable'
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class CopiesReady:
+    """The copies of the store's content were created; they are shared."""
+
+    copies_by_kind: 'Mapping[StoreKind, ContentCopy]'
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class Greeting:
     """A host announces itself.
@@ -353,6 +363,7 @@
     | RoutesChanged
     | UpstreamsChanged
     | PeerTableReady
+    | CopiesReady
     | PeerMessageReceived
     | SpreadRequested
 )
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -7,17 +7,17 @@
 and nothing else, so a zone that is cut off from the others is never without content.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId
 from lycheedeal.relay._context import RelayContext
-from lycheedeal.relay._copies import edition_of
+from lycheedeal.relay._copies import ContentCopy, edition_of
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import (
-    ContentChanged,
     ContentConfirmed,
     ContentPart,
+    CopiesReady,
     Event,
     LeadershipChanged,
     PeerMessageReceived,
@@ -39,7 +39,7 @@
     Freshness,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import NO_EDITION, Peer, Source, StoreKind
+from lycheedeal.relay._records import Peer, Source, StoreKind
 
 
 class RegionPlugin:
@@ -51,7 +51,8 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._freshness = Freshness(context)
-        self._editions = dict.fromkeys(StoreKind, NO_EDITION)
+        # What this host has, and sends to hosts that ask for it.
+        self._copies: Mapping[StoreKind, ContentCopy] = {}
         self._is_leader = False
         self._watches = False
         self._stopping = False
@@ -65,12 +66,11 @@
         match event:
             case PeerTableReady(peer_table=peer_table):
                 self._peer_table = peer_table
+            case CopiesReady(copies_by_kind=copies):
+                self._copies = copies
             case LeadershipChanged(is_leader=is_leader):
                 self._is_leader = self._own.is_leader = is_leader
                 yield from self._set_watching(is_leader, 'leadership of the zone')
-            case ContentChanged(kind=kind):
-                edition = max(self._editions[kind], edition_of(event))
-                self._editions[kind] = edition
             case ContentConfirmed():
                 yield from self._content_confirmed(event)
             case SpreadRequested(message=ContentPart() as part):
@@ -109,7 +109,7 @@
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
             yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
         for kind, edition in zip(StoreKind, beacon.editions, strict=True):
-            if edition > self._editions[kind]:
+            if edition > edition_of(self._copies[kind]):
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
 
@@ -171,7 +171,7 @@
         now = self._context.clock.monotonic()
         self._next_beacon = now + BEACON_INTERVAL_SECONDS
         ages = RESIGNED_AGES_MS if self._stopping else self._freshness.ages_ms()
-        editions = tuple(self._editions[kind] for kind in StoreKind)
+        editions = tuple(edition_of(self._copies[kind]) for kind in StoreKind)
         yield from self._send_to_leaders(RegionBeacon(self._own, ages, editions))
 
     def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
@@ -192,7 +192,7 @@
             (
                 PeerTableReady,
                 LeadershipChanged,
-                ContentChanged,
+                CopiesReady,
                 ContentConfirmed,
                 SpreadRequested,
                 PeerMessageReceived,
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -27,6 +27,7 @@
     ContentChanged,
     ContentConfirmed,
     ContentPart,
+    CopiesReady,
     Event,
     Greeting,
     LeadershipChanged,
@@ -103,6 +104,7 @@
         match event:
             case Started():
                 yield Publish(PeerTableReady(self._peer_table))
+                yield Publish(CopiesReady(self._copies))
                 yield from self._greetings.greet_seeds()
             case ContentChanged():
                 yield from self._content_changed(event)
