--- a/src/lycheedeal/platform/_settings.py
+++ b/src/lycheedeal/platform/_settings.py
@@ -6,13 +6,17 @@
 import json
 import os
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from lycheedeal import relay
 from lycheedeal.exceptions import SettingsError
 from lycheedeal.ids import Endpoint, HostId, Zone
 
 
+# Interval in which upstreams write their entries, unless the file has another one.
+_HEARTBEAT_MS: Final = 1000.0
+
+
 @dataclass(slots=True)
 class PlatformSettings:
     """Settings of the relay kernel and the addresses of the front end.
@@ -75,6 +79,7 @@
                 core_share=self._number('core_share'),
                 seeds=tuple(self._seeds(peer_port)),
                 stop_seconds=self._number('stop_seconds'),
+                heartbeat_seconds=self._number('heartbeat_ms', _HEARTBEAT_MS) / 1000,
             ),
             packets=packets,
             readiness=self._endpoint('readiness'),
@@ -93,8 +98,8 @@
         self._faults.append(f'{name}: a text is needed, found {text!r}')
         return ''
 
-    def _number(self, name: str) -> float:
-        number = self._fields.get(name)
+    def _number(self, name: str, default: float | None = None) -> float:
+        number = self._fields.get(name, default)
         if isinstance(number, int | float) and not isinstance(number, bool):
             if number > 0:
                 return float(number)
--- a/src/lycheedeal/relay/_context.py
+++ b/src/lycheedeal/relay/_context.py
@@ -38,6 +38,7 @@
     ``core_share`` is the share of a processor core that the host may use.
     ``seeds`` are addresses at which other hosts may be found; they may be stale.
     ``stop_seconds`` is the time that the platform gives a process to stop.
+    ``heartbeat_seconds`` is the interval in which upstreams write their entries.
     """
 
     host_id: HostId
@@ -46,6 +47,7 @@
     core_share: float
     seeds: tuple[Endpoint, ...]
     stop_seconds: float
+    heartbeat_seconds: float = 1
     flow_idle_seconds: float = 15
     max_flows: int = 100_000
 
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -14,6 +14,7 @@
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import Effect, LogRecord, Part
 from lycheedeal.relay._events import ContentChanged, Event, Tick, UpstreamsChanged
+from lycheedeal.relay._outdated_entries import OutdatedEntries
 from lycheedeal.relay._records import (
     START_POSITION,
     Listing,
@@ -43,11 +44,13 @@
         # When each entry was found missing in a store that has just recovered.
         self._missing_since: dict[str, float] = {}
         self._next_sweep = 0.0
+        self._outdated = OutdatedEntries(context)
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
         match event:
             case ContentChanged(kind=StoreKind.UPSTREAMS):
+                self._outdated.follow(self._position, event.position)
                 self._position = event.position
                 yield from self._content_changed(event)
                 is_full_list = _is_full_list(event)
@@ -60,6 +63,7 @@
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         present: set[str] = set(event.unusable)
         for name in event.unusable:
+            self._outdated.discard(name)
             yield from self._set_state_by_name(
                 name, UpstreamState.UNLISTED, 'unusable entry'
             )
@@ -67,15 +71,27 @@
             if isinstance(entry, Listing):
                 present.add(entry.upstream_id)
                 self._missing_since.pop(entry.upstream_id, None)
-                yield from self._update_entry(entry)
+                yield from self._entry_read(entry)
         if event.complete:
             names = map(str, self.table.current_by_id)
             missing = tuple(one for one in names if one not in present)
         else:
             missing = event.removed
         for name in missing:
+            self._outdated.discard(name)
             yield from self._handle_missing(name, event.settled)
 
+    def _entry_read(self, listing: Listing) -> Iterator[Effect]:
+        known = self.table.current_by_id.get(listing.upstream_id)
+        if known is None or not self._outdated.hold_back(listing, known):
+            yield from self._update_entry(listing)
+            return
+        yield self._record(
+            known,
+            'Entry is not used yet: it may be older than the state.',
+            'restored store',
+        )
+
     def _update_entry(self, listing: Listing) -> Iterator[Effect]:
         now = self._context.clock.monotonic()
         state = UpstreamState.DRAINING if listing.draining else UpstreamState.READY
@@ -208,6 +224,7 @@
     def _tick(self, now: float) -> Iterator[Effect]:
         if self._missing_since:
             yield from self._expire_missing(now)
+        yield from self._use_entries(self._outdated.take_due(now))
         if now >= self._next_sweep:
             self._next_sweep = now + _GONE_RETENTION_SECONDS / 4
             for upstream in tuple(self.table.by_token.values()):
@@ -229,6 +246,12 @@
         if expired:
             yield Publish(UpstreamsChanged(self.table, self._position))
 
+    def _use_entries(self, listings: tuple[Listing, ...]) -> Iterator[Effect]:
+        for listing in listings:
+            yield from self._update_entry(listing)
+        if listings:
+            yield Publish(UpstreamsChanged(self.table, self._position))
+
 
 def _is_full_list(event: ContentChanged) -> bool:
     if event.source is not Source.STORE or not event.complete:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -250,12 +250,28 @@
     assert settings.store == Endpoint('10.200.1.7', 8169)
 
 
+@pytest.mark.parametrize(
+    ('fields', 'seconds'), [({}, 1), ({'heartbeat_ms': 770}, 0.77)]
+)
+def test_heartbeat_may_be_missing(
+    tmp_path: Path, fields: dict[str, int], seconds: float
+) -> None:
+    settings = load_settings(write_settings(tmp_path, {**SETTINGS, **fields}))
+    assert settings.relay.heartbeat_seconds == seconds
+
+
 def test_all_settings_errors_are_reported(tmp_path: Path) -> None:
-    invalid = {**SETTINGS, 'zone': '', 'packets': 'x', 'core_share': -1}
+    invalid = {
+        **SETTINGS,
+        'zone': '',
+        'packets': 'x',
+        'core_share': -1,
+        'heartbeat_ms': 0,
+    }
     with pytest.raises(SettingsError) as raised:
         load_settings(write_settings(tmp_path, invalid))
     names = [fault.partition(':')[0] for fault in raised.value.faults]
-    assert names == ['packets', 'zone', 'core_share']
+    assert names == ['packets', 'zone', 'core_share', 'heartbeat_ms']
 
 
 @pytest.mark.parametrize('content', [[], None, {}])
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -177,6 +177,41 @@
     assert states_of(simulation, 'i-7') == {UpstreamState.GONE}
 
 
+@pytest.mark.parametrize('has_left', [True, False])
+def test_entry_of_the_copy_does_not_take_an_upstream_back(
+    simulation: RelaySimulation, has_left: bool
+) -> None:
+    """Guards against new flows to an upstream that is leaving or has left."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-1', draining=True))
+    simulation.run(0.5)
+    if has_left:
+        simulation.store.delete('i-1')
+        simulation.run(0.5)
+    restore_after_outage(simulation, copy)
+    for _ in steps(simulation, LAPSE_SECONDS):
+        assert UpstreamState.READY not in states_of(simulation, 'i-1')
+    if has_left:
+        simulation.store.delete('i-1')
+    else:
+        simulation.store.put(listing('i-1', draining=True))
+    for _ in steps(simulation, 5):
+        assert UpstreamState.READY not in states_of(simulation, 'i-1')
+
+
+def test_entry_that_stays_in_a_restored_store_is_used(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a living upstream that gets no flows after its entry expired."""
+    copy = simulation.store.copy()
+    simulation.store.delete('i-1')
+    simulation.run(1)
+    assert states_of(simulation, 'i-1') == {UpstreamState.GONE}
+    restore_after_outage(simulation, copy)
+    simulation.run(8)
+    assert states_of(simulation, 'i-1') == {UpstreamState.READY}
+
+
 def test_list_without_changes_costs_no_snapshots(simulation: RelaySimulation) -> None:
     """Guards against a host that announces a position which its snapshots lack."""
     simulation.store.configure(2, *ROUTES)
