--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak test injects; they may overlap."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -157,6 +158,26 @@
     environment.store.compact()
 
 
+async def restore_store(environment: Environment, rng: random.Random) -> None:
+    """Bring the store back from a copy that is 1 to 9 s old.
+
+    Operator and targets write again what is lost; the revisions of the lost changes
+    are given out again.
+    """
+    store = environment.store
+    copy = store.copy()
+    await asyncio.sleep(rng.uniform(1, 9))
+    seconds = rng.uniform(0.1, 2)
+    environment.store_stability.disturb(now() + seconds)
+    store.fault = rng.choice(('silent', 'busy'))
+    await asyncio.sleep(seconds)
+    content = store.copy()
+    await store.restore(copy)
+    await store.write_again(content)
+    store.fault = None
+    environment.store_stability.disturb(now())
+
+
 async def change_routes(environment: Environment) -> None:
     """Add a route, or remove one that was added before."""
     added = [route for route in environment.routes if route.port != 443]
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,11 +1,12 @@
 """One run of the soak test."""
 
 import asyncio
+import random
 from collections.abc import Awaitable
 from pathlib import Path
 
 from soak._environment import Environment
-from soak._faults import FAULTS, Fault
+from soak._faults import FAULTS, Fault, restore_store
 from soak._findings import Findings, now
 
 
@@ -21,6 +22,7 @@
         await environment.start()
         environment.start_checks()
         until = now() + seconds
+        faults.add(asyncio.ensure_future(_restore_repeatedly(environment, seed, until)))
         while now() < until:
             fault = environment.rng.choice(FAULTS)
             environment.findings.record_event(fault.__name__)
@@ -37,6 +39,16 @@
     return environment.findings
 
 
+async def _restore_repeatedly(
+    environment: Environment, seed: int, until: float
+) -> None:
+    # Draws of its own leave the other faults of a seed as they were.
+    rng = random.Random(seed)
+    while now() < until:
+        environment.findings.record_event(restore_store.__name__)
+        await restore_store(environment, rng)
+
+
 async def _run_fault(environment: Environment, fault: Fault) -> None:
     coroutine: Awaitable[None] = fault(environment)
     try:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -6,22 +6,41 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from lycheedeal.ids import Endpoint
 
 
+Objects = dict[str, dict[str, dict[str, Any]]]
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """Content of a store, and the changes that led to it."""
+
+    revision: int
+    objects: Objects
+    events: list[tuple[int, str, dict[str, Any], bool]]
+    compacted_revision: int
+
+
 class ObjectStoreServer:
-    """Objects by kind and name; each change increments one common revision."""
+    """Objects by kind and name; each change increments one common revision.
+
+    ``era`` counts the histories: when the store comes back from a copy, a new one
+    begins.
+    """
 
     def __init__(self) -> None:
         self.endpoint = Endpoint('127.0.0.1', 0)
         self.revision = 1
+        self.era = 1
         self.calls = 0
         # None: no fault; 'busy': status 503; 'silent': no response at all.
         self.fault: str | None = None
-        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._objects: Objects = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
@@ -58,6 +77,36 @@
         self._compacted_revision = self.revision
         self._events.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy for ``restore``."""
+        objects = {kind: dict(by_name) for kind, by_name in self._objects.items()}
+        return StoreCopy(
+            self.revision, objects, list(self._events), self._compacted_revision
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; later changes are lost, and their revisions free again.
+
+        Watches that wait are cut off.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = {kind: dict(items) for kind, items in copy.objects.items()}
+        self._events = list(copy.events)
+        self._compacted_revision = copy.compacted_revision
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def write_again(self, content: StoreCopy) -> None:
+        """Write the objects of a copy that differ, and delete those that it lacks."""
+        for kind, by_name in content.objects.items():
+            present = self._objects.get(kind, {})
+            for name, item in by_name.items():
+                if present.get(name, {}).get('spec') != item['spec']:
+                    await self.put(kind, name, item['spec'])
+            for name in present.keys() - by_name.keys():
+                await self.delete(kind, name)
+
     async def _add_event(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
         self._events.append((self.revision, kind, item, deleted))
         async with self._changed:
@@ -92,8 +141,11 @@
             return
         since = int(query['watch'][0])
         wait_seconds = int(query['wait_ms'][0]) / 1000
+        era = self.era
         answer = await self._watch(kind, since, wait_seconds)
-        if since < self._compacted_revision:
+        if era != self.era:
+            writer.close()
+        elif self._is_unknown(since):
             self._send_response(
                 writer,
                 410,
@@ -109,11 +161,13 @@
     async def _watch(
         self, kind: str, since: int, wait_seconds: float
     ) -> dict[str, Any]:
+        era = self.era
         try:
             async with asyncio.timeout(wait_seconds), self._changed:
                 await self._changed.wait_for(
                     lambda: (
-                        since < self._compacted_revision
+                        era != self.era
+                        or self._is_unknown(since)
                         or bool(self._events_after(kind, since))
                     ),
                 )
@@ -124,6 +178,10 @@
             'store_revision': self.revision,
         }
 
+    def _is_unknown(self, since: int) -> bool:
+        """Return whether the changes since a revision are not known."""
+        return not self._compacted_revision <= since <= self.revision
+
     def _events_after(self, kind: str, since: int) -> list[dict[str, Any]]:
         return [
             {'object': item, 'deleted': deleted}
@@ -135,5 +193,8 @@
         self, writer: asyncio.StreamWriter, status: int, body: Any
     ) -> None:
         content = json.dumps(body).encode()
-        head = f'HTTP/1.1 {status} -\r\nContent-Length: {len(content)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {status} -\r\nStore-Era: {self.era}\r\n'
+            f'Content-Length: {len(content)}\r\n\r\n'
+        )
         writer.write(head.encode() + content)
