--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -68,10 +68,10 @@
     def watch_objects(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision,
+        position: relay.Position,
         wait_seconds: float,
     ) -> None:
-        """Start a watch for changes after a revision; the answer is an event.
+        """Start a watch for changes after a position; the answer is an event.
 
         The store answers after ``wait_seconds`` at the latest.
         """
@@ -158,7 +158,7 @@
             case relay.WatchObjects():
                 self._front_end.watch_objects(
                     effect.kind,
-                    effect.revision,
+                    effect.position,
                     effect.wait_seconds,
                 )
             case relay.CancelCall(kind=kind):
--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -9,8 +9,6 @@
 
 # Longer answers count as malformed.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-
-
 # Header with the era of the store, in each of its answers.
 _ERA_HEADER: Final = b'store-era'
 
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -119,14 +119,14 @@
     def watch_objects(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision,
+        position: relay.Position,
         wait_seconds: float,
     ) -> None:
-        """Start a watch for changes after a revision; the answer is an event.
+        """Start a watch for changes after a position; the answer is an event.
 
         The store answers after ``wait_seconds`` at the latest.
         """
-        self._store.watch_objects(kind, revision, wait_seconds)
+        self._store.watch_objects(kind, position, wait_seconds)
 
     def cancel_call(self, kind: relay.StoreKind) -> None:
         """Cancel the store call in progress for a kind; no event follows."""
--- a/src/lycheedeal/platform/_settings.py
+++ b/src/lycheedeal/platform/_settings.py
@@ -12,7 +12,6 @@
 from lycheedeal.exceptions import SettingsError
 from lycheedeal.ids import Endpoint, HostId, Zone
 
-
 # Interval in which upstreams write their entries, unless the file has another one.
 _HEARTBEAT_MS: Final = 1000.0
 
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -69,14 +69,14 @@
     def watch_objects(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision,
+        position: relay.Position,
         wait_seconds: float,
     ) -> None:
-        """Start a watch for changes of a kind after a revision.
+        """Start a watch for changes of a kind after a position.
 
         The store answers after ``wait_seconds`` at the latest.
         """
-        self._start_call(kind, revision, wait_seconds)
+        self._start_call(kind, position, wait_seconds)
 
     def cancel(self, kind: relay.StoreKind) -> None:
         """Cancel the call in progress for a kind; no event is reported for it."""
@@ -94,26 +94,26 @@
     def _start_call(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision | None,
+        position: relay.Position | None,
         wait_seconds: float,
     ) -> None:
         self.cancel(kind)
-        call = self._run_call(kind, revision, wait_seconds)
+        call = self._run_call(kind, position, wait_seconds)
         self._tasks_by_kind[kind] = asyncio.get_running_loop().create_task(call)
 
     async def _run_call(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision | None,
+        position: relay.Position | None,
         wait_seconds: float,
     ) -> None:
         event: relay.Event
         started = time.perf_counter()
         try:
-            if revision is None:
+            if position is None:
                 event = await self._list(kind)
             else:
-                event = await self._watch(kind, revision, wait_seconds)
+                event = await self._watch(kind, position, wait_seconds)
         except CallError as error:
             if error.fault is not relay.StoreFault.HISTORY_LOST:
                 self._drop_connection(kind)
@@ -128,7 +128,7 @@
             event = relay.CallFailed(kind, relay.StoreFault.UNREACHABLE, str(error))
         self._tasks_by_kind.pop(kind, None)
         outcome = 'failed' if isinstance(event, relay.CallFailed) else 'answered'
-        label = f'{"watch" if revision else "list"} {kind.value} {outcome}'
+        label = f'{"watch" if position else "list"} {kind.value} {outcome}'
         self._metrics.observe('store_seconds', label, time.perf_counter() - started)
         self._report(event)
 
@@ -165,20 +165,19 @@
     async def _watch(
         self,
         kind: relay.StoreKind,
-        revision: relay.Revision,
+        position: relay.Position,
         wait_seconds: float,
     ) -> relay.WatchAnswered:
-        wait_ms = int(wait_seconds * 1000)
-        watched_era = (await self._connect(kind)).latest_position.era
+        query = f'?watch={position.revision}&wait_ms={int(wait_seconds * 1000)}'
         started = time.perf_counter()
         async with asyncio.timeout(wait_seconds + _WATCH_GRACE_SECONDS):
-            page = await self._get(kind, f'?watch={revision}&wait_ms={wait_ms}')
+            page = await self._get(kind, query)
         waited = time.perf_counter() - started
         objects = DecodedObjects()
         events = _required_field(page.fields, 'events', list)
         for item, deleted in _decode_events(events):
-            if page.position.era == watched_era:
-                _check_event(item, revision)
+            if page.position.era == position.era:
+                _check_event(item, position.revision)
             objects.add(kind, item, deleted)
         if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
             raise CallError(
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -11,7 +11,7 @@
 from lycheedeal.dispatch import Publish
 from lycheedeal.ids import Endpoint
 from lycheedeal.relay._events import PeerMessage
-from lycheedeal.relay._records import Packet, Revision, StoreKind, Token, Upstream
+from lycheedeal.relay._records import Packet, Position, StoreKind, Token, Upstream
 
 Detail = str | int | float | bool | None
 
@@ -41,10 +41,10 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class WatchObjects:
-    """Waits for changes of a kind after a revision, at most ``wait_seconds``."""
+    """Waits for changes of a kind after a position, at most ``wait_seconds``."""
 
     kind: StoreKind
-    revision: Revision
+    position: Position
     wait_seconds: float
 
 
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -128,7 +128,7 @@
         reader.phase = _Phase.WATCHING
         reader.called_at = self._context.clock.monotonic()
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
-        yield WatchObjects(reader.kind, reader.position.revision, WATCH_WAIT_SECONDS)
+        yield WatchObjects(reader.kind, reader.position, WATCH_WAIT_SECONDS)
 
     def _list_answered(self, event: ListAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -1,7 +1,9 @@
 """Client of the platform's store, against a server that misbehaves."""
 
 import asyncio
+import contextlib
 import json
+import socket
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -97,6 +99,10 @@
     asyncio.run(run())
 
 
+def position(era: int, revision: int) -> relay.Position:
+    return relay.Position(relay.Era(era), relay.Revision(revision))
+
+
 def assert_revision(event: relay.Event, revision: int) -> None:
     assert isinstance(event, relay.ListAnswered | relay.WatchAnswered)
     assert event.position.revision == revision
@@ -159,9 +165,9 @@
         writer.write(copy)
 
     async def test(harness: Harness, client: StoreClient) -> None:
-        client.watch_objects(UPSTREAMS, relay.Revision(6), 1.5)
+        client.watch_objects(UPSTREAMS, position(0, 6), 1.5)
         assert_revision(await harness.next_event(), 7)
-        client.watch_objects(UPSTREAMS, relay.Revision(7), 1.5)
+        client.watch_objects(UPSTREAMS, position(0, 7), 1.5)
         assert_fault(await harness.next_event(), StoreFault.MALFORMED)
 
     play(test, repeat)
@@ -238,7 +244,7 @@
     async def test(harness: Harness, client: StoreClient) -> None:
         client.list_objects(UPSTREAMS)
         await harness.next_event()
-        client.watch_objects(UPSTREAMS, relay.Revision(9), 1.5)
+        client.watch_objects(UPSTREAMS, position(1, 9), 1.5)
         event = await harness.next_event()
         assert isinstance(event, relay.WatchAnswered)
         assert event.position == (2, 4)
@@ -301,6 +307,30 @@
     play(test, stop)
 
 
+def test_watch_that_cannot_connect_is_a_failure() -> None:
+    """Guards against a watch that waits for a store behind a partition."""
+
+    async def run() -> None:
+        events: asyncio.Queue[relay.Event] = asyncio.Queue()
+        with socket.socket() as full, contextlib.ExitStack() as waiting:
+            # Connections that nobody accepts fill the queue; more are not answered.
+            full.bind(('127.0.0.1', 0))
+            full.listen(0)
+            for _ in range(4):
+                one = waiting.enter_context(socket.socket())
+                one.setblocking(False)
+                one.connect_ex(full.getsockname())
+            client = StoreClient(
+                Endpoint(*full.getsockname()), events.put_nowait, relay.Metrics()
+            )
+            client.watch_objects(UPSTREAMS, position(1, 6), 0.2)
+            async with asyncio.timeout(TIMEOUT_SECONDS / 2):
+                assert_fault(await events.get(), StoreFault.SILENT)
+            client.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('kept', [10, 60, -1])
 def test_answer_that_breaks_off_is_a_failure(kept: int) -> None:
     """Guards against part of an answer that is taken for all of it."""
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -277,7 +277,7 @@
             case relay.WatchObjects(kind=kind):
                 self._record_call('watch', kind)
                 until = self.simulation.clock.now + effect.wait_seconds
-                self.watches[kind] = Watch(effect.revision, until)
+                self.watches[kind] = Watch(effect.position.revision, until)
             case relay.CancelCall(kind=kind):
                 self.watches.pop(kind, None)
 
