--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -53,9 +53,10 @@
 # Delay before a list after a failed call; doubles with each further failure.
 _MIN_RETRY_SECONDS: Final = 0.1
 _MAX_RETRY_SECONDS: Final = 0.8
-# Time after the last failed call, and after the store came back from an older copy,
-# during which a missing entry does not mean that its upstream is gone. Entries that
-# expired or were lost are written again within about 2 s, as the platform guarantees.
+# Time after the start, after the last failed call, and after the store came back from
+# an older copy, during which a missing entry does not mean that its upstream is gone.
+# Entries that expired or were lost are written again within about 2 s, as the platform
+# guarantees.
 SETTLING_SECONDS: Final = 2.2
 
 
@@ -90,9 +91,9 @@
         self._context = context
         self._watches = False
         self._readers = {kind: _Reader(kind) for kind in StoreKind}
-        # Time of the last failed call, or of the last sign that the store came back
-        # from an older copy.
-        self._unsettled_at = float('-inf')
+        # Time of the last failed call, of the last sign that the store came back from
+        # an older copy, or of the start: the host does not know what came before.
+        self._unsettled_at = context.clock.monotonic()
         # Of the last history that the store was in; None before its first answer.
         self._era: Era | None = None
 
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -4,6 +4,7 @@
 
 from lycheedeal import relay
 from lycheedeal.relay import PacketKind, UpstreamState
+from lycheedeal.relay.reading import SETTLING_SECONDS
 from tests.relay_simulation import (
     API,
     CALLER,
@@ -98,6 +99,8 @@
 
 def test_flow_of_a_gone_upstream_is_reset(simulation: RelaySimulation) -> None:
     host = simulation.add('a')
+    # A host that has just started does not know whether entries were lost before.
+    simulation.run(SETTLING_SECONDS)
     chosen = host.open()
     simulation.store.delete(chosen.listing.upstream_id)
     simulation.run(0.2)
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -177,6 +177,26 @@
     assert states_of(simulation, 'i-7') == {UpstreamState.GONE}
 
 
+def test_host_that_started_after_the_restore_proves_nothing_missing(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against resets on the word of a host that does not know of the restore."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    simulation.store.refused.update(
+        host.context.settings.host_id for host in simulation.hosts.values()
+    )
+    simulation.run(3)
+    simulation.store.restore(copy)
+    start_host(simulation, 'late')
+    for _ in steps(simulation, RETURN_SECONDS):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    simulation.store.put(listing('i-6'))
+    for _ in steps(simulation, 4):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+
+
 @pytest.mark.parametrize('has_left', [True, False])
 def test_entry_of_the_copy_does_not_take_an_upstream_back(
     simulation: RelaySimulation, has_left: bool
