--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -63,11 +63,11 @@
     def apply(self, event: ContentChanged) -> ContentPart | None:
         """Apply a change; return the difference to the content before it.
 
-        The difference to a list holds what differs; that to other changes holds each
-        object that was written, also one that looks the same. None means that there
-        is none, or that a configuration is not newer; the edition then stays the same.
-        In a new history of the store, equal upstreams are a difference, too: their
-        edition is another one.
+        The difference to a list holds what differs, as does an exact one that a peer
+        passed on; that to other changes holds each object that was written, also one
+        that looks the same. None means that there is none, or that a configuration is
+        not newer; the edition then stays the same. In a new history of the store, equal
+        upstreams are a difference, too: their edition is another one.
         """
         base = edition_of(self)
         if event.kind is StoreKind.CONFIGURATION and edition_of(event) <= base:
@@ -102,7 +102,7 @@
             removed=removed,
             unusable=event.unusable,
             # An object that was changed and changed back is not in it.
-            exact=event.complete,
+            exact=event.complete or event.exact,
         )
 
     def _differing(self, entries_by_name: dict[str, Entry]) -> dict[str, Entry]:
@@ -213,4 +213,5 @@
         version=version,
         settled=change.settled,
         source=Source.PEER,
+        exact=change.exact,
     )
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -129,7 +129,8 @@
     ``complete`` means that objects in neither ``entries`` nor ``unusable`` do not
     exist. ``settled`` means that the store had answered from one history for some time,
     so that a missing entry was deleted rather than expired while the store failed, or
-    lost with its history.
+    lost with its history. ``exact`` marks the difference between two editions; other
+    changes contain each object that was written between them.
     """
 
     kind: StoreKind
@@ -141,6 +142,7 @@
     version: ConfigurationVersion | None
     settled: bool
     source: Source
+    exact: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -29,7 +29,7 @@
         """Start without a configuration."""
         self._context = context
         self.version: ConfigurationVersion | None = None
-        self._routes_by_name: dict[RouteName, Route] = {}
+        self.routes_by_name: dict[RouteName, Route] = {}
         # A dictionary as an ordered set: keys in order of removal.
         self._removed: dict[RouteKey, None] = {}
 
@@ -59,7 +59,7 @@
         previous = self.version
         self.version = event.version
         self._context.metrics.add('configuration', 'applied')
-        by_key = {route.key: route for route in self._routes_by_name.values()}
+        by_key = {route.key: route for route in self.routes_by_name.values()}
         yield Publish(RoutesChanged(event.version, by_key, frozenset(self._removed)))
         yield LogRecord(
             Part.ROUTES,
@@ -76,17 +76,17 @@
         )
 
     def _merge(self, event: ContentChanged) -> None:
-        old_keys = {route.key for route in self._routes_by_name.values()}
+        old_keys = {route.key for route in self.routes_by_name.values()}
         changed = {
             entry.name: entry for entry in event.entries if isinstance(entry, Route)
         }
         if event.complete:
-            self._routes_by_name = changed
+            self.routes_by_name = changed
         else:
             for name in event.removed:
-                self._routes_by_name.pop(RouteName(name), None)
-            self._routes_by_name.update(changed)
-        keys = {route.key for route in self._routes_by_name.values()}
+                self.routes_by_name.pop(RouteName(name), None)
+            self.routes_by_name.update(changed)
+        keys = {route.key for route in self.routes_by_name.values()}
         self._removed.update(dict.fromkeys(old_keys - keys))
         for key in keys & self._removed.keys():
             self._removed.pop(key)
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -219,6 +219,10 @@
         version: int | None = self.kernel.plugins_by_name['routes'].version
         return version
 
+    def routes(self) -> dict[relay.RouteName, relay.Route]:
+        plugin = self.kernel.plugins_by_name['routes']
+        return dict(plugin.routes_by_name)
+
     def states(self) -> dict[str, relay.UpstreamState]:
         table = self.kernel.plugins_by_name['upstreams'].table
         return {
--- a/tests/unit/test_relay_region.py
+++ b/tests/unit/test_relay_region.py
@@ -3,8 +3,17 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.relay import UpstreamState
-from tests.relay_simulation import ROUTES, RelayHost, RelaySimulation, listing
+from lycheedeal.relay import UpstreamState, route_key
+from tests.relay_simulation import (
+    API,
+    INTAKE,
+    ROUTE_KEY,
+    ROUTES,
+    RelayHost,
+    RelaySimulation,
+    listing,
+    route,
+)
 
 # A change must be in force on every host within this time.
 IN_FORCE_SECONDS = 3.0
@@ -39,6 +48,16 @@
     return host.context.settings.zone
 
 
+def start_host(simulation: RelaySimulation, name: str, zone: str) -> RelayHost:
+    """Start a host, which lists the store's content at once."""
+    seeds = tuple(simulation.hosts)[:1]
+    host = RelayHost(simulation, name, zone, seeds)
+    simulation.hosts[host.endpoint] = host
+    host.dispatch(relay.Started())
+    simulation.run(0.2)
+    return host
+
+
 def assert_in_force(simulation: RelaySimulation, version: int) -> None:
     hosts = simulation.hosts.values()
     lagging = [
@@ -68,6 +87,26 @@
         assert host.states()['i-1'] is UpstreamState.DRAINING
 
 
+def test_difference_from_another_zone_is_not_applied_to_a_version_between(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a route of an earlier version in a newer configuration."""
+    watcher = watcher_of(simulation)
+    other_zone = next(zone for zone in ZONES if zone != zone_of(watcher))
+    simulation.store.put(listing('i-9', service=INTAKE))
+    simulation.run(1)
+    simulation.store.watches_silent = True
+    simulation.store.configure(2, route('r-api', ROUTE_KEY, INTAKE), *ROUTES[1:])
+    late = start_host(simulation, 'late', other_zone)
+    assert late.version() == 2
+    added = route('r-added', route_key('198.18.0.9', 443), API)
+    simulation.store.configure(3, *ROUTES, added)
+    simulation.store.watches_silent = False
+    simulation.run(0.5)
+    assert_in_force(simulation, 3)
+    assert late.open().listing.service == API
+
+
 def test_watching_host_that_fails_is_replaced_in_time(
     simulation: RelaySimulation,
 ) -> None:
--- a/tests/unit/test_relay_store_histories.py
+++ b/tests/unit/test_relay_store_histories.py
@@ -12,8 +12,20 @@
 )
 
 from lycheedeal import relay
+from lycheedeal.ids import ServiceName
 from lycheedeal.relay import UpstreamState
-from tests.relay_simulation import ROUTES, RelayHost, RelaySimulation, Store, listing
+from tests.relay_simulation import (
+    API,
+    INTAKE,
+    INTAKE_KEY,
+    ROUTE_KEY,
+    ROUTES,
+    RelayHost,
+    RelaySimulation,
+    Store,
+    listing,
+    route,
+)
 
 ZONES = ('north', 'south')
 HOSTS_PER_ZONE = 2
@@ -24,7 +36,14 @@
 LAPSE_SECONDS = 3.0
 FIRST_UPSTREAMS = ('i-1', 'i-2', 'i-3')
 
+# Services of the first route and of the second, if it exists.
+RouteServices = tuple[ServiceName, ServiceName | None]
+
 delays = st.sampled_from((0.1, 0.3, 1.0, 2.5))
+route_services = st.tuples(
+    st.sampled_from((API, INTAKE)), st.sampled_from((API, INTAKE, None))
+)
+host_numbers = st.integers(0, len(ZONES) * HOSTS_PER_ZONE - 1)
 
 
 class StoreHistories(RuleBasedStateMachine):
@@ -35,6 +54,7 @@
         self.simulation = RelaySimulation()
         self.store = self.simulation.store
         self.version = 1
+        self.routes = ROUTES
         # Whether each upstream that runs is draining.
         self.draining_by_name = dict.fromkeys(FIRST_UPSTREAMS, False)
         self.started = len(FIRST_UPSTREAMS)
@@ -54,10 +74,15 @@
     def copy_store(self) -> None:
         self.copies.append(self.store.copy())
 
-    @rule(step=st.integers(1, 3), seconds=delays)
-    def configure(self, step: int, seconds: float) -> None:
+    @rule(step=st.integers(1, 3), seconds=delays, services=route_services)
+    def configure(self, step: int, seconds: float, services: RouteServices) -> None:
+        """Write a version with one route or two, whose services differ."""
         self.version += step
-        self.store.configure(self.version, *ROUTES)
+        first, second = services
+        self.routes = (route('r-api', ROUTE_KEY, first),)
+        if second is not None:
+            self.routes = (*self.routes, route('r-intake', INTAKE_KEY, second))
+        self.store.configure(self.version, *self.routes)
         self.simulation.run(seconds)
 
     @rule(seconds=delays)
@@ -80,7 +105,20 @@
             self.draining_by_name.pop(name)
             self.store.delete(name)
 
-    @rule(number=st.integers(0, len(ZONES) * HOSTS_PER_ZONE - 1))
+    @rule(
+        versions=st.lists(route_services, min_size=3, max_size=4), number=host_numbers
+    )
+    def start_host_between_versions(
+        self, versions: list[RouteServices], number: int
+    ) -> None:
+        """Write versions faster than watches are renewed, while a host starts."""
+        for services in versions[:2]:
+            self.configure(1, 0.1, services)
+        self.restart_host(number)
+        for services in versions[2:]:
+            self.configure(1, 0.1, services)
+
+    @rule(number=host_numbers)
     def restart_host(self, number: int) -> None:
         host = tuple(self.simulation.hosts.values())[number]
         self.simulation.kill(host)
@@ -90,7 +128,7 @@
         self.simulation.hosts[started.endpoint] = started
         started.dispatch(relay.Started())
 
-    @rule(number=st.integers(0, len(ZONES) * HOSTS_PER_ZONE - 1), cut=st.booleans())
+    @rule(number=host_numbers, cut=st.booleans())
     def cut_host(self, number: int, cut: bool) -> None:
         host = tuple(self.simulation.hosts.values())[number]
         self.store.refused.clear()
@@ -108,7 +146,7 @@
         del self.copies[number % len(self.copies) + 1 :]
         self.simulation.run(min(late, 1.8))
         if self.store.version != self.version:
-            self.store.configure(self.version, *ROUTES)
+            self.store.configure(self.version, *self.routes)
         self.store.put(
             *(
                 listing(name, draining=one)
@@ -134,6 +172,7 @@
         self.simulation.run(SETTLING_SECONDS)
         for host in self.simulation.hosts.values():
             assert host.version() == self.version
+            assert host.routes() == {one.name: one for one in self.routes}
             states = host.states()
             for name, draining in self.draining_by_name.items():
                 expected = UpstreamState.DRAINING if draining else UpstreamState.READY
