--- a/tests/functional/test_daemon.py
+++ b/tests/functional/test_daemon.py
@@ -17,6 +17,8 @@
 
 WAIT_SECONDS = 30
 PACKET_TYPE = 0x11
+# Type of a socket and the address that it is bound to.
+Listener = tuple[socket.SocketKind, Endpoint]
 
 
 class _QueueProtocol(asyncio.DatagramProtocol):
@@ -90,23 +92,38 @@
     assert asyncio.run(_serve_packets_then_stop()) == 0
 
 
-async def _start_beside_each_other() -> list[Endpoint]:
+async def _start_beside_each_other() -> list[Listener]:
     async with daemon('--host-id=h1') as first, daemon('--host-id=h2') as second:
-        return [
-            address
+        listeners = [
+            (kind, address)
             for one in (first, second)
-            for address in (one.data, one.peer, one.gossip, one.admin)
+            for kind, address in (
+                (socket.SOCK_DGRAM, one.data),
+                (socket.SOCK_DGRAM, one.peer),
+                (socket.SOCK_STREAM, one.gossip),
+                (socket.SOCK_STREAM, one.admin),
+            )
         ]
+        for listener in listeners:
+            with pytest.raises(OSError, match='Address already in use'):
+                _bind_like(*listener)
+        return listeners
+
+
+def _bind_like(kind: socket.SocketKind, address: Endpoint) -> None:
+    with socket.socket(socket.AF_INET, kind) as other:
+        other.bind(address)
 
 
 def test_daemon_chooses_its_ports_and_reports_them() -> None:
     """Guards against ports that are chosen before they are bound.
 
-    Another process may take such a port in between, and the daemon then exits.
+    Another process may take such a port in between, and the daemon then exits. UDP
+    and TCP have ports of their own, so a number may stand once for each.
     """
-    addresses = asyncio.run(_start_beside_each_other())
-    assert all(address.port for address in addresses)
-    assert len(set(addresses)) == len(addresses)
+    listeners = asyncio.run(_start_beside_each_other())
+    assert all(address.port for _, address in listeners)
+    assert len(set(listeners)) == len(listeners)
 
 
 async def _send_garbage() -> str:
