--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -122,6 +122,11 @@
     watches: bool
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class RegionBeaconDue:
+    """The other zones are to hear that the store confirmed the content."""
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class ContentChanged:
     """The content of a kind changed.
@@ -359,6 +364,7 @@
     | CallFailed
     | LeadershipChanged
     | WatchingChanged
+    | RegionBeaconDue
     | ContentChanged
     | ContentConfirmed
     | RefreshRequested
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -23,6 +23,7 @@
     PeerMessageReceived,
     PeerTableReady,
     RegionBeacon,
+    RegionBeaconDue,
     SnapshotRequest,
     SpreadRequested,
     StopRequested,
@@ -73,6 +74,8 @@
                 yield from self._set_watching(is_leader, 'leadership of the zone')
             case ContentConfirmed():
                 yield from self._content_confirmed(event)
+            case RegionBeaconDue():
+                yield from self._send_beacon()
             case SpreadRequested(message=ContentPart() as part):
                 if self._watches:
                     yield from self._send_to_leaders(part)
@@ -85,9 +88,10 @@
 
     def _content_confirmed(self, event: ContentConfirmed) -> Iterator[Effect]:
         self._freshness.confirm(event.kind, event.at)
-        # At once: the others measure ages from the moment of the confirmation.
+        # Ages grow until the others hear of the confirmation. The beacon goes after
+        # the change that came with it: hosts without the change ask for a snapshot.
         if self._watches and event.source is Source.STORE:
-            yield from self._send_beacon()
+            yield Publish(RegionBeaconDue())
 
     def _beacon_received(self, beacon: RegionBeacon) -> Iterator[Effect]:
         peer = beacon.peer
@@ -194,6 +198,7 @@
                 LeadershipChanged,
                 CopiesReady,
                 ContentConfirmed,
+                RegionBeaconDue,
                 SpreadRequested,
                 PeerMessageReceived,
                 StopRequested,
--- a/tests/unit/test_relay_region.py
+++ b/tests/unit/test_relay_region.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lycheedeal import relay
+from lycheedeal.ids import Endpoint
 from lycheedeal.relay import UpstreamState, route_key
 from tests.relay_simulation import (
     API,
@@ -107,6 +108,24 @@
     assert late.open().listing.service == API
 
 
+def test_change_costs_no_snapshots(simulation: RelaySimulation) -> None:
+    """Guards against leaders that hear of a change before they receive it."""
+    requests: list[bytes] = []
+    send = simulation.send
+
+    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if b'"snapshot"' in datagram:
+            requests.append(datagram)
+        send(sender, endpoint, datagram)
+
+    simulation.send = record  # type: ignore[method-assign]
+    simulation.store.configure(2, *ROUTES)
+    simulation.store.put(listing('i-1', draining=True))
+    simulation.run(2)
+    assert_in_force(simulation, 2)
+    assert not requests
+
+
 def test_watching_host_that_fails_is_replaced_in_time(
     simulation: RelaySimulation,
 ) -> None:
