--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -65,21 +65,21 @@
 
         The difference to a list holds what differs, as does an exact one that a peer
         passed on; that to other changes holds each object that was written, also one
-        that looks the same. None means that there is none, or that a configuration is
-        not newer; the edition then stays the same. In a new history of the store, equal
-        upstreams are a difference, too: their edition is another one.
+        that looks the same. None means that the edition stays the same. A list without
+        differences has a later edition, too: a host may have listed what came and went
+        since the earlier one.
         """
         base = edition_of(self)
-        if event.kind is StoreKind.CONFIGURATION and edition_of(event) <= base:
+        is_later = edition_of(event) > base
+        if event.kind is StoreKind.CONFIGURATION and not is_later:
             return None
         changed = {entry_name(entry): entry for entry in event.entries}
         removed = event.removed
         if event.complete:
             changed = self._differing(changed)
             removed = tuple(self._missing(event))
-        same_era = event.position.era == self.position.era
-        is_known = event.version == self.version and event.unusable == self.unusable
-        if same_era and is_known and not (changed or removed):
+        is_equal = not (changed or removed) and event.unusable == self.unusable
+        if is_equal and not is_later:
             return None
         for name in (*removed, *event.unusable):
             self.entries_by_name.pop(name, None)
--- a/tests/unit/test_relay_zone.py
+++ b/tests/unit/test_relay_zone.py
@@ -198,6 +198,24 @@
     assert late.states()['i-1'] is UpstreamState.READY
 
 
+def test_upstream_that_came_and_went_between_lists_gets_no_flows(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a host that keeps an upstream which no list of the leader had."""
+    simulation.store.watches_silent = True
+    simulation.store.put(listing('i-7'))
+    late = RelayHost(simulation, 'late', 'south', tuple(simulation.hosts)[:1])
+    simulation.hosts[late.endpoint] = late
+    late.dispatch(relay.Started())
+    simulation.run(0.3)
+    assert late.states()['i-7'] is UpstreamState.READY
+    simulation.store.delete('i-7')
+    simulation.store.compact()
+    simulation.store.watches_silent = False
+    simulation.run(3)
+    assert late.states()['i-7'] is UpstreamState.GONE
+
+
 def test_zone_goes_on_without_the_store(simulation: RelaySimulation) -> None:
     simulation.store.up = False
     simulation.run(60)
