--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -5,13 +5,14 @@
 open.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._copies import ContentCopy
 from lycheedeal.relay._effects import (
     CancelCall,
     Effect,
@@ -24,6 +25,7 @@
     CallFailed,
     ContentChanged,
     ContentConfirmed,
+    CopiesReady,
     Event,
     WatchingChanged,
     ListAnswered,
@@ -72,11 +74,15 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class _Reader:
-    """State of reading one kind; times are seconds of the monotonic clock."""
+    """State of reading one kind; times are seconds of the monotonic clock.
+
+    ``known_at_call`` is the position of the host's content when the call was made.
+    """
 
     kind: StoreKind
     phase: _Phase = _Phase.IDLE
     position: Position = START_POSITION
+    known_at_call: Position = START_POSITION
     called_at: float = 0
     resume_at: float = 0
     failures: int = 0
@@ -96,10 +102,14 @@
         self._unsettled_at = context.clock.monotonic()
         # Of the last history that the store was in; None before its first answer.
         self._era: Era | None = None
+        # Content of this host, which peers change, too.
+        self._copies: Mapping[StoreKind, ContentCopy] = {}
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
         match event:
+            case CopiesReady(copies_by_kind=copies):
+                self._copies = copies
             case Started():
                 for reader in self._readers.values():
                     yield from self._list(reader)
@@ -118,16 +128,20 @@
 
     def _list(self, reader: _Reader) -> Iterator[Effect]:
         reader.phase = _Phase.LISTING
-        reader.called_at = self._context.clock.monotonic()
+        self._note_call(reader)
         self._context.metrics.add('store_calls', f'list {reader.kind.value}')
         yield ListObjects(reader.kind)
 
+    def _note_call(self, reader: _Reader) -> None:
+        reader.called_at = self._context.clock.monotonic()
+        reader.known_at_call = self._known_position(reader.kind)
+
     def _watch(self, reader: _Reader) -> Iterator[Effect]:
         if not self._watches:
             reader.phase = _Phase.IDLE
             return
         reader.phase = _Phase.WATCHING
-        reader.called_at = self._context.clock.monotonic()
+        self._note_call(reader)
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
         yield WatchObjects(reader.kind, reader.position, WATCH_WAIT_SECONDS)
 
@@ -143,21 +157,39 @@
         yield from self._enter_era(event)
         reader.position = event.position
         reader.has_listed = True
+        yield from self._publish_content(event, complete=True)
+        yield Publish(ContentConfirmed(event.kind, reader.called_at))
+        yield from self._watch(reader)
+
+    def _publish_content(
+        self,
+        event: ListAnswered | WatchAnswered,
+        complete: bool,
+        removed: tuple[str, ...] = (),
+    ) -> Iterator[Effect]:
+        """Publish the content of an answer, unless a peer has sent later content."""
+        known = self._known_position(event.kind)
+        changed_meanwhile = known != self._readers[event.kind].known_at_call
+        if changed_meanwhile and event.position < known:
+            self._context.metrics.add('store_answers', 'overtaken')
+            return
         yield Publish(
             ContentChanged(
                 kind=event.kind,
                 position=event.position,
-                complete=True,
+                complete=complete,
                 entries=event.entries,
-                removed=(),
+                removed=removed,
                 unusable=event.unusable,
                 version=event.version,
                 settled=self._is_settled(),
                 source=Source.STORE,
             ),
         )
-        yield Publish(ContentConfirmed(event.kind, reader.called_at))
-        yield from self._watch(reader)
+
+    def _known_position(self, kind: StoreKind) -> Position:
+        copy = self._copies.get(kind)
+        return START_POSITION if copy is None else copy.position
 
     def _watch_answered(self, event: WatchAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
@@ -170,19 +202,8 @@
             return
         reader.position = event.position
         if _has_changes(event):
-            yield Publish(
-                ContentChanged(
-                    kind=event.kind,
-                    position=event.position,
-                    complete=event.kind is StoreKind.CONFIGURATION,
-                    entries=event.entries,
-                    removed=event.removed,
-                    unusable=event.unusable,
-                    version=event.version,
-                    settled=self._is_settled(),
-                    source=Source.STORE,
-                ),
-            )
+            is_whole = event.kind is StoreKind.CONFIGURATION
+            yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
         yield Publish(ContentConfirmed(event.kind, now))
         if _has_changes(event):
@@ -323,6 +344,7 @@
         frozenset(
             (
                 Started,
+                CopiesReady,
                 ListAnswered,
                 WatchAnswered,
                 CallFailed,
--- a/tests/unit/test_relay_zone.py
+++ b/tests/unit/test_relay_zone.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint
+from lycheedeal.ids import Endpoint, HostId
 from lycheedeal.relay import UpstreamState
 from tests.relay_simulation import ROUTES, RelayHost, RelaySimulation, listing
 
@@ -216,6 +216,57 @@
     assert late.states()['i-7'] is UpstreamState.GONE
 
 
+@pytest.mark.parametrize('starting', [True, False])
+def test_list_that_took_long_does_not_undo_a_later_change(
+    simulation: RelaySimulation, starting: bool
+) -> None:
+    """Guards against new flows to an upstream that began to drain during a list."""
+    host = next(one for one in simulation.hosts.values() if not one.watches)
+    if starting:
+        host = RelayHost(simulation, 'late', 'south', tuple(simulation.hosts)[:1])
+        simulation.hosts[host.endpoint] = host
+        host.dispatch(relay.Started())
+    else:
+        host.dispatch(relay.RefreshRequested(relay.StoreKind.UPSTREAMS))
+    answers = [event for one, event in simulation.pending_events if one is host]
+    simulation.pending_events.clear()
+    simulation.run(0.5)
+    simulation.store.put(listing('i-1', draining=True))
+    simulation.run(0.5)
+    assert host.states()['i-1'] is UpstreamState.DRAINING
+    for answer in answers:
+        host.dispatch(answer)
+    assert host.states()['i-1'] is UpstreamState.DRAINING
+
+
+def test_watch_answer_that_took_long_does_not_undo_a_later_change(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against new flows to an upstream whose drain another host has read."""
+    (watcher,) = simulation.watchers()
+    store = simulation.store
+    store.put(listing('i-1'))
+    answer = store.changes(relay.StoreKind.UPSTREAMS, store.revision - 1)
+    assert isinstance(answer, relay.WatchAnswered)
+    store.put(listing('i-1', draining=True))
+    snapshot = relay.ContentPart(
+        HostId('other'),
+        relay.StoreKind.UPSTREAMS,
+        relay.NO_EDITION,
+        store.position,
+        part=0,
+        parts=1,
+        complete=True,
+        settled=True,
+        version=None,
+        entries=tuple(store.listings.values()),
+        removed=(),
+    )
+    watcher.dispatch(relay.PeerMessageReceived(snapshot))
+    watcher.dispatch(answer)
+    assert watcher.states()['i-1'] is UpstreamState.DRAINING
+
+
 def test_zone_goes_on_without_the_store(simulation: RelaySimulation) -> None:
     simulation.store.up = False
     simulation.run(60)
