--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -6,8 +6,6 @@
 """
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
-from enum import Enum, unique
 from typing import Final
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
@@ -34,6 +32,7 @@
     Tick,
     WatchAnswered,
 )
+from lycheedeal.relay._reader import Phase, Reader
 from lycheedeal.relay._records import (
     START_POSITION,
     Era,
@@ -62,33 +61,6 @@
 SETTLING_SECONDS: Final = 2.2
 
 
-@unique
-class _Phase(Enum):
-    IDLE = 'idle'
-    LISTING = 'listing'
-    WATCHING = 'watching'
-    # Changes in quick succession collect for the answer to the next watch.
-    PAUSING = 'pausing'
-    RETRYING = 'retrying'
-
-
-@dataclass(slots=True, eq=False, repr=False)
-class _Reader:
-    """State of reading one kind; times are seconds of the monotonic clock.
-
-    ``known_at_call`` is the position of the host's content when the call was made.
-    """
-
-    kind: StoreKind
-    phase: _Phase = _Phase.IDLE
-    position: Position = START_POSITION
-    known_at_call: Position = START_POSITION
-    called_at: float = 0
-    resume_at: float = 0
-    failures: int = 0
-    has_listed: bool = False
-
-
 class ReadingPlugin:
     """Decides when to list and when to watch each kind of objects."""
 
@@ -96,7 +68,7 @@
         """Start idle; the event ``Started`` causes the first lists."""
         self._context = context
         self._watches = False
-        self._readers = {kind: _Reader(kind) for kind in StoreKind}
+        self._readers = {kind: Reader(kind) for kind in StoreKind}
         # Time of the last failed call, of the last sign that the store came back from
         # an older copy, or of the start: the host does not know what came before.
         self._unsettled_at = context.clock.monotonic()
@@ -126,21 +98,21 @@
             case Tick(now=now):
                 yield from self._tick(now)
 
-    def _list(self, reader: _Reader) -> Iterator[Effect]:
-        reader.phase = _Phase.LISTING
+    def _list(self, reader: Reader) -> Iterator[Effect]:
+        reader.phase = Phase.LISTING
         self._note_call(reader)
         self._context.metrics.add('store_calls', f'list {reader.kind.value}')
         yield ListObjects(reader.kind)
 
-    def _note_call(self, reader: _Reader) -> None:
+    def _note_call(self, reader: Reader) -> None:
         reader.called_at = self._context.clock.monotonic()
         reader.known_at_call = self._known_position(reader.kind)
 
-    def _watch(self, reader: _Reader) -> Iterator[Effect]:
+    def _watch(self, reader: Reader) -> Iterator[Effect]:
         if not self._watches:
-            reader.phase = _Phase.IDLE
+            reader.phase = Phase.IDLE
             return
-        reader.phase = _Phase.WATCHING
+        reader.phase = Phase.WATCHING
         self._note_call(reader)
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
         yield WatchObjects(reader.kind, reader.position, WATCH_WAIT_SECONDS)
@@ -157,6 +129,7 @@
         yield from self._enter_era(event)
         reader.position = event.position
         reader.has_listed = True
+        reader.has_watched_since_list = False
         yield from self._publish_content(event, complete=True)
         yield Publish(ContentConfirmed(event.kind, reader.called_at))
         yield from self._watch(reader)
@@ -201,18 +174,19 @@
             yield from self._list(reader)
             return
         reader.position = event.position
+        reader.has_watched_since_list = True
         if _has_changes(event):
             is_whole = event.kind is StoreKind.CONFIGURATION
             yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
         yield Publish(ContentConfirmed(event.kind, now))
         if _has_changes(event):
-            reader.phase = _Phase.PAUSING
+            reader.phase = Phase.PAUSING
             reader.resume_at = now + _COALESCE_SECONDS
         else:
             yield from self._watch(reader)
 
-    def _record_success(self, reader: _Reader) -> Iterator[Effect]:
+    def _record_success(self, reader: Reader) -> Iterator[Effect]:
         if reader.failures:
             reader.failures = 0
             self._unsettled_at = self._context.clock.monotonic()
@@ -250,17 +224,18 @@
             },
         )
         for reader in self._readers.values():
-            is_watched = reader.phase in {_Phase.WATCHING, _Phase.PAUSING}
+            is_watched = reader.phase in {Phase.WATCHING, Phase.PAUSING}
             if reader.kind is not event.kind and is_watched:
                 yield from self._refresh(reader)
 
     def _call_failed(self, event: CallFailed) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         self._context.metrics.add('store_failures', event.fault.value)
-        if event.fault is StoreFault.HISTORY_LOST:
+        is_history_lost = event.fault is StoreFault.HISTORY_LOST
+        if is_history_lost and reader.has_watched_since_list:
             yield from self._list(reader)
             return
-        watch_failed = reader.phase is _Phase.WATCHING
+        watch_failed = reader.phase is Phase.WATCHING and not is_history_lost
         reader.failures += 1
         if reader.failures == 1:
             yield self._failure_record(reader, event)
@@ -270,7 +245,7 @@
         else:
             self._retry_later(reader)
 
-    def _failure_record(self, reader: _Reader, event: CallFailed) -> LogRecord:
+    def _failure_record(self, reader: Reader, event: CallFailed) -> LogRecord:
         return LogRecord(
             Part.READING,
             'store',
@@ -284,10 +259,10 @@
             },
         )
 
-    def _retry_later(self, reader: _Reader) -> None:
+    def _retry_later(self, reader: Reader) -> None:
         now = self._context.clock.monotonic()
         self._unsettled_at = now
-        reader.phase = _Phase.RETRYING
+        reader.phase = Phase.RETRYING
         delay = _MIN_RETRY_SECONDS * 2 ** min(reader.failures - 1, 8)
         jitter = self._context.rng.uniform(0.75, 1.25)
         reader.resume_at = now + min(delay, _MAX_RETRY_SECONDS) * jitter
@@ -299,19 +274,19 @@
         for reader in self._readers.values():
             if not watches:
                 yield from self._stop_reading(reader)
-            elif reader.phase is _Phase.IDLE:
+            elif reader.phase is Phase.IDLE:
                 yield from self._list(reader)
 
-    def _stop_reading(self, reader: _Reader) -> Iterator[Effect]:
+    def _stop_reading(self, reader: Reader) -> Iterator[Effect]:
         # The first list is not cancelled: readiness may wait for it.
-        if reader.has_listed and reader.phase is not _Phase.IDLE:
+        if reader.has_listed and reader.phase is not Phase.IDLE:
             yield CancelCall(reader.kind)
-            reader.phase = _Phase.IDLE
+            reader.phase = Phase.IDLE
             reader.failures = 0
 
-    def _refresh(self, reader: _Reader) -> Iterator[Effect]:
-        if reader.phase in {_Phase.IDLE, _Phase.PAUSING, _Phase.WATCHING}:
-            if reader.phase is _Phase.WATCHING:
+    def _refresh(self, reader: Reader) -> Iterator[Effect]:
+        if reader.phase in {Phase.IDLE, Phase.PAUSING, Phase.WATCHING}:
+            if reader.phase is Phase.WATCHING:
                 yield CancelCall(reader.kind)
             yield from self._list(reader)
 
@@ -320,9 +295,9 @@
             if now < reader.resume_at:
                 continue
             match reader.phase:
-                case _Phase.RETRYING:
+                case Phase.RETRYING:
                     yield from self._list(reader)
-                case _Phase.PAUSING:
+                case Phase.PAUSING:
                     yield from self._watch(reader)
 
     def _is_settled(self) -> bool:
--- a/tests/unit/test_relay_zone.py
+++ b/tests/unit/test_relay_zone.py
@@ -127,6 +127,24 @@
         assert host.states()['i-1'] is UpstreamState.DRAINING
 
 
+def test_store_that_refuses_the_watch_from_its_own_list_is_not_asked_at_once(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a host that lists and watches in turn without a pause."""
+    (watcher,) = simulation.watchers()
+    kind = relay.StoreKind.UPSTREAMS
+    lost = relay.CallFailed(kind, relay.StoreFault.HISTORY_LOST, '')
+    simulation.store.calls.clear()
+    watcher.dispatch(lost)
+    assert [call for _, call in simulation.store.calls] == ['list']
+    watcher.dispatch(simulation.store.list_all(kind))
+    watcher.dispatch(lost)
+    assert [call for _, call in simulation.store.calls] == ['list', 'watch']
+    simulation.pending_events.clear()
+    simulation.run(0.3)
+    assert [call for _, call in simulation.store.calls][2] == 'list'
+
+
 def test_host_that_starts_without_the_store_reads_from_its_zone(
     simulation: RelaySimulation,
 ) -> None:
