--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -117,6 +117,14 @@
         present.update(event.unusable)
         yield from (name for name in self.entries_by_name if name not in present)
 
+    def accepts(self, change: ContentPart) -> bool:
+        """Return whether a change leads from this content to its own edition."""
+        if change.complete:
+            return True
+        if change.exact:
+            return change.base == edition_of(self)
+        return change.base <= edition_of(self)
+
     def snapshot(self) -> ContentPart:
         """Return the whole content as one part."""
         return ContentPart(
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -12,7 +12,7 @@
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId
 from lycheedeal.relay._context import RelayContext
-from lycheedeal.relay._copies import ContentCopy, edition_of
+from lycheedeal.relay._copies import ContentCopy, edition_of, split_part
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import (
     ContentConfirmed,
@@ -40,7 +40,7 @@
     Freshness,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import Peer, Source, StoreKind
+from lycheedeal.relay._records import Edition, Peer, Source, StoreKind
 
 
 class RegionPlugin:
@@ -112,10 +112,27 @@
         self._heard_at = now
         for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
             yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
+        yield from self._compare_editions(beacon)
+
+    def _compare_editions(self, beacon: RegionBeacon) -> Iterator[Effect]:
+        peer = beacon.peer
         for kind, edition in zip(StoreKind, beacon.editions, strict=True):
             if edition > edition_of(self._copies[kind]):
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
+            elif kind is StoreKind.CONFIGURATION:
+                yield from self._offer_configuration(edition, peer)
+
+    def _offer_configuration(self, edition: Edition, peer: Peer) -> Iterator[Effect]:
+        """Send the watching leader a configuration that is newer than its own.
+
+        On average one of the other leaders sends it.
+        """
+        copy = self._copies[StoreKind.CONFIGURATION]
+        leaders = sum(1 for _ in self._peer_table.other_zone_leaders())
+        if edition < edition_of(copy) and self._context.rng.random() * leaders < 1:
+            for part in split_part(copy.snapshot(), self._own.host_id):
+                yield SendPeer(peer.endpoint, part)
 
     def _goes_before(self, peer: Peer) -> bool:
         """Return whether this host watches rather than another one that does."""
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -52,7 +52,7 @@
 )
 from lycheedeal.relay._greetings import Greetings
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import START_POSITION, Source, StoreKind
+from lycheedeal.relay._records import START_POSITION, Edition, Source, StoreKind
 
 # With more leaders than this in the zone, the interval between beacons grows in
 # proportion.
@@ -202,6 +202,7 @@
         for kind, edition in zip(StoreKind, beacon.editions, strict=True):
             if edition <= edition_of(self._copies[kind]):
                 self._lagging_since.pop(kind, None)
+                yield from self._offer(kind, edition, beacon)
                 continue
             since = self._lagging_since.setdefault(kind, now)
             if now - since > _MAX_LAG_SECONDS:
@@ -211,6 +212,20 @@
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(beacon.peer.endpoint, request)
 
+    def _offer(
+        self, kind: StoreKind, edition: Edition, beacon: Beacon
+    ) -> Iterator[Effect]:
+        """Send the leader a configuration that is newer than its own.
+
+        It may have read an older one from a store that came back from a copy. On
+        average one host of the zone sends it.
+        """
+        copy = self._copies[kind]
+        is_newer = kind is StoreKind.CONFIGURATION and edition < edition_of(copy)
+        if is_newer and self._context.rng.random() * beacon.zone_size < 1:
+            for part in split_part(copy.snapshot(), self._own.host_id):
+                yield SendPeer(beacon.peer.endpoint, part)
+
     def _part_received(self, part: ContentPart) -> Iterator[Effect]:
         change = self._reassembler.add(part)
         if change is None:
@@ -220,7 +235,7 @@
             self._context.metrics.add('peer_content', 'ignored')
             yield _ignored_record(change, copy)
             return
-        if not change.complete and not _applies(change, copy):
+        if not copy.accepts(change):
             sender = self._peer_table.find(part.host_id)
             if sender is not None:
                 request = SnapshotRequest(self._own.host_id, change.kind)
@@ -326,13 +341,6 @@
         )
 
 
-def _applies(change: ContentPart, copy: ContentCopy) -> bool:
-    """Return whether a change leads from the content of a copy to its edition."""
-    if change.exact:
-        return change.base == edition_of(copy)
-    return change.base <= edition_of(copy)
-
-
 def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
     return LogRecord(
         Part.ZONE,
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -67,8 +67,10 @@
         yield
 
 
-def start_host(simulation: RelaySimulation, name: str) -> RelayHost:
-    host = RelayHost(simulation, name, ZONES[0], tuple(simulation.hosts)[:1])
+def start_host(
+    simulation: RelaySimulation, name: str, zone: str = ZONES[0]
+) -> RelayHost:
+    host = RelayHost(simulation, name, zone, tuple(simulation.hosts)[:1])
     simulation.hosts[host.endpoint] = host
     host.dispatch(relay.Started())
     return host
@@ -127,6 +129,25 @@
     assert versions(simulation) == {2}
 
 
+@pytest.mark.parametrize('zone', [ZONES[0], 'west'])
+def test_leader_that_read_an_older_configuration_takes_the_newer_one(
+    simulation: RelaySimulation, zone: str
+) -> None:
+    """Guards against a first-ranked host that keeps what it read during a cut."""
+    copy = simulation.store.copy()
+    simulation.store.configure(2, *ROUTES)
+    simulation.run(1)
+    restore_after_outage(simulation, copy)
+    late = start_host(simulation, 'a-late', zone)
+    simulation.disconnected.add(late.endpoint)
+    simulation.run(4)
+    assert late.version() == 1
+    simulation.disconnected.clear()
+    simulation.run(IN_FORCE_SECONDS)
+    assert late in simulation.watchers()
+    assert versions(simulation) == {2}
+
+
 def test_watch_does_not_skip_changes_of_a_new_history(
     simulation: RelaySimulation,
 ) -> None:
