--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -58,7 +58,8 @@
     version: ConfigurationVersion | None = None
     settled: bool = True
     entries_by_name: dict[str, Entry] = field(default_factory=dict)
-    unusable: tuple[str, ...] = ()
+    # Names of objects that exist but could not be decoded.
+    unusable: set[str] = field(default_factory=set)
 
     def apply(self, event: ContentChanged) -> ContentPart | None:
         """Apply a change; return the difference to the content before it.
@@ -74,17 +75,18 @@
         if event.kind is StoreKind.CONFIGURATION and not is_later:
             return None
         changed = {entry_name(entry): entry for entry in event.entries}
-        removed = event.removed
+        removed, unusable = event.removed, event.unusable
         if event.complete:
             changed = self._differing(changed)
             removed = tuple(self._missing(event))
-        is_equal = not (changed or removed) and event.unusable == self.unusable
-        if is_equal and not is_later:
+            unusable = tuple(name for name in unusable if name not in self.unusable)
+        if not (changed or removed or unusable or is_later):
             return None
-        for name in (*removed, *event.unusable):
+        for name in (*removed, *unusable):
             self.entries_by_name.pop(name, None)
-        self.unusable = event.unusable
         self.entries_by_name.update(changed)
+        self.unusable.difference_update(changed, removed)
+        self.unusable.update(unusable)
         self.position = event.position
         self.version = event.version
         self.settled = event.settled
@@ -100,7 +102,7 @@
             version=event.version,
             entries=tuple(changed.values()),
             removed=removed,
-            unusable=event.unusable,
+            unusable=unusable,
             # An object that was changed and changed back is not in it.
             exact=event.complete or event.exact,
         )
@@ -115,7 +117,8 @@
     def _missing(self, event: ContentChanged) -> Iterator[str]:
         present = {entry_name(entry) for entry in event.entries}
         present.update(event.unusable)
-        yield from (name for name in self.entries_by_name if name not in present)
+        known = (*self.entries_by_name, *self.unusable)
+        yield from (name for name in known if name not in present)
 
     def accepts(self, change: ContentPart) -> bool:
         """Return whether a change leads from this content to its own edition."""
@@ -139,7 +142,7 @@
             version=self.version,
             entries=tuple(self.entries_by_name.values()),
             removed=(),
-            unusable=self.unusable,
+            unusable=tuple(self.unusable),
         )
 
 
@@ -147,11 +150,9 @@
     """Yield the parts of a change, each of which fits into a datagram."""
     entries = iter(change.entries)
     removed = iter(change.removed)
-    count = max(
-        -(-len(change.entries) // _ENTRIES_PER_PART),
-        -(-len(change.removed) // _ENTRIES_PER_PART),
-        1,
-    )
+    unusable = iter(change.unusable)
+    longest = max(len(change.entries), len(change.removed), len(change.unusable), 1)
+    count = -(-longest // _ENTRIES_PER_PART)
     for index in range(count):
         yield ContentPart(
             host_id=host_id,
@@ -165,7 +166,7 @@
             version=change.version,
             entries=tuple(islice(entries, _ENTRIES_PER_PART)),
             removed=tuple(islice(removed, _ENTRIES_PER_PART)),
-            unusable=change.unusable[:_ENTRIES_PER_PART],
+            unusable=tuple(islice(unusable, _ENTRIES_PER_PART)),
             exact=change.exact,
         )
 
@@ -203,7 +204,7 @@
             version=part.version,
             entries=tuple(one for each in ordered for one in each.entries),
             removed=tuple(one for each in ordered for one in each.removed),
-            unusable=part.unusable,
+            unusable=tuple(one for each in ordered for one in each.unusable),
             exact=part.exact,
         )
 
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -75,7 +75,8 @@
     Changes up to ``compacted_revision`` are no longer in the history. With
     ``watches_silent`` no watch reports a change. ``refused`` are the ids of hosts
     whose calls fail; ``calls`` has the host id and the name of each call. ``era``
-    counts how often the store came back from an older copy.
+    counts how often the store came back from an older copy. ``unusable`` names entries
+    that cannot be read.
     """
 
     era: int = 1
@@ -83,6 +84,7 @@
     version: int = 1
     routes: tuple[relay.Route, ...] = ROUTES
     listings: dict[str, relay.Listing] = field(default_factory=dict)
+    unusable: set[str] = field(default_factory=set)
     events: list[tuple[int, relay.StoreKind, str]] = field(default_factory=list)
     compacted_revision: int = 0
     up: bool = True
@@ -97,10 +99,21 @@
     def put(self, *listings: relay.Listing) -> None:
         for one in listings:
             self.listings[one.upstream_id] = one
+            self.unusable.discard(one.upstream_id)
             self._record(relay.StoreKind.UPSTREAMS, one.upstream_id)
 
+    def damage(self, *names: str) -> None:
+        """Replace entries by some that cannot be read."""
+        for name in names:
+            self.listings.pop(name)
+            self.unusable.add(name)
+            self._record(relay.StoreKind.UPSTREAMS, name)
+
     def delete(self, name: str) -> None:
-        self.listings.pop(name)
+        if name in self.unusable:
+            self.unusable.remove(name)
+        else:
+            self.listings.pop(name)
         self._record(relay.StoreKind.UPSTREAMS, name)
 
     def configure(self, version: int, *routes: relay.Route) -> None:
@@ -112,6 +125,7 @@
         content = Store(revision=self.revision, version=self.version)
         content.routes = self.routes
         content.listings = dict(self.listings)
+        content.unusable = set(self.unusable)
         content.events = list(self.events)
         return content
 
@@ -121,6 +135,7 @@
         self.revision, self.version = copy.revision, copy.version
         self.routes = copy.routes
         self.listings = dict(copy.listings)
+        self.unusable = set(copy.unusable)
         self.events = list(copy.events)
 
     def compact(self) -> None:
@@ -133,15 +148,16 @@
 
     def list_all(self, kind: relay.StoreKind) -> relay.ListAnswered:
         entries: tuple[relay.Entry, ...] = tuple(self.listings.values())
+        unusable = tuple(sorted(self.unusable))
         version = None
         if kind is relay.StoreKind.CONFIGURATION:
-            entries = self.routes
+            entries, unusable = self.routes, ()
             version = relay.ConfigurationVersion(self.version)
         return relay.ListAnswered(
             kind,
             self.position,
             entries,
-            (),
+            unusable,
             version,
         )
 
@@ -163,12 +179,13 @@
                 version=answer.version,
             )
         present = [self.listings[name] for name in names if name in self.listings]
-        removed = tuple(name for name in names if name not in self.listings)
+        unusable = names & self.unusable
         return relay.WatchAnswered(
             kind,
             self.position,
             tuple(present),
-            removed,
+            tuple(names - self.listings.keys() - unusable),
+            tuple(unusable),
         )
 
 
