--- a/src/lycheedeal/relay/_outdated_entries.py
+++ b/src/lycheedeal/relay/_outdated_entries.py
@@ -1,8 +1,8 @@
 """Entries of a restored store that may be older than what a host knows.
 
-For a while such a store holds entries of upstreams that are leaving or have left
-since its copy was made. The upstreams that live write theirs again, and the store
-removes the others after some heartbeats of silence.
+For a while such a store holds entries of upstreams that are leaving, have left or have
+restarted since its copy was made. The upstreams that live write theirs again, and the
+store removes the others after some heartbeats of silence.
 """
 
 from typing import Final
@@ -45,7 +45,7 @@
         self.discard(listing.upstream_id)
         if known is None or self._context.clock.monotonic() >= self._due_at():
             return False
-        if known.token != token_of(listing) or not _takes_back(listing, known):
+        if not _takes_back(listing, known):
             return False
         self._listings_by_name[listing.upstream_id] = listing
         return True
@@ -68,6 +68,8 @@
 
 
 def _takes_back(listing: Listing, known: Upstream) -> bool:
+    if known.token != token_of(listing):
+        return listing.started_ms < known.listing.started_ms
     match known.state:
         case UpstreamState.GONE:
             return True
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -247,6 +247,14 @@
             for upstream in table.by_token.values()
         }
 
+    def incarnations(self) -> dict[tuple[str, int], relay.UpstreamState]:
+        """Return the state of each incarnation, by id and start time."""
+        table = self.kernel.plugins_by_name['upstreams'].table
+        return {
+            (upstream.listing.upstream_id, upstream.listing.started_ms): upstream.state
+            for upstream in table.by_token.values()
+        }
+
     def tick(self) -> None:
         now = self.simulation.clock.now
         for kind, watch in tuple(self.watches.items()):
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint
+from lycheedeal.ids import Endpoint, UpstreamId
 from lycheedeal.relay import UpstreamState
 from tests.relay_simulation import (
     ROUTES,
@@ -60,6 +60,20 @@
     return {host.states().get(name) for host in simulation.hosts.values()}
 
 
+def incarnations_of(
+    simulation: RelaySimulation, name: str
+) -> set[tuple[int, UpstreamState]]:
+    """Return start time and state of the incarnation that each host takes for the
+    current one.
+    """
+    tables = [
+        host.kernel.plugins_by_name['upstreams'].table
+        for host in simulation.hosts.values()
+    ]
+    current = [table.current_by_id[UpstreamId(name)] for table in tables]
+    return {(one.listing.started_ms, one.state) for one in current}
+
+
 def steps(simulation: RelaySimulation, seconds: float) -> Iterator[None]:
     """Run for a while; yield after each step."""
     for _ in range(round(seconds / STEP_SECONDS)):
@@ -240,6 +254,23 @@
         assert UpstreamState.READY not in states_of(simulation, 'i-1')
 
 
+@pytest.mark.parametrize('port', [8001, 8101])
+def test_entry_of_an_earlier_incarnation_does_not_end_a_living_one(
+    simulation: RelaySimulation, port: int
+) -> None:
+    """Guards against resets and lost openings of an upstream that restarted."""
+    copy = simulation.store.copy()
+    restarted = listing('i-1', port=port, started_ms=2000)
+    simulation.store.put(restarted)
+    simulation.run(0.5)
+    restore_after_outage(simulation, copy)
+    for _ in steps(simulation, RETURN_SECONDS - 0.3):
+        assert incarnations_of(simulation, 'i-1') == {(2000, UpstreamState.READY)}
+    simulation.store.put(restarted)
+    for _ in steps(simulation, 4):
+        assert incarnations_of(simulation, 'i-1') == {(2000, UpstreamState.READY)}
+
+
 def test_entry_that_stays_in_a_restored_store_is_used(
     simulation: RelaySimulation,
 ) -> None:
--- a/tests/unit/test_relay_store_histories.py
+++ b/tests/unit/test_relay_store_histories.py
@@ -1,5 +1,7 @@
 """Random histories of the store, with hosts that fail and a store that is restored."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -20,6 +22,7 @@
     INTAKE_KEY,
     ROUTE_KEY,
     ROUTES,
+    STEP_SECONDS,
     RelayHost,
     RelaySimulation,
     Store,
@@ -55,11 +58,11 @@
         self.store = self.simulation.store
         self.version = 1
         self.routes = ROUTES
-        # Whether each upstream that runs is draining.
-        self.draining_by_name = dict.fromkeys(FIRST_UPSTREAMS, False)
+        # Entry of each upstream that runs.
+        self.entries_by_name = {name: listing(name) for name in FIRST_UPSTREAMS}
         self.started = len(FIRST_UPSTREAMS)
         self.copies: list[Store] = []
-        self.store.put(*map(listing, FIRST_UPSTREAMS))
+        self.store.put(*self.entries_by_name.values())
         for number in range(HOSTS_PER_ZONE):
             for zone in ZONES:
                 self.simulation.add(f'{zone}-{number}', zone)
@@ -68,7 +71,7 @@
 
     @rule(seconds=delays)
     def wait(self, seconds: float) -> None:
-        self.simulation.run(seconds)
+        self._run(seconds)
 
     @rule()
     def copy_store(self) -> None:
@@ -83,27 +86,55 @@
         if second is not None:
             self.routes = (*self.routes, route('r-intake', INTAKE_KEY, second))
         self.store.configure(self.version, *self.routes)
-        self.simulation.run(seconds)
+        self._run(seconds)
 
     @rule(seconds=delays)
     def start_upstream(self, seconds: float) -> None:
         self.started += 1
-        name = f'i-{self.started:x}'
-        self.draining_by_name[name] = False
-        self.store.put(listing(name))
-        self.simulation.run(seconds)
+        self._write(listing(f'i-{self.started:x}'))
+        self._run(seconds)
+
+    def _run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.simulation.run(STEP_SECONDS)
+            self.living_upstreams_are_not_gone()
+
+    def _write(self, entry: relay.Listing) -> None:
+        self.entries_by_name[entry.upstream_id] = entry
+        self.store.put(entry)
+
+    @rule(number=st.integers(0), seconds=delays, moves=st.booleans())
+    def restart_upstream(self, number: int, seconds: float, moves: bool) -> None:
+        """Start an upstream again under its id, at its address or at another one."""
+        entry = self._entry(number)
+        self.started += 1
+        port = 9000 + self.started if moves else entry.endpoint.port
+        name = entry.upstream_id
+        self._write(listing(name, port=port, started_ms=self.started))
+        self._run(seconds)
+
+    def _entry(self, number: int) -> relay.Listing:
+        names = sorted(self.entries_by_name)
+        return self.entries_by_name[names[number % len(names)]]
 
-    @precondition(lambda self: len(self.draining_by_name) > 1)
+    @precondition(lambda self: len(self.entries_by_name) > 1)
     @rule(number=st.integers(0), seconds=delays, leaves=st.booleans())
     def end_upstream(self, number: int, seconds: float, leaves: bool) -> None:
         """Drain an upstream; it leaves at once, or later if it is drawn again."""
-        name = sorted(self.draining_by_name)[number % len(self.draining_by_name)]
-        self.draining_by_name[name] = True
-        self.store.put(listing(name, draining=True))
-        self.simulation.run(seconds)
+        entry = replace(self._entry(number), draining=True)
+        self._write(entry)
+        self._run(seconds)
         if leaves:
-            self.draining_by_name.pop(name)
-            self.store.delete(name)
+            self.entries_by_name.pop(entry.upstream_id)
+            self.store.delete(entry.upstream_id)
+
+    @rule(number=st.integers(0), seconds=delays)
+    def damage_entry(self, number: int, seconds: float) -> None:
+        """Let another writer replace an entry; its upstream goes on."""
+        name = self._entry(number).upstream_id
+        if name in self.store.listings:
+            self.store.damage(name)
+        self._run(seconds)
 
     @rule(
         versions=st.lists(route_services, min_size=3, max_size=4), number=host_numbers
@@ -140,45 +171,48 @@
         """Go back to a copy; operator and upstreams write again, within 2 s."""
         if outage:
             self.store.up = False
-            self.simulation.run(outage)
+            self._run(outage)
             self.store.up = True
         self.store.restore(self.copies[number % len(self.copies)])
         del self.copies[number % len(self.copies) + 1 :]
-        self.simulation.run(min(late, 1.8))
+        self._run(min(late, 1.8))
         if self.store.version != self.version:
             self.store.configure(self.version, *self.routes)
-        self.store.put(
-            *(
-                listing(name, draining=one)
-                for name, one in self.draining_by_name.items()
-            )
-        )
-        self.simulation.run(LAPSE_SECONDS)
-        for name in self.store.listings.keys() - self.draining_by_name.keys():
+        self.store.put(*self.entries_by_name.values())
+        self._run(LAPSE_SECONDS)
+        for name in self.store.listings.keys() - self.entries_by_name.keys():
             self.store.delete(name)
 
     @invariant()
     def living_upstreams_are_not_gone(self) -> None:
+        living = {_incarnation(one) for one in self.entries_by_name.values()}
         for host in self.simulation.hosts.values():
             gone = {
-                name
-                for name, state in host.states().items()
+                incarnation
+                for incarnation, state in host.incarnations().items()
                 if state is UpstreamState.GONE
             }
-            assert not gone & self.draining_by_name.keys()
+            assert not gone & living
 
     def teardown(self) -> None:
         self.store.refused.clear()
-        self.simulation.run(SETTLING_SECONDS)
+        self.store.put(*(self.entries_by_name[name] for name in self.store.unusable))
+        self._run(SETTLING_SECONDS)
         for host in self.simulation.hosts.values():
             assert host.version() == self.version
             assert host.routes() == {one.name: one for one in self.routes}
-            states = host.states()
-            for name, draining in self.draining_by_name.items():
-                expected = UpstreamState.DRAINING if draining else UpstreamState.READY
-                assert states[name] is expected
-            left = states.keys() - self.draining_by_name.keys()
-            assert all(states[name] is UpstreamState.GONE for name in left)
+            states = host.incarnations()
+            for entry in self.entries_by_name.values():
+                state = states.pop(_incarnation(entry))
+                expected = (
+                    UpstreamState.DRAINING if entry.draining else UpstreamState.READY
+                )
+                assert state is expected
+            assert set(states.values()) <= {UpstreamState.GONE}
+
+
+def _incarnation(entry: relay.Listing) -> tuple[str, int]:
+    return entry.upstream_id, entry.started_ms
 
 
 StoreHistories.TestCase.settings = settings(
