--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -147,10 +147,14 @@
 
 
 def split_part(change: ContentPart, host_id: HostId) -> Iterator[ContentPart]:
-    """Yield the parts of a change, each of which fits into a datagram."""
-    entries = iter(change.entries)
-    removed = iter(change.removed)
-    unusable = iter(change.unusable)
+    """Yield the parts of a change, each of which fits into a datagram.
+
+    They are the same ones when a host sends the change again, also after a restart:
+    the receiver may still have some.
+    """
+    entries = iter(sorted(change.entries, key=entry_name))
+    removed = iter(sorted(change.removed))
+    unusable = iter(sorted(change.unusable))
     longest = max(len(change.entries), len(change.removed), len(change.unusable), 1)
     count = -(-longest // _ENTRIES_PER_PART)
     for index in range(count):
@@ -176,14 +180,11 @@
 
     def __init__(self) -> None:
         """Start without parts."""
-        self._parts: dict[
-            tuple[HostId, StoreKind, Edition, bool], dict[int, ContentPart]
-        ]
-        self._parts = {}
+        self._parts: dict[tuple[object, ...], dict[int, ContentPart]] = {}
 
     def add(self, part: ContentPart) -> ContentPart | None:
         """Return the joined change, or None while parts of it are missing."""
-        key = part.host_id, part.kind, edition_of(part), part.complete
+        key = _change_key(part)
         parts = self._parts.setdefault(key, {})
         parts[part.part] = part
         if len(parts) < part.parts:
@@ -209,6 +210,13 @@
         )
 
 
+def _change_key(part: ContentPart) -> tuple[object, ...]:
+    """Return what the parts of a change have in common."""
+    editions = part.base, edition_of(part)
+    meaning = part.complete, part.exact, part.settled
+    return part.host_id, part.kind, part.parts, editions, meaning
+
+
 def as_content(change: ContentPart) -> ContentChanged:
     """Return the event for a change that was received from a peer."""
     version = None if change.version is None else ConfigurationVersion(change.version)
