--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -162,6 +162,14 @@
     source: Source = Source.STORE
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class EditionConfirmed:
+    """The leader confirmed the edition that this host has, as of the time ``at``."""
+
+    kind: StoreKind
+    at: float
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class RefreshRequested:
     """The content of a kind may be stale and is to be read from the store."""
@@ -367,6 +375,7 @@
     | RegionBeaconDue
     | ContentChanged
     | ContentConfirmed
+    | EditionConfirmed
     | RefreshRequested
     | RoutesChanged
     | UpstreamsChanged
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -155,7 +155,7 @@
                 removed=removed,
                 unusable=event.unusable,
                 version=event.version,
-                settled=self._is_settled(),
+                settled=self._was_settled(self._readers[event.kind].called_at),
                 source=Source.STORE,
             ),
         )
@@ -300,9 +300,9 @@
                 case Phase.PAUSING:
                     yield from self._watch(reader)
 
-    def _is_settled(self) -> bool:
-        quiet = self._context.clock.monotonic() - self._unsettled_at
-        return quiet >= SETTLING_SECONDS
+    def _was_settled(self, called_at: float) -> bool:
+        """Return whether an answer to a call proves that missing entries are gone."""
+        return called_at - self._unsettled_at >= SETTLING_SECONDS
 
 
 def _has_changes(event: WatchAnswered) -> bool:
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -110,17 +110,20 @@
             self._followed = peer.host_id
             yield from self._set_watching(False, 'a leader of another zone watches')
         self._heard_at = now
-        for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
-            yield Publish(ContentConfirmed(kind, now - age / 1000, Source.PEER))
         yield from self._compare_editions(beacon)
 
     def _compare_editions(self, beacon: RegionBeacon) -> Iterator[Effect]:
+        """Confirm each kind whose edition is not behind; ask for the others."""
         peer = beacon.peer
-        for kind, edition in zip(StoreKind, beacon.editions, strict=True):
+        now = self._context.clock.monotonic()
+        kinds = zip(StoreKind, beacon.ages_ms, beacon.editions, strict=True)
+        for kind, age_ms, edition in kinds:
             if edition > edition_of(self._copies[kind]):
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
-            elif kind is StoreKind.CONFIGURATION:
+                continue
+            yield Publish(ContentConfirmed(kind, now - age_ms / 1000, Source.PEER))
+            if kind is StoreKind.CONFIGURATION:
                 yield from self._offer_configuration(edition, peer)
 
     def _offer_configuration(self, edition: Edition, peer: Peer) -> Iterator[Effect]:
--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -3,7 +3,8 @@
 An upstream without a usable entry gets no new flows. It may still run, so the
 packets of its open flows are forwarded. It is gone for certain when another
 incarnation has its id or its address, or when its entry is missing although the
-store has answered for some time.
+store has answered for some time. While the store recovers, a missing entry may come
+back, and the host may hear of it late.
 """
 
 from collections.abc import Iterator
@@ -13,7 +14,14 @@
 from lycheedeal.ids import UpstreamId
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import Effect, LogRecord, Part
-from lycheedeal.relay._events import ContentChanged, Event, Tick, UpstreamsChanged
+from lycheedeal.relay._events import (
+    ContentChanged,
+    ContentConfirmed,
+    EditionConfirmed,
+    Event,
+    Tick,
+    UpstreamsChanged,
+)
 from lycheedeal.relay._outdated_entries import OutdatedEntries
 from lycheedeal.relay._records import (
     START_POSITION,
@@ -30,7 +38,9 @@
 # flows are reset. Longer than a flow may be open, which is 60 s on the platform.
 _GONE_RETENTION_SECONDS: Final = 120
 # Entries that are missing while the store recovers may come back within this time.
-_MISSING_GRACE_SECONDS: Final = 2.0
+_RETURN_SECONDS: Final = 2.0
+# Time by which a confirmation may be later than the store's answer behind it.
+_MAX_ANSWER_DELAY_SECONDS: Final = 0.5
 
 
 class UpstreamsPlugin:
@@ -57,6 +67,11 @@
                 yield Publish(
                     UpstreamsChanged(self.table, self._position, is_full_list)
                 )
+            case ContentConfirmed(StoreKind.UPSTREAMS, at) | EditionConfirmed(
+                StoreKind.UPSTREAMS, at
+            ):
+                if self._missing_since:
+                    yield from self._end_missing(at - _MAX_ANSWER_DELAY_SECONDS)
             case Tick(now=now):
                 yield from self._tick(now)
 
@@ -64,9 +79,7 @@
         present: set[str] = set(event.unusable)
         for name in event.unusable:
             self._outdated.discard(name)
-            yield from self._set_state_by_name(
-                name, UpstreamState.UNLISTED, 'unusable entry'
-            )
+            yield from self._unusable_read(name)
         for entry in event.entries:
             if isinstance(entry, Listing):
                 present.add(entry.upstream_id)
@@ -177,16 +190,15 @@
         elif name not in self._missing_since:
             self._missing_since[name] = self._context.clock.monotonic()
 
-    def _set_state_by_name(
-        self,
-        name: str,
-        state: UpstreamState,
-        reason: str,
-    ) -> Iterator[Effect]:
+    def _unusable_read(self, name: str) -> Iterator[Effect]:
+        self._missing_since.pop(name, None)
         upstream = self.table.current_by_id.get(UpstreamId(name))
-        if upstream is None or upstream.state in {state, UpstreamState.GONE}:
+        if upstream is None:
             return
-        yield from self._set_state(upstream, state, reason)
+        if upstream.state not in {UpstreamState.UNLISTED, UpstreamState.GONE}:
+            yield from self._set_state(
+                upstream, UpstreamState.UNLISTED, 'unusable entry'
+            )
 
     def _mark_gone(self, upstream: Upstream, reason: str) -> Iterator[Effect]:
         if upstream.state is not UpstreamState.GONE:
@@ -223,7 +235,7 @@
 
     def _tick(self, now: float) -> Iterator[Effect]:
         if self._missing_since:
-            yield from self._expire_missing(now)
+            yield from self._unlist_missing(now)
         yield from self._use_entries(self._outdated.take_due(now))
         if now >= self._next_sweep:
             self._next_sweep = now + _GONE_RETENTION_SECONDS / 4
@@ -232,19 +244,31 @@
                 if upstream.state is UpstreamState.GONE and old:
                     self.table.remove(upstream)
 
-    def _expire_missing(self, now: float) -> Iterator[Effect]:
-        expired = [
+    def _unlist_missing(self, now: float) -> Iterator[Effect]:
+        """Give no new flows to upstreams whose entries did not come back in time."""
+        for name in self._missing_at(now):
+            yield from self._set_missing(name, UpstreamState.UNLISTED)
+
+    def _end_missing(self, confirmed_at: float) -> Iterator[Effect]:
+        """Mark upstreams gone whose entries the store did not have in time."""
+        for name in self._missing_at(confirmed_at):
+            self._missing_since.pop(name)
+            yield from self._set_missing(name, UpstreamState.GONE)
+
+    def _missing_at(self, at: float) -> tuple[str, ...]:
+        """Return the names that were missing for longer than entries may be."""
+        return tuple(
             name
             for name, since in self._missing_since.items()
-            if since + _MISSING_GRACE_SECONDS <= now
-        ]
-        for name in expired:
-            self._missing_since.pop(name)
-            yield from self._set_state_by_name(
-                name, UpstreamState.GONE, 'did not come back'
-            )
-        if expired:
-            yield Publish(UpstreamsChanged(self.table, self._position))
+            if since + _RETURN_SECONDS <= at
+        )
+
+    def _set_missing(self, name: str, state: UpstreamState) -> Iterator[Effect]:
+        upstream = self.table.current_by_id.get(UpstreamId(name))
+        if upstream is None or upstream.state in {state, UpstreamState.GONE}:
+            return
+        yield from self._set_state(upstream, state, 'did not come back')
+        yield Publish(UpstreamsChanged(self.table, self._position))
 
     def _use_entries(self, listings: tuple[Listing, ...]) -> Iterator[Effect]:
         for listing in listings:
@@ -259,4 +283,10 @@
     return event.settled and not event.unusable
 
 
-register(PluginSpec('upstreams', UpstreamsPlugin, frozenset((ContentChanged, Tick))))
+register(
+    PluginSpec(
+        'upstreams',
+        UpstreamsPlugin,
+        frozenset((ContentChanged, ContentConfirmed, EditionConfirmed, Tick)),
+    )
+)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -28,6 +28,7 @@
     ContentConfirmed,
     ContentPart,
     CopiesReady,
+    EditionConfirmed,
     Event,
     Greeting,
     LeadershipChanged,
@@ -197,11 +198,13 @@
         return rank(beacon.peer) < rank(self._own)
 
     def _compare_editions(self, beacon: Beacon) -> Iterator[Effect]:
-        """Ask for a snapshot of each kind whose edition is behind the leader's."""
+        """Confirm each kind whose edition is not behind; ask for the others."""
         now = self._context.clock.monotonic()
-        for kind, edition in zip(StoreKind, beacon.editions, strict=True):
+        kinds = zip(StoreKind, beacon.ages_ms, beacon.editions, strict=True)
+        for kind, age_ms, edition in kinds:
             if edition <= edition_of(self._copies[kind]):
                 self._lagging_since.pop(kind, None)
+                yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
                 yield from self._offer(kind, edition, beacon)
                 continue
             since = self._lagging_since.setdefault(kind, now)
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -317,8 +317,8 @@
 class RelaySimulation:
     """Hosts, the datagrams between them, and the store.
 
-    Datagrams from and to endpoints in ``disconnected`` are lost, and those between
-    ``cut_zone`` and other zones.
+    Datagrams from and to endpoints in ``disconnected`` are lost, those between
+    ``cut_zone`` and other zones, and a share of ``loss`` of all others.
     """
 
     def __init__(self) -> None:
@@ -330,6 +330,8 @@
         self.datagrams: list[tuple[Endpoint, bytes]] = []
         self.disconnected: set[Endpoint] = set()
         self.cut_zone = ''
+        self.loss = 0.0
+        self._rng = random.Random(0)
 
     def add(self, name: str, zone: str = 'south') -> RelayHost:
         seeds = tuple(self.hosts)[:1]
@@ -357,6 +359,7 @@
             endpoint not in self.disconnected
             and sender.endpoint not in self.disconnected
             and not self._is_between_parts(sender, endpoint)
+            and self._rng.random() >= self.loss
         ):
             self.datagrams.append((endpoint, datagram))
 
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -212,6 +212,26 @@
     assert states_of(simulation, 'i-7') == {UpstreamState.GONE}
 
 
+def test_upstream_is_kept_if_the_message_of_its_return_is_lost(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against resets by a host that has not heard yet of a returned entry."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    simulation.store.restore(copy)
+    simulation.run(RETURN_SECONDS - 0.2)
+    followers = {host.endpoint for host in simulation.hosts.values()}
+    followers -= {host.endpoint for host in simulation.leaders()}
+    simulation.disconnected.update(followers)
+    simulation.store.put(listing('i-6'))
+    simulation.run(0.4)
+    simulation.disconnected.clear()
+    for _ in steps(simulation, 4):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    assert states_of(simulation, 'i-6') == {UpstreamState.READY}
+
+
 def test_host_that_started_after_the_restore_proves_nothing_missing(
     simulation: RelaySimulation,
 ) -> None:
--- a/tests/unit/test_relay_store_histories.py
+++ b/tests/unit/test_relay_store_histories.py
@@ -37,7 +37,10 @@
 SETTLING_SECONDS = 9.0
 # The store drops the entry of an upstream that it has not heard for this long.
 LAPSE_SECONDS = 3.0
-FIRST_UPSTREAMS = ('i-1', 'i-2', 'i-3')
+# Operator and upstreams write again within this time of the store's return.
+RETURN_SECONDS = 2.0
+# More than one message holds.
+FIRST_UPSTREAMS = tuple(f'i-{number:x}' for number in range(1, 13))
 
 # Services of the first route and of the second, if it exists.
 RouteServices = tuple[ServiceName, ServiceName | None]
@@ -166,6 +169,12 @@
         if cut:
             self.store.refused.add(host.context.settings.host_id)
 
+    @rule(loss=st.sampled_from((0.0, 0.05, 0.3)), zone=st.sampled_from(('', *ZONES)))
+    def harm_links(self, loss: float, zone: str) -> None:
+        """Lose a share of the messages between hosts, or cut a zone off."""
+        self.simulation.loss = loss
+        self.simulation.cut_zone = zone
+
     @rule(number=st.integers(0), outage=st.sampled_from((0, 0.3, 2.0)), late=delays)
     def restore_store(self, number: int, outage: float, late: float) -> None:
         """Go back to a copy; operator and upstreams write again, within 2 s."""
@@ -175,7 +184,7 @@
             self.store.up = True
         self.store.restore(self.copies[number % len(self.copies)])
         del self.copies[number % len(self.copies) + 1 :]
-        self._run(min(late, 1.8))
+        self._run(min(late, RETURN_SECONDS))
         if self.store.version != self.version:
             self.store.configure(self.version, *self.routes)
         self.store.put(*self.entries_by_name.values())
@@ -196,6 +205,7 @@
 
     def teardown(self) -> None:
         self.store.refused.clear()
+        self.harm_links(0, '')
         self.store.put(*(self.entries_by_name[name] for name in self.store.unusable))
         self._run(SETTLING_SECONDS)
         for host in self.simulation.hosts.values():
