--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -18,6 +18,9 @@
 # From the start of draining to the removal of the entry, at least.
 _DRAIN_WAIT_SECONDS = 3.5
 
+# From the return of the store until what it has lost is written again, at most.
+_RETURN_SECONDS = 2.0
+
 
 async def kill(environment: Environment) -> None:
     """Kill one relay with SIGKILL and restart it within about a second."""
@@ -161,8 +164,8 @@
 async def restore_store(environment: Environment, rng: random.Random) -> None:
     """Bring the store back from a copy that is 1 to 9 s old.
 
-    Operator and targets write again what is lost; the revisions of the lost changes
-    are given out again.
+    Operator and targets write again what is lost, up to 2 s later; the revisions of
+    the lost changes are given out again.
     """
     store = environment.store
     copy = store.copy()
@@ -171,10 +174,12 @@
     environment.store_stability.disturb(now() + seconds)
     store.fault = rng.choice(('silent', 'busy'))
     await asyncio.sleep(seconds)
-    content = store.copy()
     await store.restore(copy)
-    await store.write_again(content)
     store.fault = None
+    seconds = rng.uniform(0, _RETURN_SECONDS)
+    environment.store_stability.disturb(now() + seconds)
+    await asyncio.sleep(seconds)
+    await store.write_again()
     environment.store_stability.disturb(now())
 
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -41,6 +41,8 @@
         # None: no fault; 'busy': status 503; 'silent': no response at all.
         self.fault: str | None = None
         self._objects: Objects = {}
+        # What writers have put and not deleted, by kind and name.
+        self._wanted: dict[str, dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
@@ -64,13 +66,20 @@
         self.revision += 1
         item = {'meta': {'name': name, 'revision': self.revision}, 'spec': spec}
         self._objects.setdefault(kind, {})[name] = item
+        self._wanted.setdefault(kind, {})[name] = spec
         await self._add_event(kind, item, deleted=False)
 
     async def delete(self, kind: str, name: str) -> None:
-        """Delete an object; raises KeyError if it does not exist."""
-        self.revision += 1
-        item = self._objects[kind].pop(name)
-        await self._add_event(kind, item, deleted=True)
+        """Delete an object; raises KeyError if its writer has deleted it before."""
+        self._wanted[kind].pop(name)
+        await self._remove(kind, name)
+
+    async def _remove(self, kind: str, name: str) -> None:
+        item = self._objects[kind].pop(name, None)
+        # A restored store may lack the object.
+        if item is not None:
+            self.revision += 1
+            await self._add_event(kind, item, deleted=True)
 
     def compact(self) -> None:
         """Drop the history: watches from an earlier revision get status 410."""
@@ -97,15 +106,19 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def write_again(self, content: StoreCopy) -> None:
-        """Write the objects of a copy that differ, and delete those that it lacks."""
-        for kind, by_name in content.objects.items():
+    async def write_again(self) -> None:
+        """Write what the last restore lost, and delete what it brought back."""
+        for kind, wanted in self._wanted.items():
             present = self._objects.get(kind, {})
-            for name, item in by_name.items():
-                if present.get(name, {}).get('spec') != item['spec']:
-                    await self.put(kind, name, item['spec'])
-            for name in present.keys() - by_name.keys():
-                await self.delete(kind, name)
+            lost = [
+                (name, spec)
+                for name, spec in wanted.items()
+                if name not in present or present[name]['spec'] != spec
+            ]
+            for name, spec in lost:
+                await self.put(kind, name, spec)
+            for name in present.keys() - wanted.keys():
+                await self._remove(kind, name)
 
     async def _add_event(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
         self._events.append((self.revision, kind, item, deleted))
