--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -54,6 +54,8 @@
         # When each entry was found missing in a store that has just recovered.
         self._missing_since: dict[str, float] = {}
         self._next_sweep = 0.0
+        self._last_tick = context.clock.monotonic()
+        self._tick_before_last = self._last_tick
         self._outdated = OutdatedEntries(context)
 
     def handle(self, event: Event) -> Iterator[Effect]:
@@ -70,9 +72,12 @@
             case ContentConfirmed(StoreKind.UPSTREAMS, at) | EditionConfirmed(
                 StoreKind.UPSTREAMS, at
             ):
-                if self._missing_since:
-                    yield from self._end_missing(at - _MAX_ANSWER_DELAY_SECONDS)
+                # A confirmation may have waited while the process was paused.
+                known_at = min(at, self._tick_before_last)
+                yield from self._end_missing(known_at - _MAX_ANSWER_DELAY_SECONDS)
             case Tick(now=now):
+                self._tick_before_last = self._last_tick
+                self._last_tick = now
                 yield from self._tick(now)
 
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -7,6 +7,7 @@
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint, UpstreamId
 from lycheedeal.relay import UpstreamState
+from lycheedeal.relay.peer_codec import decode_message
 from tests.relay_simulation import (
     ROUTES,
     STEP_SECONDS,
@@ -232,6 +233,40 @@
     assert states_of(simulation, 'i-6') == {UpstreamState.READY}
 
 
+def test_confirmation_that_waited_during_a_pause_proves_nothing_missing(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against resets by a host that takes an old message for a new one."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    simulation.store.restore(copy)
+    paused = next(
+        host for host in simulation.hosts.values() if host not in simulation.leaders()
+    )
+    waiting: list[bytes] = []
+    send = simulation.send
+
+    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if endpoint == paused.endpoint:
+            waiting.append(datagram)
+        send(sender, endpoint, datagram)
+
+    simulation.send = record  # type: ignore[method-assign]
+    simulation.run(RETURN_SECONDS - 0.2)
+    simulation.send = send  # type: ignore[method-assign]
+    del simulation.hosts[paused.endpoint]
+    simulation.store.put(listing('i-6'))
+    simulation.run(5)
+    simulation.hosts[paused.endpoint] = paused
+    for datagram in waiting[-5:]:
+        paused.dispatch(relay.PeerMessageReceived(decode_message(datagram)))
+        assert paused.states()['i-6'] is not UpstreamState.GONE
+    for _ in steps(simulation, 2):
+        assert paused.states()['i-6'] is not UpstreamState.GONE
+    assert paused.states()['i-6'] is UpstreamState.READY
+
+
 def test_host_that_started_after_the_restore_proves_nothing_missing(
     simulation: RelaySimulation,
 ) -> None:
