--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -22,6 +22,7 @@
     Tick,
     UpstreamsChanged,
 )
+from lycheedeal.relay._missing_entries import MissingEntries
 from lycheedeal.relay._outdated_entries import OutdatedEntries
 from lycheedeal.relay._records import (
     START_POSITION,
@@ -37,10 +38,6 @@
 # An incarnation is kept for this long after it is gone, so that packets of its
 # flows are reset. Longer than a flow may be open, which is 60 s on the platform.
 _GONE_RETENTION_SECONDS: Final = 120
-# Entries that are missing while the store recovers may come back within this time.
-_RETURN_SECONDS: Final = 2.0
-# Time by which a confirmation may be later than the store's answer behind it.
-_MAX_ANSWER_DELAY_SECONDS: Final = 0.5
 
 
 class UpstreamsPlugin:
@@ -51,11 +48,8 @@
         self._context = context
         self.table = UpstreamTable()
         self._position = START_POSITION
-        # When each entry was found missing in a store that has just recovered.
-        self._missing_since: dict[str, float] = {}
         self._next_sweep = 0.0
-        self._last_tick = context.clock.monotonic()
-        self._tick_before_last = self._last_tick
+        self._missing = MissingEntries(context)
         self._outdated = OutdatedEntries(context)
 
     def handle(self, event: Event) -> Iterator[Effect]:
@@ -63,6 +57,7 @@
         match event:
             case ContentChanged(kind=StoreKind.UPSTREAMS):
                 self._outdated.follow(self._position, event.position)
+                self._follow_recovery(event)
                 self._position = event.position
                 yield from self._content_changed(event)
                 is_full_list = _is_full_list(event)
@@ -72,14 +67,19 @@
             case ContentConfirmed(StoreKind.UPSTREAMS, at) | EditionConfirmed(
                 StoreKind.UPSTREAMS, at
             ):
-                # A confirmation may have waited while the process was paused.
-                known_at = min(at, self._tick_before_last)
-                yield from self._end_missing(known_at - _MAX_ANSWER_DELAY_SECONDS)
+                for name in self._missing.take_ended(at):
+                    yield from self._set_missing(name, UpstreamState.GONE)
             case Tick(now=now):
-                self._tick_before_last = self._last_tick
-                self._last_tick = now
                 yield from self._tick(now)
 
+    def _follow_recovery(self, event: ContentChanged) -> None:
+        """Let entries be missing for the whole time again if the store recovers."""
+        is_listed_anew = event.complete and event.source is Source.STORE
+        if event.position.era > self._position.era or (
+            is_listed_anew and not event.settled
+        ):
+            self._missing.restart()
+
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         present: set[str] = set(event.unusable)
         for name in event.unusable:
@@ -88,7 +88,7 @@
         for entry in event.entries:
             if isinstance(entry, Listing):
                 present.add(entry.upstream_id)
-                self._missing_since.pop(entry.upstream_id, None)
+                self._missing.discard(entry.upstream_id)
                 yield from self._entry_read(entry)
         if event.complete:
             names = map(str, self.table.current_by_id)
@@ -190,13 +190,13 @@
         if upstream is None or upstream.state is UpstreamState.GONE:
             return
         if settled:
-            self._missing_since.pop(name, None)
+            self._missing.discard(name)
             yield from self._mark_gone(upstream, 'no longer listed')
-        elif name not in self._missing_since:
-            self._missing_since[name] = self._context.clock.monotonic()
+        else:
+            self._missing.add(name)
 
     def _unusable_read(self, name: str) -> Iterator[Effect]:
-        self._missing_since.pop(name, None)
+        self._missing.discard(name)
         upstream = self.table.current_by_id.get(UpstreamId(name))
         if upstream is None:
             return
@@ -239,8 +239,8 @@
         )
 
     def _tick(self, now: float) -> Iterator[Effect]:
-        if self._missing_since:
-            yield from self._unlist_missing(now)
+        for name in self._missing.tick(now):
+            yield from self._set_missing(name, UpstreamState.UNLISTED)
         yield from self._use_entries(self._outdated.take_due(now))
         if now >= self._next_sweep:
             self._next_sweep = now + _GONE_RETENTION_SECONDS / 4
@@ -249,25 +249,6 @@
                 if upstream.state is UpstreamState.GONE and old:
                     self.table.remove(upstream)
 
-    def _unlist_missing(self, now: float) -> Iterator[Effect]:
-        """Give no new flows to upstreams whose entries did not come back in time."""
-        for name in self._missing_at(now):
-            yield from self._set_missing(name, UpstreamState.UNLISTED)
-
-    def _end_missing(self, confirmed_at: float) -> Iterator[Effect]:
-        """Mark upstreams gone whose entries the store did not have in time."""
-        for name in self._missing_at(confirmed_at):
-            self._missing_since.pop(name)
-            yield from self._set_missing(name, UpstreamState.GONE)
-
-    def _missing_at(self, at: float) -> tuple[str, ...]:
-        """Return the names that were missing for longer than entries may be."""
-        return tuple(
-            name
-            for name, since in self._missing_since.items()
-            if since + _RETURN_SECONDS <= at
-        )
-
     def _set_missing(self, name: str, state: UpstreamState) -> Iterator[Effect]:
         upstream = self.table.current_by_id.get(UpstreamId(name))
         if upstream is None or upstream.state in {state, UpstreamState.GONE}:
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -213,6 +213,23 @@
     assert states_of(simulation, 'i-7') == {UpstreamState.GONE}
 
 
+def test_second_restore_gives_entries_the_whole_time_again(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against resets when the store goes back while entries are missing."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    for wait in (1.5, RETURN_SECONDS - 0.2):
+        simulation.store.restore(copy)
+        for _ in steps(simulation, wait):
+            assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    simulation.store.put(listing('i-6'))
+    for _ in steps(simulation, 4):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    assert states_of(simulation, 'i-6') == {UpstreamState.READY}
+
+
 def test_upstream_is_kept_if_the_message_of_its_return_is_lost(
     simulation: RelaySimulation,
 ) -> None:
--- a/tests/unit/test_relay_store_histories.py
+++ b/tests/unit/test_relay_store_histories.py
@@ -175,16 +175,24 @@
         self.simulation.loss = loss
         self.simulation.cut_zone = zone
 
-    @rule(number=st.integers(0), outage=st.sampled_from((0, 0.3, 2.0)), late=delays)
-    def restore_store(self, number: int, outage: float, late: float) -> None:
-        """Go back to a copy; operator and upstreams write again, within 2 s."""
-        if outage:
-            self.store.up = False
-            self._run(outage)
-            self.store.up = True
-        self.store.restore(self.copies[number % len(self.copies)])
-        del self.copies[number % len(self.copies) + 1 :]
-        self._run(min(late, RETURN_SECONDS))
+    @rule(
+        number=st.integers(0),
+        outage=st.sampled_from((0, 0.3, 2.0)),
+        late=delays,
+        times=st.integers(1, 2),
+    )
+    def restore_store(
+        self, number: int, outage: float, late: float, times: int
+    ) -> None:
+        """Go back to a copy, or twice; operator and upstreams write again in 2 s."""
+        for _ in range(times):
+            if outage:
+                self.store.up = False
+                self._run(outage)
+                self.store.up = True
+            self.store.restore(self.copies[number % len(self.copies)])
+            del self.copies[number % len(self.copies) + 1 :]
+            self._run(min(late, RETURN_SECONDS))
         if self.store.version != self.version:
             self.store.configure(self.version, *self.routes)
         self.store.put(*self.entries_by_name.values())
