--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -318,7 +318,8 @@
     """Hosts, the datagrams between them, and the store.
 
     Datagrams from and to endpoints in ``disconnected`` are lost, those between
-    ``cut_zone`` and other zones, and a share of ``loss`` of all others.
+    ``cut_zone`` and other zones, and a share of ``loss`` of all others. All that are
+    sent go to ``recorded``, with the endpoint of the receiver, unless it is None.
     """
 
     def __init__(self) -> None:
@@ -331,6 +332,7 @@
         self.disconnected: set[Endpoint] = set()
         self.cut_zone = ''
         self.loss = 0.0
+        self.recorded: list[tuple[Endpoint, bytes]] | None = None
         self._rng = random.Random(0)
 
     def add(self, name: str, zone: str = 'south') -> RelayHost:
@@ -355,6 +357,8 @@
         del self.hosts[host.endpoint]
 
     def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if self.recorded is not None:
+            self.recorded.append((endpoint, datagram))
         if (
             endpoint not in self.disconnected
             and sender.endpoint not in self.disconnected
--- a/tests/unit/test_relay_content_parts.py
+++ b/tests/unit/test_relay_content_parts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint, HostId
+from lycheedeal.ids import HostId
 from lycheedeal.relay import UpstreamState
 from lycheedeal.relay.peer_codec import decode_message
 from tests.relay_simulation import RelayHost, RelaySimulation, listing
@@ -23,21 +23,13 @@
     simulation: RelaySimulation, sender: RelayHost, reader: RelayHost
 ) -> list[relay.ContentPart]:
     """Return the parts that a host sends to another one that asks for a snapshot."""
-    parts: list[relay.ContentPart] = []
-    send = simulation.send
-
-    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
-        message = decode_message(datagram)
-        if isinstance(message, relay.ContentPart):
-            parts.append(message)
-
-    simulation.send = record  # type: ignore[method-assign]
     request = relay.SnapshotRequest(
         HostId(reader.context.settings.host_id), relay.StoreKind.UPSTREAMS
     )
+    simulation.recorded = []
     sender.dispatch(relay.PeerMessageReceived(request))
-    simulation.send = send  # type: ignore[method-assign]
-    return parts
+    messages = [decode_message(one) for _, one in simulation.recorded]
+    return [one for one in messages if isinstance(one, relay.ContentPart)]
 
 
 @pytest.fixture
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint, UpstreamId
+from lycheedeal.ids import UpstreamId
 from lycheedeal.relay import UpstreamState
 from lycheedeal.relay.peer_codec import decode_message
 from tests.relay_simulation import (
@@ -261,17 +261,9 @@
     paused = next(
         host for host in simulation.hosts.values() if host not in simulation.leaders()
     )
-    waiting: list[bytes] = []
-    send = simulation.send
-
-    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
-        if endpoint == paused.endpoint:
-            waiting.append(datagram)
-        send(sender, endpoint, datagram)
-
-    simulation.send = record  # type: ignore[method-assign]
+    simulation.recorded = []
     simulation.run(RETURN_SECONDS - 0.2)
-    simulation.send = send  # type: ignore[method-assign]
+    waiting = [one for to, one in simulation.recorded if to == paused.endpoint]
     del simulation.hosts[paused.endpoint]
     simulation.store.put(listing('i-6'))
     simulation.run(5)
@@ -360,16 +352,8 @@
     """Guards against a host that announces a position which its snapshots lack."""
     simulation.store.configure(2, *ROUTES)
     simulation.run(1)
-    requests: list[bytes] = []
-    send = simulation.send
-
-    def record(sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
-        if b'"snapshot"' in datagram:
-            requests.append(datagram)
-        send(sender, endpoint, datagram)
-
-    simulation.send = record  # type: ignore[method-assign]
+    simulation.recorded = []
     (watcher,) = simulation.watchers()
     watcher.dispatch(relay.RefreshRequested(relay.StoreKind.UPSTREAMS))
     simulation.run(5)
-    assert not requests
+    assert not [one for _, one in simulation.recorded if b'"snapshot"' in one]
