--- a/review/harness.py
+++ b/review/harness.py
@@ -319,6 +319,7 @@
         self.flows: dict[tuple[Any, Any], int] = {}
         self.opened: set[tuple[Any, Any]] = set()
         self.on_opening: Callable[[Target, Packet], None] | None = None
+        self.on_run: Callable[[Target, Packet], None] | None = None
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
         self._rng = random.Random()
@@ -418,6 +419,8 @@
             self._send(packet, ACK | FIN, packet.ack)
         elif packet.data:
             self.record.line(f'target {self.id} runs {packet.data.decode()}')
+            if self.on_run is not None:
+                self.on_run(self, packet)
             answer = b'answer to ' + packet.data
             self._send(packet, ACK, packet.ack, answer)
 
