--- a/review/harness.py
+++ b/review/harness.py
@@ -857,8 +857,12 @@
 
 def main(scenario: Callable[[Deployment], Any], folder: str) -> int:
     """Run a scenario; return 0 if the rules held, 1 if not, 2 if it couldn't run."""
+    # As for SIGINT, all processes are ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         return asyncio.run(_run(scenario, Path(folder).resolve()))
+    except KeyboardInterrupt:
+        return 2
     except Exception as error:  # noqa: BLE001
         print(f'could not run: {type(error).__name__}: {error}', file=sys.stderr)
         return 2
