--- a/review/harness.py
+++ b/review/harness.py
@@ -31,11 +31,9 @@
 
 # Bounds of the installation bitacora-sur.
 DRAIN_S = 3.0
-CONFIG_S = 3.0
 STABLE_S = 4.0
 GRACE_S = 6.0
 HEARTBEAT_S = 0.77
-LAPSE_S = 3 * HEARTBEAT_S
 TIME_BUDGET_S = 1.5
 
 HEADER = struct.Struct('<IIIHIHIHBBI')
