--- /dev/null
+++ b/src/lycheedeal/placement/__init__.py
@@ -0,0 +1,35 @@
+"""Decisions about new flows: which upstream gets one, and which flow is refused.
+
+The package does no input or output, reads no clock and knows no messages. Callers
+describe each upstream that accepts new flows as a candidate, as they see it at the
+moment of an opening.
+"""
+
+from lycheedeal.placement._candidates import (
+    HARD_EXCLUSIONS,
+    NOT_EXCLUDED,
+    Candidate,
+    Exclusion,
+)
+from lycheedeal.placement._quota import WarmupLimit, WarmupQuota
+from lycheedeal.placement._selection import (
+    Demand,
+    Refused,
+    RefusalReason,
+    Selected,
+    select,
+)
+
+__all__ = (
+    'HARD_EXCLUSIONS',
+    'NOT_EXCLUDED',
+    'Candidate',
+    'Demand',
+    'Exclusion',
+    'RefusalReason',
+    'Refused',
+    'Selected',
+    'WarmupLimit',
+    'WarmupQuota',
+    'select',
+)
--- a/src/lycheedeal/platform/_objects.py
+++ b/src/lycheedeal/platform/_objects.py
@@ -1,18 +1,19 @@
 """Decodes objects of the platform's store to records of the packet relay.
 
-The store holds one ``config`` object with all routes, and one ``servers``
-object for each upstream. A malformed object is reported by name and does not
-keep the others from being used.
+The store holds one ``config`` object with all routes and services, one ``servers``
+object for each upstream, and one ``evacuations`` object for each evacuated zone. A
+malformed object is reported by name and does not keep the others from being used.
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from lycheedeal import relay
 from lycheedeal.exceptions import DecodeError
-from lycheedeal.ids import Endpoint, ServiceName, UpstreamId
+from lycheedeal.ids import Endpoint, ServiceName, UpstreamId, Zone
+from lycheedeal.platform._terms import decode_duration_ms, decode_terms
 
 # Name of the one configuration object that is in use.
 _CONFIGURATION_NAME: Final = 'main'
@@ -32,8 +33,8 @@
     """
 
     version: relay.ConfigurationVersion | None = None
-    _routes: tuple[relay.Route, ...] = ()
-    _listings_by_name: dict[str, relay.Listing] = field(default_factory=dict)
+    _configuration: tuple[relay.Entry, ...] = ()
+    _entries_by_name: dict[str, relay.Entry] = field(default_factory=dict)
     # Dictionaries as ordered sets: a list of a region has thousands of objects.
     _removed: dict[str, None] = field(default_factory=dict)
     _unusable: dict[str, None] = field(default_factory=dict)
@@ -41,7 +42,7 @@
     @property
     def entries(self) -> list[relay.Entry]:
         """Return the valid objects."""
-        return [*self._routes, *self._listings_by_name.values()]
+        return [*self._configuration, *self._entries_by_name.values()]
 
     @property
     def removed(self) -> list[str]:
@@ -67,34 +68,38 @@
             return
         self._discard_earlier(name)
         match kind:
-            case relay.StoreKind.UPSTREAMS if deleted:
-                self._removed[name] = None
-            case relay.StoreKind.UPSTREAMS:
-                self._add_listing(name, item.get('spec'))
             case relay.StoreKind.CONFIGURATION:
                 if name == _CONFIGURATION_NAME and not deleted:
                     self._add_configuration(name, item.get('spec'))
+            case _ if deleted:
+                self._removed[name] = None
+            case relay.StoreKind.UPSTREAMS:
+                self._add_entry(name, item.get('spec'), _decode_listing)
+            case relay.StoreKind.EVACUATIONS:
+                self._add_entry(name, item.get('spec'), _decode_evacuation)
 
     def _discard_earlier(self, name: str) -> None:
         """Discard the result of an earlier event of the same object."""
         self._removed.pop(name, None)
         self._unusable.pop(name, None)
-        self._listings_by_name.pop(name, None)
+        self._entries_by_name.pop(name, None)
 
-    def _add_listing(self, name: str, spec: Any) -> None:
+    def _add_entry(
+        self, name: str, spec: Any, decode: Callable[[str, Any], relay.Entry]
+    ) -> None:
         try:
-            self._listings_by_name[name] = _decode_listing(name, spec)
+            self._entries_by_name[name] = decode(name, spec)
         except DecodeError:
             self._unusable[name] = None
 
     def _add_configuration(self, name: str, spec: Any) -> None:
         try:
-            version, routes = _decode_configuration(spec)
+            version, entries = _decode_configuration(spec)
         except DecodeError:
             self._unusable[name] = None
             return
         self.version = version
-        self._routes = tuple(routes)
+        self._configuration = entries
 
 
 def numeric_upstream_id(upstream_id: UpstreamId) -> int:
@@ -162,6 +167,13 @@
     return listing
 
 
+def _decode_evacuation(name: str, spec: Any) -> relay.Evacuation:
+    """Return the evacuation of the zone that the object is named after."""
+    if isinstance(spec, dict):
+        return relay.Evacuation(Zone(name))
+    raise DecodeError(f'evacuation of zone {name}: expected an object as spec')
+
+
 def _decode_endpoint(address: str) -> Endpoint:
     ip, _, port = address.rpartition(':')
     return Endpoint(ip, _decode_port(port))
@@ -177,11 +189,14 @@
 
 def _decode_configuration(
     spec: Any,
-) -> tuple[relay.ConfigurationVersion, tuple[relay.Route, ...]]:
+) -> tuple[relay.ConfigurationVersion, tuple[relay.Entry, ...]]:
     match spec:
         case {'version': int() as version, 'routes': list() as routes}:
-            decoded = tuple(map(_decode_route, routes))
-            return relay.ConfigurationVersion(version), decoded
+            terms = decode_terms(spec.get('services'))
+            return relay.ConfigurationVersion(version), (
+                *map(_decode_route, routes),
+                *terms,
+            )
         case _:
             raise DecodeError('configuration: version or routes is missing or invalid')
 
@@ -206,8 +221,15 @@
         raise DecodeError(f'route {name}: no service with a positive weight')
     priority = route.get('priority', 0)
     relay.check_integer('priority', priority)
-    bulk = route.get('type') == 'upload'
-    return relay.Route(relay.RouteName(name), key, services, priority, bulk)
+    return relay.Route(
+        relay.RouteName(name),
+        key,
+        services,
+        priority,
+        bulk=route.get('type') == 'upload',
+        timeout_ms=decode_duration_ms(route.get('timeout_ms')),
+        aim_ms=decode_duration_ms(route.get('aim_ms')),
+    )
 
 
 def _decode_services(route: Any) -> Iterator[tuple[ServiceName, int]]:
--- a/src/lycheedeal/platform/_settings.py
+++ b/src/lycheedeal/platform/_settings.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 import os
 from dataclasses import dataclass
 from typing import Any, Final
@@ -79,6 +80,9 @@
                 seeds=tuple(self._seeds(peer_port)),
                 stop_seconds=self._number('stop_seconds'),
                 heartbeat_seconds=self._number('heartbeat_ms', _HEARTBEAT_MS) / 1000,
+                evacuation_seconds=(self._limit('evacuate_ms') or 0) / 1000,
+                warmup_overage=self._limit('warmup_overage'),
+                warmup_slack=self._limit('warmup_slack'),
             ),
             packets=packets,
             readiness=self._endpoint('readiness'),
@@ -105,6 +109,17 @@
         self._faults.append(f'{name}: a number above 0 is needed, found {number!r}')
         return 1
 
+    def _limit(self, name: str) -> float | None:
+        """Return a number of 0 or more; None if the deployment does not have it."""
+        number = self._fields.get(name)
+        if number is None:
+            return None
+        if isinstance(number, int | float) and not isinstance(number, bool):
+            if 0 <= number < math.inf:
+                return float(number)
+        self._faults.append(f'{name}: a number from 0 is needed, found {number!r}')
+        return None
+
     def _port(self, name: str) -> int:
         port = self._fields.get(name)
         if isinstance(port, int) and not isinstance(port, bool):
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -25,6 +25,7 @@
     {
         relay.StoreKind.CONFIGURATION: '/objects/config',
         relay.StoreKind.UPSTREAMS: '/objects/servers',
+        relay.StoreKind.EVACUATIONS: '/objects/evacuations',
     },
 )
 # Part of its wait that a watch takes at least if nothing changes.
--- /dev/null
+++ b/src/lycheedeal/platform/_terms.py
@@ -0,0 +1,54 @@
+"""Decodes optional numbers of the configuration.
+
+A number that cannot be used counts as missing and does not spoil the configuration.
+"""
+
+from collections.abc import Iterator
+from types import MappingProxyType
+from typing import Any, Final
+
+from lycheedeal import relay
+from lycheedeal.ids import ServiceName
+
+_MAX_DURATION_MS: Final = 3_600_000
+# Largest usable values of the fields of a service; a larger one is a mistake.
+_MAX_BY_FIELD: Final = MappingProxyType(
+    {'max_conns': 10_000_000, 'warmup_s': 3600, 'warmup_per_s': 1_000_000}
+)
+
+
+def decode_duration_ms(number: Any) -> int:
+    """Return a time in whole milliseconds; 0 if there is none that can be used."""
+    return int(_usable(number, _MAX_DURATION_MS) or 0)
+
+
+def decode_terms(services: Any) -> Iterator[relay.ServiceTerms]:
+    """Yield the terms of the services that have a name."""
+    for service in services if isinstance(services, list) else ():
+        name = service.get('name') if isinstance(service, dict) else None
+        if isinstance(name, str):
+            yield _decode_service(ServiceName(name), service)
+
+
+def _decode_service(name: ServiceName, service: dict[str, Any]) -> relay.ServiceTerms:
+    fields = {key: service.get(key) for key in _MAX_BY_FIELD}
+    usable = {key: _usable(fields[key], _MAX_BY_FIELD[key]) for key in fields}
+    connections = usable['max_conns']
+    return relay.ServiceTerms(
+        service=name,
+        max_connections=None if connections is None else int(connections),
+        warmup_seconds=usable['warmup_s'],
+        warmup_rate=usable['warmup_per_s'],
+        invalid=tuple(
+            key
+            for key, number in fields.items()
+            if number is not None and usable[key] is None
+        ),
+    )
+
+
+def _usable(number: Any, maximum: float) -> float | None:
+    if isinstance(number, int | float) and not isinstance(number, bool):
+        if 0 <= number <= maximum:
+            return float(number)
+    return None
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -1,17 +1,29 @@
-"""Selection of the upstream for a new flow.
+"""Describes upstreams to the placement of new flows, as this host knows them."""
 
-Flows go to upstreams of the own zone unless these are so loaded that a part of
-the flows is better served in another zone. Within a group, upstreams are drawn at
-random, with weights that fall with their load.
-"""
-
-import random
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
-from lycheedeal.ids import ServiceName, Zone
+from lycheedeal.ids import HostId, ServiceName, Zone
+from lycheedeal.placement import (
+    NOT_EXCLUDED,
+    Candidate,
+    Exclusion,
+    WarmupLimit,
+    WarmupQuota,
+)
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._events import (
+    EvacuationsChanged,
+    Event,
+    PeerTableReady,
+    RoutesChanged,
+    Tick,
+    UpstreamsChanged,
+)
 from lycheedeal.relay._flows import mean_in_flight
-from lycheedeal.relay._records import Load, Upstream
+from lycheedeal.relay._peer_table import PeerTable
+from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
 from lycheedeal.relay._upstream_table import UpstreamTable
 
@@ -20,20 +32,17 @@
 _LOAD_PER_FLOW: Final = 0.02
 # Factor by which the answers of an upstream take longer while it warms up.
 _WARMUP_FACTOR: Final = 1.6
-# Difference in load for each slot from which flows go to other zones. Traffic
-# between zones is paid by the byte, so the margin is larger for bulk requests.
-_SPILL_MARGIN: Final = 0.1
-_BULK_SPILL_MARGIN: Final = 0.8
-# Suspected upstreams are avoided only while at least this share of their group is
-# not suspected.
-_MIN_UNSUSPECTED_SHARE: Final = 0.5
-# Share of the flows that also go to suspected upstreams, so that one that answers
-# again is noticed.
-_PROBE_SHARE: Final = 0.05
-# The weight of an upstream is its load to the power of minus this. A random draw
-# keeps hosts with the same reports from all choosing the same upstream.
-_WEIGHT_EXPONENT: Final = 2
 _NO_LOAD: Final = Load(0, 0)
+# A host has a share in the limits of cold upstreams after running for this long
+# without a pause. By then its peers know it: beacons name all hosts of a zone of 30
+# within 3 s.
+_KNOWN_AFTER_SECONDS: Final = 6.0
+# Ticks come each 0.1 s; a longer gap means that the process was paused.
+_MAX_TICK_GAP_SECONDS: Final = 1.5
+# Nor has it one unless it knows this part of the hosts that its leader counts.
+_MIN_KNOWN_SHARE: Final = 0.9
+# How long upstreams are cold where the configuration does not tell.
+_WARMUP_SECONDS: Final = 2.0
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -44,105 +53,155 @@
     """
 
     service: ServiceName
-    zone: Zone
     bulk: bool
     excluded: Upstream | None
 
 
-@dataclass(slots=True, eq=False, repr=False)
-class Choice:
-    """The selected upstream.
-
-    ``load`` is its expected requests for each slot, ``candidates`` the number of
-    upstreams that it was drawn from, and ``local`` whether its zone is the own one.
-    """
-
-    upstream: Upstream
-    load: float
-    candidates: int
-    local: bool
-
-
-def choose(
-    table: UpstreamTable,
-    criteria: FlowCriteria,
-    now: float,
-    rng: random.Random,
-) -> Choice | None:
-    """Return the upstream for a new flow, preferably one with little load.
-
-    None means that no upstream of the service accepts new flows.
-    """
-    ready = list(table.ready(criteria.service))
-    if not ready:
-        return None
-    others = [one for one in ready if one is not criteria.excluded]
-    usable = [one for one in others if one.avoided_until <= now]
-    if rng.random() >= _PROBE_SHARE:
-        usable = _without_suspected(table, usable, criteria.zone, now)
-    local = [one for one in usable if one.listing.zone == criteria.zone]
-    remote = [one for one in usable if one.listing.zone != criteria.zone]
-    if local:
-        known = [one for one in remote if _is_reported(table.region_loads, one, now)]
-        group = _local_or_remote(table.region_loads, (local, known), criteria, now, rng)
-    else:
-        group = remote or others or ready
-    loads = [load_of(table.region_loads, one, now) for one in group]
-    weights = [load**-_WEIGHT_EXPONENT for load in loads]
-    index = rng.choices(range(len(group)), weights)[0]
-    upstream = group[index]
-    is_local = upstream.listing.zone == criteria.zone
-    return Choice(upstream, loads[index], len(group), is_local)
-
-
-def _without_suspected(
-    table: UpstreamTable,
-    usable: list[Upstream],
-    zone: Zone,
-    now: float,
-) -> list[Upstream]:
-    """Return the upstreams that hosts of this zone do not suspect.
-
-    Upstreams of the own zone and of the others are separate groups. If much of a
-    group is suspected, the fault is more likely elsewhere, and the rest could not
-    carry the load, so the whole group is returned.
-    """
-    accepted: list[Upstream] = []
-    for is_local in (True, False):
-        group = [one for one in usable if (one.listing.zone == zone) is is_local]
-        kept = [one for one in group if not table.region_loads.is_suspected(one, now)]
-        enough = len(kept) >= len(group) * _MIN_UNSUSPECTED_SHARE
-        accepted.extend(kept if enough else group)
-    return accepted
-
-
-def _local_or_remote(
-    region_loads: ReportedLoads,
-    groups: tuple[list[Upstream], list[Upstream]],
-    criteria: FlowCriteria,
-    now: float,
-    rng: random.Random,
-) -> list[Upstream]:
-    """Return the group of upstreams for one flow.
-
-    A zone with more load than the others sends a share of its flows to them.
-    """
-    local, remote = groups
-    if not remote:
-        return local
-    margin = _BULK_SPILL_MARGIN if criteria.bulk else _SPILL_MARGIN
-    here = _mean_load(region_loads, local, now)
-    there = _mean_load(region_loads, remote, now) + margin
-    return remote if rng.random() < 1 - there / here else local
-
-
-def _mean_load(region_loads: ReportedLoads, group: list[Upstream], now: float) -> float:
-    return sum(load_of(region_loads, one, now) for one in group) / len(group)
-
-
-def _is_reported(region_loads: ReportedLoads, upstream: Upstream, now: float) -> bool:
-    """Return whether the upstream's zone, which uses it most, has reported."""
-    return upstream.listing.zone in region_loads.zones and region_loads.is_fresh(now)
+class CandidateList:
+    """What this host knows of the upstreams that may get a new flow."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start without upstreams, routes and other hosts."""
+        self._context = context
+        self._zone = context.settings.zone
+        self._table = UpstreamTable()
+        self._terms_by_service: Mapping[ServiceName, ServiceTerms] = {}
+        self._evacuated: frozenset[Zone] = frozenset()
+        # When each zone was resumed after an evacuation.
+        self._resumed_at_by_zone: dict[Zone, float] = {}
+        self._peer_table = PeerTable(context.settings.own_peer, context.clock)
+        self._quota = WarmupQuota(context.settings.host_id)
+        self._last_tick = context.clock.monotonic()
+        self._running_since = self._last_tick
+
+    def follow(self, event: Event) -> None:
+        """Take in what an event tells."""
+        match event:
+            case UpstreamsChanged(table=table):
+                self._table = table
+            case RoutesChanged(terms_by_service=terms):
+                self._terms_by_service = terms
+            case EvacuationsChanged(evacuated=evacuated, resumed=resumed):
+                now = self._context.clock.monotonic()
+                self._evacuated = evacuated
+                self._resumed_at_by_zone.update(dict.fromkeys(resumed, now))
+            case PeerTableReady(peer_table=peer_table):
+                self._peer_table = peer_table
+            case Tick(now=now):
+                if now - self._last_tick > _MAX_TICK_GAP_SECONDS:
+                    self._running_since = now
+                self._last_tick = now
+
+    def upstreams(self, criteria: FlowCriteria) -> Iterator[tuple[Candidate, Upstream]]:
+        """Yield the upstreams of a service that accept new flows."""
+        now = self._context.clock.monotonic()
+        region_loads = self._table.region_loads
+        hosts = self._sharing_hosts(now) if self._has_warmup_limit() else ()
+        for upstream in self._table.ready(criteria.service):
+            candidate = Candidate(
+                upstream.listing.upstream_id,
+                upstream.listing.zone == self._zone,
+                load_of(region_loads, upstream, now),
+                exclusions=self._exclusions(upstream, criteria, now),
+            )
+            if self._is_limited(upstream, now):
+                self._apply_limit(candidate, upstream, hosts, now)
+            yield candidate, upstream
+
+    def record_opening(self, upstream: Upstream) -> None:
+        """Note that an opening is sent to an upstream."""
+        now = self._context.clock.monotonic()
+        if self._is_limited(upstream, now):
+            self._quota.record(upstream.listing.upstream_id, now)
+
+    def expire(self, now: float) -> None:
+        """Forget openings and resumptions that have no effect any more."""
+        self._quota.expire(now)
+
+    def _exclusions(
+        self, upstream: Upstream, criteria: FlowCriteria, now: float
+    ) -> frozenset[Exclusion]:
+        region_loads = self._table.region_loads
+        zone = upstream.listing.zone
+        is_remote = zone != self._zone
+        found = [
+            exclusion
+            for exclusion, applies in (
+                (Exclusion.EVACUATED, zone in self._evacuated),
+                (Exclusion.UNANSWERED, upstream is criteria.excluded),
+                (Exclusion.AVOIDED, upstream.avoided_until > now),
+                (Exclusion.SUSPECTED, region_loads.is_suspected(upstream, now)),
+                (
+                    Exclusion.UNREPORTED,
+                    is_remote and not _is_reported(region_loads, zone, now),
+                ),
+            )
+            if applies
+        ]
+        return frozenset(found) if found else NOT_EXCLUDED
+
+    def _has_warmup_limit(self) -> bool:
+        settings = self._context.settings
+        return settings.warmup_overage is not None and settings.warmup_slack is not None
+
+    def _is_limited(self, upstream: Upstream, now: float) -> bool:
+        return self._has_warmup_limit() and self._cold_until(upstream) > now
+
+    def _cold_until(self, upstream: Upstream) -> float:
+        """Return the end of a warm-up.
+
+        Upstreams of a zone may have become cold shortly before it was resumed, and
+        their entries tell it up to a heartbeat later.
+        """
+        resumed_at = self._resumed_at_by_zone.get(upstream.listing.zone)
+        if resumed_at is None:
+            return upstream.warm_at
+        terms = self._terms_by_service.get(upstream.listing.service)
+        seconds = terms.warmup_seconds if terms else None
+        if seconds is None:
+            seconds = _WARMUP_SECONDS
+        return max(upstream.warm_at, resumed_at + seconds)
+
+    def _apply_limit(
+        self,
+        candidate: Candidate,
+        upstream: Upstream,
+        hosts: tuple[HostId, ...],
+        now: float,
+    ) -> None:
+        weight = 0.0
+        if candidate.is_local and hosts:
+            limit = self._limit(upstream.listing.service)
+            weight = self._quota.weight(candidate.upstream_id, limit, hosts, now)
+        if weight:
+            candidate.share *= weight
+        else:
+            candidate.exclusions |= {Exclusion.WARMING_UP}
+
+    def _limit(self, service: ServiceName) -> WarmupLimit:
+        settings = self._context.settings
+        terms = self._terms_by_service.get(service)
+        rate = terms.warmup_rate if terms else None
+        return WarmupLimit(
+            rate or 0, settings.warmup_overage or 0, settings.warmup_slack or 0
+        )
+
+    def _sharing_hosts(self, now: float) -> tuple[HostId, ...]:
+        """Return the hosts of the zone; none if this host may not know all of them."""
+        own = self._peer_table.own
+        if now - self._running_since < _KNOWN_AFTER_SECONDS:
+            return ()
+        if not own.is_leader and self._peer_table.leader_id is None:
+            return ()
+        hosts = own.host_id, *(one.host_id for one in self._peer_table.of_own_zone())
+        if len(hosts) < self._peer_table.zone_size * _MIN_KNOWN_SHARE:
+            return ()
+        return hosts
+
+
+def _is_reported(region_loads: ReportedLoads, zone: Zone, now: float) -> bool:
+    """Return whether a zone, which uses its upstreams most, has reported."""
+    return zone in region_loads.zones and region_loads.is_fresh(now)
 
 
 def load_of(region_loads: ReportedLoads, upstream: Upstream, now: float) -> float:
--- a/src/lycheedeal/relay/_context.py
+++ b/src/lycheedeal/relay/_context.py
@@ -7,7 +7,7 @@
 
 from lycheedeal.dispatch import Clock
 from lycheedeal.ids import Endpoint, HostId, Zone
-from lycheedeal.relay._records import Peer
+from lycheedeal.relay._records import Peer, StoreKind
 
 # Upper bounds of the histogram buckets: from the time to forward a packet to a
 # store call without an answer.
@@ -39,6 +39,10 @@
     ``seeds`` are addresses at which other hosts may be found; they may be stale.
     ``stop_seconds`` is the time that the platform gives a process to stop.
     ``heartbeat_seconds`` is the interval in which upstreams write their entries.
+    ``evacuation_seconds`` is the time in which an evacuation takes effect on all hosts;
+    0 means that the deployment has none, and they are not read. A cold upstream takes
+    ``warmup_overage`` times its rate and ``warmup_slack`` openings in a second; None
+    means that the deployment does not limit them.
     """
 
     host_id: HostId
@@ -50,6 +54,16 @@
     heartbeat_seconds: float = 1
     flow_idle_seconds: float = 15
     max_flows: int = 100_000
+    evacuation_seconds: float = 0
+    warmup_overage: float | None = None
+    warmup_slack: float | None = None
+
+    @property
+    def kinds(self) -> tuple[StoreKind, ...]:
+        """Return the kinds of objects that hosts read, in the order of StoreKind."""
+        if self.evacuation_seconds:
+            return tuple(StoreKind)
+        return StoreKind.CONFIGURATION, StoreKind.UPSTREAMS
 
     @property
     def own_peer(self) -> Peer:
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -18,9 +18,11 @@
     ConfigurationVersion,
     Edition,
     Entry,
+    Evacuation,
     Listing,
     Position,
     Route,
+    ServiceTerms,
     Source,
     StoreKind,
 )
@@ -30,6 +32,8 @@
 # Incomplete changes that are kept, beyond which the oldest is dropped. A sender
 # has few at a time.
 _MAX_PARTIAL: Final = 16
+# Routes and terms of services share a configuration, and their names may be the same.
+_TERMS_PREFIX: Final = 'service '
 
 
 def entry_name(entry: Entry) -> str:
@@ -37,8 +41,12 @@
     match entry:
         case Route(name=name):
             return name
+        case ServiceTerms(service=service):
+            return f'{_TERMS_PREFIX}{service}'
         case Listing(upstream_id=upstream_id):
             return upstream_id
+        case Evacuation(zone=zone):
+            return zone
 
 
 def edition_of(content: 'ContentChanged | ContentPart | ContentCopy') -> Edition:
@@ -46,7 +54,7 @@
     match content.kind:
         case StoreKind.CONFIGURATION:
             return Edition((0, content.version or 0))
-        case StoreKind.UPSTREAMS:
+        case StoreKind.UPSTREAMS | StoreKind.EVACUATIONS:
             return Edition(content.position)
 
 
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -82,6 +82,7 @@
     FORWARDING = 'forwarding'
     ROUTES = 'routes'
     UPSTREAMS = 'upstreams'
+    EVACUATIONS = 'evacuations'
     LOADS = 'loads'
     READING = 'reading'
     ZONE = 'zone'
--- a/src/lycheedeal/relay/_entry_codec.py
+++ b/src/lycheedeal/relay/_entry_codec.py
@@ -3,9 +3,17 @@
 from typing import Any
 
 from lycheedeal.exceptions import DecodeError
-from lycheedeal.ids import Endpoint, ServiceName
-from lycheedeal.relay._entry_checks import check_listing
-from lycheedeal.relay._records import Entry, Listing, Route, RouteKey, RouteName
+from lycheedeal.ids import Endpoint, ServiceName, Zone
+from lycheedeal.relay._entry_checks import check_listing, check_text
+from lycheedeal.relay._records import (
+    Entry,
+    Evacuation,
+    Listing,
+    Route,
+    RouteKey,
+    RouteName,
+    ServiceTerms,
+)
 
 
 def encode_entry(entry: Entry) -> list[Any]:
@@ -20,7 +28,20 @@
                 services,
                 entry.priority,
                 entry.bulk,
+                entry.timeout_ms,
+                entry.aim_ms,
             ]
+        case ServiceTerms():
+            return [
+                'service',
+                entry.service,
+                entry.max_connections,
+                entry.warmup_seconds,
+                entry.warmup_rate,
+                entry.invalid,
+            ]
+        case Evacuation(zone=zone):
+            return ['evacuation', zone]
         case Listing():
             return [
                 'upstream',
@@ -45,11 +66,35 @@
             list() as services,
             int() as priority,
             bool() as bulk,
+            int() as timeout_ms,
+            int() as aim_ms,
+        ]:
+            return Route(
+                RouteName(name),
+                RouteKey(key),
+                tuple((ServiceName(str(one)), int(share)) for one, share in services),
+                priority,
+                bulk,
+                timeout_ms,
+                aim_ms,
+            )
+        case [
+            'service',
+            str() as service,
+            int() | None as max_connections,
+            int() | float() | None as warmup_seconds,
+            int() | float() | None as warmup_rate,
+            list() as invalid,
         ]:
-            shares = tuple(
-                (ServiceName(str(one)), int(share)) for one, share in services
+            return ServiceTerms(
+                ServiceName(service),
+                max_connections,
+                warmup_seconds,
+                warmup_rate,
+                tuple(map(str, invalid)),
             )
-            return Route(RouteName(name), RouteKey(key), shares, priority, bulk)
+        case ['evacuation', zone]:
+            return Evacuation(Zone(check_text('zone', zone)))
         case [
             'upstream',
             upstream_id,
@@ -74,6 +119,4 @@
             )
             check_listing(listing)
             return listing
-    raise DecodeError(
-        'entry is neither a route nor an upstream with the expected fields'
-    )
+    raise DecodeError('entry is of no known kind, or has other fields than expected')
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -4,7 +4,7 @@
 saves 5% of the processor time of a start.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from lycheedeal.relay._messages import PeerMessage, SpreadMessage
@@ -15,6 +15,7 @@
     Position,
     Route,
     RouteKey,
+    ServiceTerms,
     Source,
     StoreFault,
     StoreKind,
@@ -23,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from lycheedeal.ids import ServiceName, Zone
     from lycheedeal.relay._context import RelaySettings
     from lycheedeal.relay._copies import ContentCopy
     from lycheedeal.relay._peer_table import PeerTable
@@ -180,6 +182,15 @@
     version: ConfigurationVersion
     routes_by_key: dict[RouteKey, Route]
     removed: frozenset[RouteKey]
+    terms_by_service: 'dict[ServiceName, ServiceTerms]' = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class EvacuationsChanged:
+    """The evacuated zones changed; ``resumed`` get new flows again from now on."""
+
+    evacuated: 'frozenset[Zone]'
+    resumed: 'frozenset[Zone]'
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -239,6 +250,7 @@
     | EditionConfirmed
     | RefreshRequested
     | RoutesChanged
+    | EvacuationsChanged
     | UpstreamsChanged
     | PeerTableReady
     | CopiesReady
--- a/src/lycheedeal/relay/_flows.py
+++ b/src/lycheedeal/relay/_flows.py
@@ -24,7 +24,8 @@
     """State of a flow; times are seconds of the monotonic clock.
 
     ``confirmed`` means that a packet after the opening was seen. ``acknowledged``
-    is the caller's position in the answer when it sent the current request.
+    is the caller's position in the answer when it sent the current request, which
+    was at ``asked_at``.
     """
 
     upstream: Upstream
@@ -33,6 +34,7 @@
     confirmed: bool = False
     awaiting_answer: bool = False
     acknowledged: int = 0
+    asked_at: float = 0
 
 
 class FlowTable:
@@ -88,10 +90,13 @@
 def _update_request(flow: Flow, packet: Packet, now: float) -> None:
     if flow.awaiting_answer and packet.acknowledged != flow.acknowledged:
         flow.awaiting_answer = False
+        flow.upstream.answers += 1
+        flow.upstream.answer_seconds += now - flow.asked_at
         _change_in_flight(flow.upstream, -1, now)
     if packet.kind is PacketKind.DATA and not flow.awaiting_answer:
         flow.awaiting_answer = True
         flow.acknowledged = packet.acknowledged
+        flow.asked_at = now
         _change_in_flight(flow.upstream, 1, now)
 
 
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -16,8 +16,8 @@
 # leaders, or start to watch, at the same time.
 STAGGER_SECONDS: Final = 0.12
 MAX_STAGGER_SECONDS: Final = 0.6
-# Ages in the beacon of a host that resigns because its process stops.
-RESIGNED_AGES_MS: Final = (-1,) * len(StoreKind)
+# Age in the beacon of a host that resigns because its process stops.
+_RESIGNED_AGE_MS: Final = -1
 # Upper limit of ages; also the age of content that was never confirmed.
 _MAX_AGE_SECONDS: Final = 3600.0
 
@@ -28,7 +28,7 @@
     def __init__(self, context: RelayContext) -> None:
         """Start without a confirmation of any kind."""
         self._context = context
-        self._confirmed_at = dict.fromkeys(StoreKind, float('-inf'))
+        self._confirmed_at = dict.fromkeys(context.settings.kinds, float('-inf'))
 
     def confirm(self, kind: StoreKind, at: float) -> None:
         """Note that the content of a kind was current at a time."""
@@ -54,13 +54,17 @@
 
     def oldest_age(self) -> float:
         """Return the largest age of all kinds."""
-        return max(map(self.age, StoreKind))
+        return max(map(self.age, self._confirmed_at))
 
     def ages_ms(self) -> tuple[int, ...]:
         """Return the ages in milliseconds, in the order of StoreKind."""
-        return tuple(int(self.age(kind) * 1000) for kind in StoreKind)
+        return tuple(int(self.age(kind) * 1000) for kind in self._confirmed_at)
+
+    def resigned_ages_ms(self) -> tuple[int, ...]:
+        """Return the ages that the beacon of a stopping host has."""
+        return (_RESIGNED_AGE_MS,) * len(self._confirmed_at)
 
     def update_metrics(self) -> None:
         """Set the gauges of the ages."""
-        for kind in StoreKind:
+        for kind in self._confirmed_at:
             self._context.metrics.set_gauge('age_seconds', kind.value, self.age(kind))
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -72,6 +72,7 @@
 
     CONFIGURATION = 'configuration'
     UPSTREAMS = 'upstreams'
+    EVACUATIONS = 'evacuations'
 
 
 @unique
@@ -114,7 +115,9 @@
 class Route:
     """Services for new flows to an address, each with its weight.
 
-    Requests of a ``bulk`` route carry tens of kilobytes.
+    Requests of a ``bulk`` route carry tens of kilobytes. 0 is the most urgent
+    ``priority``. Callers give a request up after ``timeout_ms`` and want its answer
+    within ``aim_ms``; 0 means that the configuration does not tell.
     """
 
     name: RouteName
@@ -122,12 +125,38 @@
     services: tuple[tuple[ServiceName, int], ...]
     priority: int = 0
     bulk: bool = False
+    timeout_ms: int = 0
+    aim_ms: int = 0
 
     def __contains__(self, service: ServiceName) -> bool:
         """Return whether new flows of the route may go to a service."""
         return any(name == service for name, _ in self.services)
 
 
+@dataclass(slots=True)
+class ServiceTerms:
+    """What the configuration tells about the upstreams of a service.
+
+    An upstream holds ``max_connections`` flows. It is cold for ``warmup_seconds`` after
+    its start and then takes ``warmup_rate`` new flows a second. None means that the
+    configuration does not tell, or has a value that cannot be used; ``invalid`` names
+    the fields of such values.
+    """
+
+    service: ServiceName
+    max_connections: int | None = None
+    warmup_seconds: float | None = None
+    warmup_rate: float | None = None
+    invalid: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Evacuation:
+    """Request to send no new flows to the upstreams of a zone."""
+
+    zone: Zone
+
+
 @dataclass(slots=True)
 class Listing:
     """Entry that an upstream writes to the store about itself.
@@ -156,7 +185,7 @@
     return *identity, listing.endpoint, listing.service
 
 
-Entry = Route | Listing
+Entry = Route | ServiceTerms | Listing | Evacuation
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -164,13 +193,17 @@
     """Mean number of requests in flight, and open flows, at one upstream.
 
     ``failure_votes`` counts the hosts to which it recently left an opening
-    unanswered, ``success_votes`` those to which it recently answered one.
+    unanswered, ``success_votes`` those to which it recently answered one. ``answers``
+    counts the requests that it answered since the previous report, and
+    ``answer_seconds`` adds up the time that each of them took.
     """
 
     in_flight: float
     open_flows: int
     failure_votes: int = 0
     success_votes: int = 0
+    answers: int = 0
+    answer_seconds: float = 0
 
 
 Loads = dict[Token, Load]
@@ -209,6 +242,9 @@
     avoided_until: float = 0
     unanswered_at: float = float('-inf')
     answered_at: float = float('-inf')
+    # Requests answered since the last report of this host, and the sum of their times.
+    answers: int = 0
+    answer_seconds: float = 0
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- /dev/null
+++ b/src/lycheedeal/relay/evacuations.py
@@ -0,0 +1,92 @@
+"""Availability zones whose upstreams get no new flows at an operator's request.
+
+An evacuation is an object of the platform's store, so it outlives all hosts; each host
+acts on the copy that it read or got from a peer, and keeps it while the store is away.
+Open flows go on.
+"""
+
+from collections.abc import Iterator
+
+from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.ids import Zone
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import Effect, LogRecord, Part
+from lycheedeal.relay._events import (
+    ContentChanged,
+    ContentConfirmed,
+    EditionConfirmed,
+    EvacuationsChanged,
+    Event,
+)
+from lycheedeal.relay._missing_entries import MissingEntries
+from lycheedeal.relay._records import Evacuation, StoreKind
+
+
+class EvacuationsPlugin:
+    """Keeps the evacuated zones."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Start without evacuations."""
+        self._context = context
+        self._evacuated: frozenset[Zone] = frozenset()
+        # A store that came back from an older copy may lack an evacuation that its
+        # operator writes again.
+        self._missing = MissingEntries(context)
+
+    def handle(self, event: Event) -> Iterator[Effect]:
+        """Yield the effects of one event."""
+        match event:
+            case ContentChanged(kind=StoreKind.EVACUATIONS):
+                yield from self._content_changed(event)
+            case ContentConfirmed(StoreKind.EVACUATIONS, at) | EditionConfirmed(
+                StoreKind.EVACUATIONS, at
+            ):
+                ended = frozenset(map(Zone, self._missing.take_ended(at)))
+                if ended:
+                    yield from self._replace(self._evacuated - ended)
+
+    def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
+        for name in event.unusable:
+            yield LogRecord(
+                Part.EVACUATIONS,
+                'evacuation',
+                'Evacuation cannot be read; it evacuates nothing.',
+                {'name': name, **event.position._asdict()},
+            )
+        present = frozenset(
+            entry.zone for entry in event.entries if isinstance(entry, Evacuation)
+        )
+        for zone in present:
+            self._missing.discard(zone)
+        gone = frozenset(map(Zone, (*event.removed, *event.unusable)))
+        if event.complete:
+            gone = self._evacuated - present
+        if not event.settled:
+            for zone in gone & self._evacuated:
+                self._missing.add(zone)
+            gone = frozenset()
+        for zone in gone:
+            self._missing.discard(zone)
+        yield from self._replace((self._evacuated - gone) | present)
+
+    def _replace(self, evacuated: frozenset[Zone]) -> Iterator[Effect]:
+        resumed = self._evacuated - evacuated
+        for zone in evacuated - self._evacuated:
+            yield from self._record(zone, 'evacuated', 'Zone gets no new flows.')
+        for zone in resumed:
+            yield from self._record(zone, 'resumed', 'Zone gets new flows again.')
+        self._evacuated = evacuated
+        yield Publish(EvacuationsChanged(evacuated, resumed))
+
+    def _record(self, zone: Zone, change: str, text: str) -> Iterator[Effect]:
+        self._context.metrics.add('evacuations', change)
+        yield LogRecord(Part.EVACUATIONS, 'evacuation', text, {'zone': zone})
+
+
+register(
+    PluginSpec(
+        'evacuations',
+        EvacuationsPlugin,
+        frozenset((ContentChanged, ContentConfirmed, EditionConfirmed)),
+    )
+)
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -11,13 +11,16 @@
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import ServiceName
-from lycheedeal.relay._choice import FlowCriteria, choose
+from lycheedeal.placement import Demand, Refused, Selected, select
+from lycheedeal.relay._choice import CandidateList, FlowCriteria
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import Effect, Forward, LogRecord, Part, Reset
 from lycheedeal.relay._events import (
     ContentConfirmed,
+    EvacuationsChanged,
     Event,
     PacketArrived,
+    PeerTableReady,
     RefreshRequested,
     RoutesChanged,
     Tick,
@@ -75,6 +78,7 @@
             context.settings.max_flows,
             context.settings.flow_idle_seconds,
         )
+        self._candidates = CandidateList(context)
         self._next_expiry = 0.0
         self._last_tick = context.clock.monotonic()
         self._next_refresh = 0.0
@@ -86,6 +90,7 @@
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
+        self._candidates.follow(event)
         match event:
             case PacketArrived(packet=packet):
                 yield from self._handle_packet(packet)
@@ -109,6 +114,7 @@
                 if now >= self._next_expiry:
                     self._next_expiry = now + _EXPIRY_INTERVAL_SECONDS
                     self.flow_table.expire(now)
+                    self._candidates.expire(now)
 
     def _handle_packet(self, packet: Packet) -> Iterator[Effect]:
         match packet.kind:
@@ -182,16 +188,28 @@
             return
         previous = yield from self._check_previous(packet, now)
         service = _pick_service(route, packet.flow)
-        criteria = FlowCriteria(
-            service, self._context.settings.zone, route.bulk, previous
-        )
-        choice = choose(self._table, criteria, now, self._context.rng)
-        if choice is None:
-            yield from self._reset(packet, 'no upstream', None)
-            return
-        self.flow_table.add(packet, choice.upstream, now)
-        self._count('opened' if choice.local else 'opened in another zone')
-        yield self._forward(packet, choice.upstream)
+        criteria = FlowCriteria(service, route.bulk, previous)
+        upstreams_by_candidate = dict(self._candidates.upstreams(criteria))
+        match select(upstreams_by_candidate, Demand(route.bulk), self._context.rng):
+            case Refused(reason=reason):
+                yield from self._reset(packet, reason.value, None)
+            case Selected() as selected:
+                upstream = upstreams_by_candidate[selected.candidate]
+                yield from self._open(packet, route, upstream, selected)
+
+    def _open(
+        self,
+        packet: Packet,
+        route: Route,
+        upstream: Upstream,
+        selected: Selected,
+    ) -> Iterator[Effect]:
+        now = self._context.clock.monotonic()
+        self.flow_table.add(packet, upstream, now)
+        self._candidates.record_opening(upstream)
+        is_local = selected.candidate.is_local
+        self._count('opened' if is_local else 'opened in another zone')
+        yield self._forward(packet, upstream)
         yield LogRecord(
             Part.FORWARDING,
             'opening',
@@ -200,11 +218,11 @@
                 'flow': flow_text(packet.flow),
                 'attempt': packet.attempt,
                 'route': route.name,
-                'service': service,
-                'upstream': choice.upstream.listing.upstream_id,
-                'zone': choice.upstream.listing.zone,
-                'load': round(choice.load, 2),
-                'candidates': choice.candidates,
+                'service': upstream.listing.service,
+                'upstream': upstream.listing.upstream_id,
+                'zone': upstream.listing.zone,
+                'load': round(selected.candidate.load, 2),
+                'candidates': selected.candidates,
                 **self._state_details(now),
             },
         )
@@ -325,6 +343,8 @@
                 PacketArrived,
                 RoutesChanged,
                 UpstreamsChanged,
+                EvacuationsChanged,
+                PeerTableReady,
                 ContentConfirmed,
                 Tick,
             ),
--- a/src/lycheedeal/relay/lifecycle.py
+++ b/src/lycheedeal/relay/lifecycle.py
@@ -1,6 +1,7 @@
 """Readiness and shutdown of a process.
 
-The host is ready when it has routes and upstreams. After a request to stop it
+The host is ready when it has routes and upstreams, and knows the evacuated zones if the
+deployment evacuates zones. After a request to stop it
 forwards packets until no more arrive, and then exits.
 """
 
@@ -11,6 +12,7 @@
 from lycheedeal.relay._context import RelayContext, RelaySettings
 from lycheedeal.relay._effects import Effect, Exit, LogRecord, Part, SetReady
 from lycheedeal.relay._events import (
+    EvacuationsChanged,
     Event,
     PacketArrived,
     RoutesChanged,
@@ -36,8 +38,10 @@
     def __init__(self, context: RelayContext) -> None:
         """Start as not ready."""
         self._context = context
-        self._has_routes = False
-        self._has_upstreams = False
+        # Events that the host still waits for.
+        self._awaited: set[type] = {RoutesChanged, UpstreamsChanged}
+        if context.settings.evacuation_seconds:
+            self._awaited.add(EvacuationsChanged)
         self._stopping_since: float | None = None
         self._last_packet_at = 0.0
 
@@ -50,10 +54,8 @@
                 settings = self._context.settings
                 details = {'zone': settings.zone, 'peer': str(settings.peer)}
                 yield LogRecord(Part.LIFECYCLE, 'process', 'Process started.', details)
-            case RoutesChanged():
-                yield from self._update_readiness(routes=True)
-            case UpstreamsChanged():
-                yield from self._update_readiness(upstreams=True)
+            case RoutesChanged() | UpstreamsChanged() | EvacuationsChanged():
+                yield from self._update_readiness(type(event))
             case StopRequested():
                 yield from self._stop()
             case SettingsRead(settings=settings, detail=detail):
@@ -61,16 +63,11 @@
             case Tick(now=now):
                 yield from self._tick(now)
 
-    def _update_readiness(
-        self,
-        routes: bool = False,
-        upstreams: bool = False,
-    ) -> Iterator[Effect]:
-        was_ready = self._has_routes and self._has_upstreams
-        self._has_routes = self._has_routes or routes
-        self._has_upstreams = self._has_upstreams or upstreams
-        is_ready = self._has_routes and self._has_upstreams
-        if is_ready and not was_ready and self._stopping_since is None:
+    def _update_readiness(self, event_type: type) -> Iterator[Effect]:
+        if not self._awaited:
+            return
+        self._awaited.discard(event_type)
+        if not self._awaited and self._stopping_since is None:
             yield SetReady(ready=True)
             yield LogRecord(
                 Part.LIFECYCLE,
@@ -129,6 +126,7 @@
                 PacketArrived,
                 RoutesChanged,
                 UpstreamsChanged,
+                EvacuationsChanged,
                 StopRequested,
                 SettingsRead,
                 Tick,
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -45,8 +45,8 @@
 # Reports that the collecting host receives in a second; with more hosts the
 # interval between their reports grows.
 _REPORTS_PER_SECOND: Final = 35
-# Keeps a datagram below 1,400 bytes: a row takes 14 bytes.
-_ROWS_PER_PART: Final = 75
+# Keeps a datagram below 1,400 bytes: a row takes 22 bytes.
+_ROWS_PER_PART: Final = 54
 # A success vote counts for this long after an answer; with a longer time, a crash
 # of the upstream would be noticed later.
 _SUCCESS_VOTE_SECONDS: Final = 1.5
@@ -97,7 +97,7 @@
         elif collector is not None:
             self._next_report = now + self._report_interval()
             zones = (self._own.zone,)
-            for report in self._split(LoadScope.HOST, zones, self._own_loads()):
+            for report in self._split(LoadScope.HOST, zones, self._take_own_loads()):
                 yield SendPeer(collector.endpoint, report)
 
     def _report_interval(self) -> float:
@@ -115,6 +115,14 @@
             return self._peer_table.find(self._peer_table.leader_id)
         return self._peer_table.first_leader()
 
+    def _take_own_loads(self) -> Loads:
+        """Return the loads that this host causes; its answers count anew from now."""
+        loads = self._own_loads()
+        for upstream in self._table.by_token.values():
+            upstream.answers = 0
+            upstream.answer_seconds = 0
+        return loads
+
     def _own_loads(self) -> Loads:
         now = self._context.clock.monotonic()
         oldest_answer = now - _SUCCESS_VOTE_SECONDS
@@ -123,6 +131,7 @@
             for token, upstream in self._table.by_token.items()
             if upstream.open_flows
             or upstream.unanswered_openings
+            or upstream.answers
             or upstream.answered_at > oldest_answer
         }
 
@@ -135,7 +144,7 @@
         self._reports_by_zone = _still_valid(
             self._reports_by_zone, now - REPORT_VALID_SECONDS
         )
-        own_zone = self._own_loads()
+        own_zone = self._take_own_loads()
         for reported in self._reports_by_host.values():
             _add_loads(own_zone, reported.all_loads())
         region = dict(own_zone)
@@ -237,6 +246,8 @@
         upstream.open_flows,
         failure_votes=int(_votes_failure(upstream, now)),
         success_votes=int(upstream.answered_at + _SUCCESS_VOTE_SECONDS > now),
+        answers=upstream.answers,
+        answer_seconds=upstream.answer_seconds,
     )
 
 
@@ -253,7 +264,13 @@
     Its hosts reach the upstream over another network path.
     """
     return {
-        token: Load(load.in_flight, load.open_flows) for token, load in loads.items()
+        token: Load(
+            load.in_flight,
+            load.open_flows,
+            answers=load.answers,
+            answer_seconds=load.answer_seconds,
+        )
+        for token, load in loads.items()
     }
 
 
@@ -265,6 +282,8 @@
             known.open_flows + load.open_flows,
             known.failure_votes + load.failure_votes,
             known.success_votes + load.success_votes,
+            known.answers + load.answers,
+            known.answer_seconds + load.answer_seconds,
         )
 
 
--- a/src/lycheedeal/relay/peer_codec.py
+++ b/src/lycheedeal/relay/peer_codec.py
@@ -40,16 +40,18 @@
 )
 
 # Hosts of different versions refuse each other's messages.
-PROTOCOL_VERSION: Final = 5
+PROTOCOL_VERSION: Final = 6
 # Largest datagram that is decoded, in bytes.
 MAX_DATAGRAM_BYTES: Final = 8192
 # The mean number of requests in flight is encoded in this many steps for each.
 _IN_FLIGHT_STEPS: Final = 100
-# Token, mean number of requests in flight, open flows, failure votes and success
-# votes of an upstream.
-_LOAD_ROW: Final = struct.Struct('>IHHBB')
+# Token, mean number of requests in flight, open flows, failure votes, success votes,
+# answers and the milliseconds that all of these took, of an upstream.
+_LOAD_ROW: Final = struct.Struct('>IHHBBHI')
 _MAX_COUNT: Final = 0xFFFF
 _MAX_VOTES: Final = 0xFF
+_MAX_ANSWER_MS: Final = 0xFFFFFFFF
+_MS_PER_SECOND: Final = 1000
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -131,6 +133,8 @@
             min(load.open_flows, _MAX_COUNT),
             min(load.failure_votes, _MAX_VOTES),
             min(load.success_votes, _MAX_VOTES),
+            min(load.answers, _MAX_COUNT),
+            min(round(load.answer_seconds * _MS_PER_SECOND), _MAX_ANSWER_MS),
         )
         for token, load in loads.items()
     )
@@ -205,27 +209,30 @@
 
 def _decode_beacon(fields: list[Any]) -> Beacon | RegionBeacon:
     match fields:
-        case [
-            peer,
-            [int(), int()] as ages,
-            [configuration, upstreams],
-            int() as zone_size,
-            list() as peers,
-        ]:
+        case [peer, ages, editions, int() as zone_size, list() as peers]:
             return Beacon(
                 _decode_peer(peer),
-                tuple(ages),
-                (_decode_edition(configuration), _decode_edition(upstreams)),
+                *_decode_contents(ages, editions),
                 zone_size,
                 tuple(map(_decode_peer, peers)),
             )
-        case [peer, [int(), int()] as ages, [configuration, upstreams]]:
-            editions = _decode_edition(configuration), _decode_edition(upstreams)
-            return RegionBeacon(_decode_peer(peer), tuple(ages), editions)
+        case [peer, ages, editions]:
+            return RegionBeacon(_decode_peer(peer), *_decode_contents(ages, editions))
         case _:
             raise DecodeError('beacon has wrong fields')
 
 
+def _decode_contents(
+    ages: Any, editions: Any
+) -> tuple[tuple[int, ...], tuple[Edition, ...]]:
+    """Return the ages and editions of the kinds that the sender reads."""
+    if isinstance(ages, list) and isinstance(editions, list):
+        has_ages = all(isinstance(age, int) for age in ages)
+        if has_ages and ages and len(ages) == len(editions):
+            return tuple(ages), tuple(map(_decode_edition, editions))
+    raise DecodeError('beacon does not have an age and an edition for each kind')
+
+
 def _decode_spread_message(inner: list[Any]) -> SpreadMessage:
     message = _decode_fields(inner)
     match message:
@@ -291,8 +298,12 @@
 
 def _decode_loads(rows: str) -> Iterator[tuple[Token, Load]]:
     try:
-        for token, scaled, *counts in _LOAD_ROW.iter_unpack(a2b_base64(rows)):
-            yield Token(token), Load(scaled / _IN_FLIGHT_STEPS, *counts)
+        for token, scaled, *counts, answer_ms in _LOAD_ROW.iter_unpack(
+            a2b_base64(rows)
+        ):
+            load = Load(scaled / _IN_FLIGHT_STEPS, *counts)
+            load.answer_seconds = answer_ms / _MS_PER_SECOND
+            yield Token(token), load
     except struct.error as error:
         raise DecodeError(
             'size of the load rows is not a multiple of the row size'
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -68,7 +68,7 @@
         """Start idle; the event ``Started`` causes the first lists."""
         self._context = context
         self._watches = False
-        self._readers = {kind: Reader(kind) for kind in StoreKind}
+        self._readers = {kind: Reader(kind) for kind in context.settings.kinds}
         # Time of the last failed call, of the last sign that the store came back from
         # an older copy, or of the start: the host does not know what came before.
         self._unsettled_at = context.clock.monotonic()
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -32,7 +32,6 @@
     LEADER_TIMEOUT_SECONDS,
     MAX_FRESH_AGE_SECONDS,
     MAX_STAGGER_SECONDS,
-    RESIGNED_AGES_MS,
     STAGGER_SECONDS,
     Freshness,
 )
@@ -93,7 +92,8 @@
 
     def _beacon_received(self, beacon: RegionBeacon) -> Iterator[Effect]:
         peer = beacon.peer
-        if peer.zone == self._own.zone or not self._is_leader:
+        has_same_kinds = len(beacon.ages_ms) == len(self._copies)
+        if peer.zone == self._own.zone or not (self._is_leader and has_same_kinds):
             return
         self._peer_table.record_heard(peer)
         now = self._context.clock.monotonic()
@@ -114,7 +114,7 @@
         """Confirm each kind whose edition is not behind; ask for the others."""
         peer = beacon.peer
         now = self._context.clock.monotonic()
-        kinds = zip(StoreKind, beacon.ages_ms, beacon.editions, strict=True)
+        kinds = zip(self._copies, beacon.ages_ms, beacon.editions, strict=True)
         for kind, age_ms, edition in kinds:
             if edition > edition_of(self._copies[kind]):
                 request = SnapshotRequest(self._own.host_id, kind)
@@ -192,8 +192,10 @@
     def _send_beacon(self) -> Iterator[Effect]:
         now = self._context.clock.monotonic()
         self._next_beacon = now + BEACON_INTERVAL_SECONDS
-        ages = RESIGNED_AGES_MS if self._stopping else self._freshness.ages_ms()
-        editions = tuple(edition_of(self._copies[kind]) for kind in StoreKind)
+        ages = self._freshness.ages_ms()
+        if self._stopping:
+            ages = self._freshness.resigned_ages_ms()
+        editions = tuple(map(edition_of, self._copies.values()))
         yield from self._send_to_leaders(RegionBeacon(self._own, ages, editions))
 
     def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -8,6 +8,7 @@
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._copies import entry_name
 from lycheedeal.relay._effects import Effect, LogRecord, Part
 from lycheedeal.relay._events import ContentChanged, Event, RoutesChanged
 from lycheedeal.relay._records import (
@@ -15,6 +16,7 @@
     Route,
     RouteKey,
     RouteName,
+    ServiceTerms,
     StoreKind,
 )
 
@@ -30,6 +32,7 @@
         self._context = context
         self.version: ConfigurationVersion | None = None
         self.routes_by_name: dict[RouteName, Route] = {}
+        self.terms_by_name: dict[str, ServiceTerms] = {}
         # A dictionary as an ordered set: keys in order of removal.
         self._removed: dict[RouteKey, None] = {}
 
@@ -60,7 +63,12 @@
         self.version = event.version
         self._context.metrics.add('configuration', 'applied')
         by_key = {route.key: route for route in self.routes_by_name.values()}
-        yield Publish(RoutesChanged(event.version, by_key, frozenset(self._removed)))
+        terms = {one.service: one for one in self.terms_by_name.values()}
+        removed = frozenset(self._removed)
+        yield Publish(RoutesChanged(event.version, by_key, removed, terms))
+        for entry in event.entries:
+            if isinstance(entry, ServiceTerms) and entry.invalid:
+                yield _invalid_record(entry)
         yield LogRecord(
             Part.ROUTES,
             'version',
@@ -80,12 +88,20 @@
         changed = {
             entry.name: entry for entry in event.entries if isinstance(entry, Route)
         }
+        terms = {
+            entry_name(entry): entry
+            for entry in event.entries
+            if isinstance(entry, ServiceTerms)
+        }
         if event.complete:
             self.routes_by_name = changed
+            self.terms_by_name = terms
         else:
             for name in event.removed:
                 self.routes_by_name.pop(RouteName(name), None)
+                self.terms_by_name.pop(name, None)
             self.routes_by_name.update(changed)
+            self.terms_by_name.update(terms)
         keys = {route.key for route in self.routes_by_name.values()}
         self._removed.update(dict.fromkeys(old_keys - keys))
         for key in keys & self._removed.keys():
@@ -94,4 +110,13 @@
             self._removed.pop(next(iter(self._removed)))
 
 
+def _invalid_record(terms: ServiceTerms) -> LogRecord:
+    return LogRecord(
+        Part.ROUTES,
+        'terms',
+        'Fields of a service cannot be used; they count as missing.',
+        {'service': terms.service, 'fields': ', '.join(terms.invalid)},
+    )
+
+
 register(PluginSpec('routes', RoutesPlugin, frozenset((ContentChanged,))))
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -41,7 +41,6 @@
     LEADER_TIMEOUT_SECONDS,
     MAX_FRESH_AGE_SECONDS,
     MAX_STAGGER_SECONDS,
-    RESIGNED_AGES_MS,
     STAGGER_SECONDS,
     Freshness,
 )
@@ -84,7 +83,7 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._greetings = Greetings(context, self._peer_table)
-        self._copies = {kind: ContentCopy(kind) for kind in StoreKind}
+        self._copies = {kind: ContentCopy(kind) for kind in context.settings.kinds}
         self._freshness = Freshness(context)
         self._reassembler = Reassembler()
         self._is_leader = False
@@ -164,6 +163,9 @@
             yield SendPeer(peer.endpoint, self._own_beacon())
 
     def _beacon_received(self, beacon: Beacon) -> Iterator[Effect]:
+        # While settings change, hosts that started earlier read other kinds.
+        if len(beacon.ages_ms) != len(self._copies):
+            return
         if beacon.peer.zone != self._own.zone:
             return
         self._peer_table.record_heard(beacon.peer)
@@ -179,7 +181,7 @@
         is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
         if not is_fresh or (self._is_leader and not self._outranked_by(beacon)):
             return
-        for kind, age in zip(StoreKind, beacon.ages_ms, strict=True):
+        for kind, age in zip(self._copies, beacon.ages_ms, strict=True):
             self._freshness.confirm(kind, now - age / 1000)
         if self._peer_table.leader_id != beacon.peer.host_id:
             self._peer_table.leader_id = beacon.peer.host_id
@@ -202,7 +204,7 @@
     def _compare_editions(self, beacon: Beacon) -> Iterator[Effect]:
         """Confirm each kind whose edition is not behind; ask for the others."""
         now = self._context.clock.monotonic()
-        kinds = zip(StoreKind, beacon.ages_ms, beacon.editions, strict=True)
+        kinds = zip(self._copies, beacon.ages_ms, beacon.editions, strict=True)
         for kind, age_ms, edition in kinds:
             if edition <= edition_of(self._copies[kind]):
                 self._lagging_since.pop(kind, None)
@@ -232,7 +234,7 @@
                 yield SendPeer(beacon.peer.endpoint, part)
 
     def _part_received(self, part: ContentPart) -> Iterator[Effect]:
-        change = self._reassembler.add(part)
+        change = self._reassembler.add(part) if part.kind in self._copies else None
         if change is None:
             return
         copy = self._copies[change.kind]
@@ -250,8 +252,8 @@
 
     def _send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
         peer = self._peer_table.find(host_id)
-        copy = self._copies[kind]
-        if peer is None or copy.position == START_POSITION:
+        copy = self._copies.get(kind)
+        if peer is None or copy is None or copy.position == START_POSITION:
             return
         for part in split_part(copy.snapshot(), self._own.host_id):
             yield SendPeer(peer.endpoint, part)
@@ -338,8 +340,8 @@
     def _own_beacon(self) -> Beacon:
         ages = self._freshness.ages_ms()
         if self._stopping:
-            ages = RESIGNED_AGES_MS
-        editions = tuple(edition_of(self._copies[kind]) for kind in StoreKind)
+            ages = self._freshness.resigned_ages_ms()
+        editions = tuple(map(edition_of, self._copies.values()))
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
             self._own, ages, editions, size, self._peer_table.next_advertised()
