Read evacuations at a start with a cheap list

Such a list may be seconds old; the next beacon or the watch that follows makes up for it, and later lists of a host are linearizable.

--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -62,8 +62,11 @@
     def reset(self, packet: relay.Packet) -> None:
         """Send a reset of the packet's flow to its caller."""
 
-    def list_objects(self, kind: relay.StoreKind) -> None:
-        """Start a list of all objects of a kind; the answer is an event."""
+    def list_objects(self, kind: relay.StoreKind, may_lag: bool) -> None:
+        """Start a list of all objects of a kind; the answer is an event.
+
+        A list that ``may_lag`` may be seconds old.
+        """
 
     def watch_objects(
         self,
@@ -153,8 +156,8 @@
                 self._front_end.reset(packet)
             case relay.SendPeer(endpoint=endpoint, message=message):
                 self._send_peer(endpoint, message)
-            case relay.ListObjects(kind=kind):
-                self._front_end.list_objects(kind)
+            case relay.ListObjects(kind=kind, may_lag=may_lag):
+                self._front_end.list_objects(kind, may_lag)
             case relay.WatchObjects():
                 self._front_end.watch_objects(
                     effect.kind,
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -112,9 +112,12 @@
         address = caller_ip(packet), self._settings.caller_port
         self._send(encode_reset(packet), address)
 
-    def list_objects(self, kind: relay.StoreKind) -> None:
-        """Start a list of all objects of a kind; the answer is an event."""
-        self._store.list_objects(kind)
+    def list_objects(self, kind: relay.StoreKind, may_lag: bool) -> None:
+        """Start a list of all objects of a kind; the answer is an event.
+
+        A list that ``may_lag`` may be seconds old.
+        """
+        self._store.list_objects(kind, may_lag)
 
     def watch_objects(
         self,
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
@@ -53,6 +54,24 @@
         return items
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class _List:
+    """A list; ``query`` is that of its first page."""
+
+    query: str
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class _Watch:
+    """A watch for changes after a position."""
+
+    position: relay.Position
+    wait_seconds: float
+
+
+_Call = _List | _Watch
+
+
 class StoreClient:
     """Store client with one connection and at most one call for each kind.
 
@@ -75,9 +94,12 @@
         self._tasks_by_kind: dict[relay.StoreKind, asyncio.Task[None]] = {}
         self._connections_by_kind: dict[relay.StoreKind, Connection] = {}
 
-    def list_objects(self, kind: relay.StoreKind) -> None:
-        """Start a list of all objects of a kind."""
-        self._start_call(kind, None, 0)
+    def list_objects(self, kind: relay.StoreKind, may_lag: bool = False) -> None:
+        """Start a list of all objects of a kind.
+
+        A list that ``may_lag`` is cheaper and may be seconds old.
+        """
+        self._start_call(kind, _List('?serializable=1' if may_lag else ''))
 
     def watch_objects(
         self,
@@ -89,7 +111,7 @@
 
         The store answers after ``wait_seconds`` at the latest.
         """
-        self._start_call(kind, position, wait_seconds)
+        self._start_call(kind, _Watch(position, wait_seconds))
 
     def cancel(self, kind: relay.StoreKind) -> None:
         """Cancel the call in progress for a kind; no event is reported for it."""
@@ -104,43 +126,35 @@
             self.cancel(kind)
             self._drop_connection(kind)
 
-    def _start_call(
-        self,
-        kind: relay.StoreKind,
-        position: relay.Position | None,
-        wait_seconds: float,
-    ) -> None:
+    def _start_call(self, kind: relay.StoreKind, call: _Call) -> None:
         self.cancel(kind)
-        call = self._run_call(kind, position, wait_seconds)
-        self._tasks_by_kind[kind] = asyncio.get_running_loop().create_task(call)
+        task = asyncio.get_running_loop().create_task(self._run_call(kind, call))
+        self._tasks_by_kind[kind] = task
 
-    async def _run_call(
-        self,
-        kind: relay.StoreKind,
-        position: relay.Position | None,
-        wait_seconds: float,
-    ) -> None:
+    async def _run_call(self, kind: relay.StoreKind, call: _Call) -> None:
         event: relay.Event
         started = time.perf_counter()
         try:
-            if position is None:
-                event = await self._list(kind)
-            else:
-                event = await self._watch(kind, position, wait_seconds)
+            match call:
+                case _List(query=query):
+                    event = await self._list(kind, query)
+                case _Watch(position=position, wait_seconds=wait_seconds):
+                    event = await self._watch(kind, position, wait_seconds)
         except Exception as error:  # The reader waits until the call reports its end.
             event = _failed(kind, error)
             if event.fault is not relay.StoreFault.HISTORY_LOST:
                 self._drop_connection(kind)
         self._tasks_by_kind.pop(kind, None)
         outcome = 'failed' if isinstance(event, relay.CallFailed) else 'answered'
-        label = f'{"watch" if position else "list"} {kind.value} {outcome}'
+        name = 'watch' if isinstance(call, _Watch) else 'list'
+        label = f'{name} {kind.value} {outcome}'
         self._metrics.observe('store_seconds', label, time.perf_counter() - started)
         self._report(event)
 
-    async def _list(self, kind: relay.StoreKind) -> relay.ListAnswered:
+    async def _list(self, kind: relay.StoreKind, query: str) -> relay.ListAnswered:
         objects = DecodedObjects()
         position: relay.Position | None = None
-        async for page in self._pages(kind):
+        async for page in self._pages(kind, query):
             # A watch from the position of the first page misses no change made while
             # the others are read.
             position = position or page.position
@@ -159,9 +173,11 @@
             objects.version,
         )
 
-    async def _pages(self, kind: relay.StoreKind) -> AsyncIterator[_Page]:
+    async def _pages(
+        self, kind: relay.StoreKind, first_query: str
+    ) -> AsyncIterator[_Page]:
         """Yield the pages of a list; raises CallError if the list does not end."""
-        after = query = ''
+        after, query = '', first_query
         for _ in range(_MAX_PAGES):
             page = await self._list_page(kind, query)
             yield page
@@ -170,7 +186,8 @@
             previous, after = after, _last_name(page.items)
             if after == previous:
                 break
-            query = f'?after={_percent_encoded(after)}'
+            separator = '&' if first_query else '?'
+            query = f'{first_query}{separator}after={_percent_encoded(after)}'
         raise CallError(
             relay.StoreFault.MALFORMED, f'list does not end after the name {after!r}'
         )
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -34,9 +34,13 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class ListObjects:
-    """Reads all objects of a kind from the store with a linearizable read."""
+    """Reads all objects of a kind from the store.
+
+    A list that ``may_lag`` is cheaper and may be seconds old; others are linearizable.
+    """
 
     kind: StoreKind
+    may_lag: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -102,7 +102,10 @@
         reader.phase = Phase.LISTING
         self._note_call(reader)
         self._context.metrics.add('store_calls', f'list {reader.kind.value}')
-        yield ListObjects(reader.kind)
+        # Hosts learn what such a list lacks from the next beacon, or from the watch
+        # that follows; an evacuation need not be in force for some seconds.
+        may_lag = reader.kind is StoreKind.EVACUATIONS and not reader.has_listed
+        yield ListObjects(reader.kind, may_lag)
 
     def _note_call(self, reader: Reader) -> None:
         reader.called_at = self._context.clock.monotonic()
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -279,6 +279,24 @@
     play(test, answer)
 
 
+def test_list_that_may_lag_asks_for_cheap_reads_only() -> None:
+    """Guards against pages of one list that are of different age or price."""
+    asked: list[str] = []
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        for number in range(1, 3):
+            asked.append(await paths.get())
+            writer.write(page(number, more=number < 2))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(StoreKind.EVACUATIONS, may_lag=True)
+        assert_revision(await harness.next_event(), 9)
+
+    play(test, answer)
+    path = '/objects/evacuations?serializable=1'
+    assert asked == [path, f'{path}&after=i-1']
+
+
 def test_long_list_may_take_longer_than_one_answer() -> None:
     """Guards against a long list that is given up and begun again for ever.
 
