--- a/src/lycheedeal/platform/_settings.py
+++ b/src/lycheedeal/platform/_settings.py
@@ -80,9 +80,9 @@
                 seeds=tuple(self._seeds(peer_port)),
                 stop_seconds=self._number('stop_seconds'),
                 heartbeat_seconds=self._number('heartbeat_ms', _HEARTBEAT_MS) / 1000,
-                evacuation_seconds=(self._limit('evacuate_ms') or 0) / 1000,
-                warmup_overage=self._limit('warmup_overage'),
-                warmup_slack=self._limit('warmup_slack'),
+                evacuation_seconds=(self._bound('evacuate_ms') or 0) / 1000,
+                warmup_overage=self._bound('warmup_overage'),
+                warmup_slack=self._bound('warmup_slack'),
             ),
             packets=packets,
             readiness=self._endpoint('readiness'),
@@ -109,15 +109,23 @@
         self._faults.append(f'{name}: a number above 0 is needed, found {number!r}')
         return 1
 
-    def _limit(self, name: str) -> float | None:
-        """Return a number of 0 or more; None if the deployment does not have it."""
-        number = self._fields.get(name)
-        if number is None:
+    def _bound(self, name: str) -> float | None:
+        """Return a bound of the platform; None if the deployment does not have it."""
+        bounds = self._fields.get('bounds')
+        if bounds is None:
             return None
-        if isinstance(number, int | float) and not isinstance(number, bool):
-            if 0 <= number < math.inf:
-                return float(number)
-        self._faults.append(f'{name}: a number from 0 is needed, found {number!r}')
+        if not isinstance(bounds, dict):
+            self._faults.append(f'bounds: an object is needed, found {bounds!r}')
+            return None
+        bound = bounds.get(name)
+        if bound is None:
+            return None
+        if isinstance(bound, int | float) and not isinstance(bound, bool):
+            if 0 <= bound < math.inf:
+                return float(bound)
+        self._faults.append(
+            f'bounds.{name}: a number from 0 is needed, found {bound!r}'
+        )
         return None
 
     def _port(self, name: str) -> int:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -283,6 +283,35 @@
     assert settings.relay.heartbeat_seconds == seconds
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'expected'),
+    [
+        (None, (0, None, None)),
+        ({'grace_s': 6}, (0, None, None)),
+        (
+            {'evacuate_ms': 5000, 'warmup_overage': 1.5, 'warmup_slack': 0},
+            (5, 1.5, 0),
+        ),
+    ],
+)
+def test_bounds_of_the_deployment_are_read(
+    tmp_path: Path, bounds: object, expected: tuple[float, float | None, float | None]
+) -> None:
+    path = write_settings(tmp_path, {**SETTINGS, 'bounds': bounds})
+    relay_settings = load_settings(path).relay
+    assert expected == (
+        relay_settings.evacuation_seconds,
+        relay_settings.warmup_overage,
+        relay_settings.warmup_slack,
+    )
+
+
+@pytest.mark.parametrize('bounds', [[], {'evacuate_ms': -1}, {'warmup_slack': '5'}])
+def test_invalid_bounds_are_rejected(tmp_path: Path, bounds: object) -> None:
+    with pytest.raises(SettingsError, match='bounds'):
+        load_settings(write_settings(tmp_path, {**SETTINGS, 'bounds': bounds}))
+
+
 def test_all_settings_errors_are_reported(tmp_path: Path) -> None:
     invalid = {
         **SETTINGS,
