--- a/src/lycheedeal/hosting/_http.py
+++ b/src/lycheedeal/hosting/_http.py
@@ -22,6 +22,7 @@
     """
 
     OK = 200
+    BAD_REQUEST = 400
     NOT_FOUND = 404
     SERVICE_UNAVAILABLE = 503
 
@@ -35,16 +36,17 @@
     content_type: str = 'text/plain'
 
 
-RequestHandler = Callable[[str], HttpResponse]
+# Called with the path and the query of a request.
+RequestHandler = Callable[[str, str], HttpResponse]
 
 
 class HttpServer:
     """Answers HTTP requests at one address."""
 
     def __init__(self, endpoint: Endpoint, handler: RequestHandler) -> None:
-        """Answer each request with the response of ``handler`` for its path.
+        """Answer each request with the response of ``handler``.
 
-        The path is passed without its query.
+        The path and its query are passed apart, the query as it was encoded.
         """
         self._endpoint = endpoint
         self._handler = handler
@@ -71,7 +73,7 @@
         self._handler = handler
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._path = ''
+        self._target = b''
         self._received_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,14 +91,19 @@
         if self._received_bytes > _MAX_REQUEST_BYTES:
             self._transport.close()
 
+    def on_message_begin(self) -> None:
+        self._target = b''
+
     def on_url(self, url: bytes) -> None:
-        self._path = url.decode('latin-1')
+        # Called for each piece of a target that arrives in several.
+        self._target += url
 
     def on_message_complete(self) -> None:
         if self._transport is None:
             return
         self._received_bytes = 0
-        response = self._handler(self._path.partition('?')[0])
+        path, _, query = self._target.decode('latin-1').partition('?')
+        response = self._handler(path, query)
         keep_alive = self._parser.should_keep_alive()
         head = (
             f'HTTP/1.1 {response.status.value} {response.status.name}\r\n'
--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -45,10 +45,11 @@
 class FrontEnd(Protocol):
     """Connects the relay kernel to callers, upstreams and the store."""
 
-    async def start(self, dispatch: Dispatch) -> None:
+    async def start(self, dispatch: Dispatch, kernel: relay.RelayKernel) -> None:
         """Open all sockets and pass events to ``dispatch`` from now on.
 
-        Raises OSError if an address is in use.
+        ``kernel`` is for questions about its state and gets no events. Raises OSError
+        if an address is in use.
         """
 
     def close(self) -> None:
@@ -117,7 +118,7 @@
         loop = asyncio.get_running_loop()
         self._logs.start()
         self._peer_socket = bind_datagrams(self._context.settings.peer)
-        await self._front_end.start(self.dispatch)
+        await self._front_end.start(self.dispatch, self._kernel)
         loop.add_reader(self._peer_socket, self._read_peer_datagrams)
         # Not loop.add_signal_handler, which imports inspect and its dependencies:
         # a tenth of the processor time of a start.
--- a/src/lycheedeal/platform/_front_end.py
+++ b/src/lycheedeal/platform/_front_end.py
@@ -64,6 +64,7 @@
         self._settings = settings
         self._metrics = metrics
         self._dispatch: Dispatch | None = None
+        self._kernel: relay.RelayKernel | None = None
         self._packet_socket = packet_socket
         self._is_reading_packets = False
         self._packets_dispatched = 0
@@ -71,16 +72,17 @@
         self._ready = False
         self._servers = (
             HttpServer(settings.readiness, self._handle_request),
-            HttpServer(settings.metrics, self._handle_request),
+            HttpServer(settings.metrics, self._handle_operator_request),
         )
         self._numeric_ids: dict[UpstreamId, int] = {}
 
-    async def start(self, dispatch: Dispatch) -> None:
+    async def start(self, dispatch: Dispatch, kernel: relay.RelayKernel) -> None:
         """Open all sockets and pass events to ``dispatch`` from now on.
 
         Raises OSError if an address is in use.
         """
         self._dispatch = dispatch
+        self._kernel = kernel
         if self._packet_socket is None:
             self._packet_socket = bind_datagrams(self._settings.packets)
         for server in self._servers:
@@ -206,7 +208,12 @@
         seconds = time.perf_counter() - started
         self._metrics.observe('forwarding_seconds', packet.kind.value, seconds)
 
-    def _handle_request(self, path: str) -> HttpResponse:
+    def _handle_operator_request(self, path: str, query: str) -> HttpResponse:
+        if path == '/placement' and self._kernel is not None:
+            return _explain_placement(self._kernel, query)
+        return self._handle_request(path, query)
+
+    def _handle_request(self, path: str, _query: str) -> HttpResponse:
         match path:
             case '/readyz':
                 ready = self._ready
@@ -224,3 +231,10 @@
     exposition = importlib.import_module('lycheedeal.hosting.metrics')
     text: bytes = exposition.render(metrics)
     return text
+
+
+def _explain_placement(kernel: relay.RelayKernel, query: str) -> HttpResponse:
+    # Imported at the first question, as the modules behind it serve nothing else.
+    placement = importlib.import_module('lycheedeal.hosting.placement')
+    response: HttpResponse = placement.respond(kernel, query)
+    return response
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -66,6 +66,8 @@
     position: Position = START_POSITION
     version: ConfigurationVersion | None = None
     settled: bool = True
+    # Where its last change was read from; None before the first one.
+    source: Source | None = None
     entries_by_name: dict[str, Entry] = field(default_factory=dict)
     # Names of objects that exist but could not be decoded.
     unusable: set[str] = field(default_factory=set)
@@ -99,6 +101,7 @@
         self.position = event.position
         self.version = event.version
         self.settled = event.settled
+        self.source = event.source
         return ContentPart(
             host_id=HostId(''),
             kind=self.kind,
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -88,6 +88,11 @@
         self._full_list_at = float('-inf')
         self._full_lists_valid_from = context.clock.monotonic() + _STARTUP_GRACE_SECONDS
 
+    @property
+    def candidates(self) -> CandidateList:
+        """What this host knows of the upstreams that may get a new flow."""
+        return self._candidates
+
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
         self._candidates.follow(event)
@@ -187,7 +192,7 @@
             yield self._drop(packet, 'host was paused', None)
             return
         previous = yield from self._check_previous(packet, now)
-        service = _pick_service(route, packet.flow)
+        service = pick_service(route, packet.flow)
         criteria = FlowCriteria(service, route.bulk, previous)
         upstreams_by_candidate = dict(self._candidates.upstreams(criteria))
         match select(upstreams_by_candidate, Demand(route.bulk), self._context.rng):
@@ -321,7 +326,7 @@
         self._context.metrics.add('packets', outcome)
 
 
-def _pick_service(route: Route, flow: FlowKey) -> ServiceName:
+def pick_service(route: Route, flow: FlowKey) -> ServiceName:
     """Return the service of a flow: by weight, and the same on every host."""
     if len(route.services) == 1:
         return route.services[0][0]
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -83,8 +83,10 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._greetings = Greetings(context, self._peer_table)
-        self._copies = {kind: ContentCopy(kind) for kind in context.settings.kinds}
-        self._freshness = Freshness(context)
+        self.copies_by_kind = {
+            kind: ContentCopy(kind) for kind in context.settings.kinds
+        }
+        self.freshness = Freshness(context)
         self._reassembler = Reassembler()
         self._is_leader = False
         self._stopping = False
@@ -106,7 +108,7 @@
         match event:
             case Started():
                 yield Publish(PeerTableReady(self._peer_table))
-                yield Publish(CopiesReady(self._copies))
+                yield Publish(CopiesReady(self.copies_by_kind))
                 yield from self._greetings.greet_seeds()
             case ContentChanged():
                 yield from self._content_changed(event)
@@ -122,7 +124,7 @@
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         if event.version is None and event.kind is StoreKind.CONFIGURATION:
             return
-        difference = self._copies[event.kind].apply(event)
+        difference = self.copies_by_kind[event.kind].apply(event)
         self._lagging_since.pop(event.kind, None)
         if difference is None or not self._is_leader:
             return
@@ -131,8 +133,8 @@
 
     def _content_confirmed(self, event: ContentConfirmed) -> None:
         kind, at = event.kind, event.at
-        is_news = at > self._freshness.confirmed_at(kind) + BEACON_INTERVAL_SECONDS
-        was_old = self._freshness.renew(kind, at, MAX_FRESH_AGE_SECONDS)
+        is_news = at > self.freshness.confirmed_at(kind) + BEACON_INTERVAL_SECONDS
+        was_old = self.freshness.renew(kind, at, MAX_FRESH_AGE_SECONDS)
         # The next tick sends a beacon if the others wait for a leader with fresh
         # content, or if the confirmation has already taken its time to this host.
         if was_old or (is_news and event.source is Source.PEER):
@@ -164,7 +166,7 @@
 
     def _beacon_received(self, beacon: Beacon) -> Iterator[Effect]:
         # While settings change, hosts that started earlier read other kinds.
-        if len(beacon.ages_ms) != len(self._copies):
+        if len(beacon.ages_ms) != len(self.copies_by_kind):
             return
         if beacon.peer.zone != self._own.zone:
             return
@@ -181,8 +183,8 @@
         is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
         if not is_fresh or (self._is_leader and not self._outranked_by(beacon)):
             return
-        for kind, age in zip(self._copies, beacon.ages_ms, strict=True):
-            self._freshness.confirm(kind, now - age / 1000)
+        for kind, age in zip(self.copies_by_kind, beacon.ages_ms, strict=True):
+            self.freshness.confirm(kind, now - age / 1000)
         if self._peer_table.leader_id != beacon.peer.host_id:
             self._peer_table.leader_id = beacon.peer.host_id
             yield SendPeer(
@@ -196,7 +198,7 @@
 
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
-        own_age = self._freshness.oldest_age()
+        own_age = self.freshness.oldest_age()
         if own_age >= MAX_FRESH_AGE_SECONDS:
             return True
         return rank(beacon.peer) < rank(self._own)
@@ -204,9 +206,9 @@
     def _compare_editions(self, beacon: Beacon) -> Iterator[Effect]:
         """Confirm each kind whose edition is not behind; ask for the others."""
         now = self._context.clock.monotonic()
-        kinds = zip(self._copies, beacon.ages_ms, beacon.editions, strict=True)
+        kinds = zip(self.copies_by_kind, beacon.ages_ms, beacon.editions, strict=True)
         for kind, age_ms, edition in kinds:
-            if edition <= edition_of(self._copies[kind]):
+            if edition <= edition_of(self.copies_by_kind[kind]):
                 self._lagging_since.pop(kind, None)
                 yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
                 yield from self._offer(kind, edition, beacon)
@@ -227,17 +229,19 @@
         It may have read an older one from a store that came back from a copy. On
         average one host of the zone sends it.
         """
-        copy = self._copies[kind]
+        copy = self.copies_by_kind[kind]
         is_newer = kind is StoreKind.CONFIGURATION and edition < edition_of(copy)
         if is_newer and self._context.rng.random() * beacon.zone_size < 1:
             for part in split_part(copy.snapshot(), self._own.host_id):
                 yield SendPeer(beacon.peer.endpoint, part)
 
     def _part_received(self, part: ContentPart) -> Iterator[Effect]:
-        change = self._reassembler.add(part) if part.kind in self._copies else None
+        change = (
+            self._reassembler.add(part) if part.kind in self.copies_by_kind else None
+        )
         if change is None:
             return
-        copy = self._copies[change.kind]
+        copy = self.copies_by_kind[change.kind]
         if edition_of(change) <= edition_of(copy):
             self._context.metrics.add('peer_content', 'ignored')
             yield _ignored_record(change, copy)
@@ -252,7 +256,7 @@
 
     def _send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
         peer = self._peer_table.find(host_id)
-        copy = self._copies.get(kind)
+        copy = self.copies_by_kind.get(kind)
         if peer is None or copy is None or copy.position == START_POSITION:
             return
         for part in split_part(copy.snapshot(), self._own.host_id):
@@ -270,7 +274,7 @@
             yield from self._request_beacon(now)
         if now >= self._next_maintenance:
             self._next_maintenance = now + _MAINTENANCE_INTERVAL_SECONDS
-            self._freshness.update_metrics()
+            self.freshness.update_metrics()
             self._peer_table.expire()
         yield from self._greetings.tick(now)
 
@@ -297,7 +301,7 @@
         starting = now - self._started_at < LEADER_TIMEOUT_SECONDS + stagger
         is_stale = (
             not starting
-            and self._freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger
+            and self.freshness.oldest_age() > MAX_FRESH_AGE_SECONDS + stagger
         )
         is_silent = now - self._leader_heard_at > LEADER_TIMEOUT_SECONDS + stagger
         if is_stale or is_silent:
@@ -326,7 +330,7 @@
                 'reason': reason,
                 'keeper': self._peer_table.leader_id,
                 'peers': len(self._peer_table),
-                'age_s': round(self._freshness.oldest_age(), 2),
+                'age_s': round(self.freshness.oldest_age(), 2),
             },
         )
 
@@ -338,10 +342,10 @@
             yield SendPeer(leader.endpoint, BeaconRequest(self._own))
 
     def _own_beacon(self) -> Beacon:
-        ages = self._freshness.ages_ms()
+        ages = self.freshness.ages_ms()
         if self._stopping:
-            ages = self._freshness.resigned_ages_ms()
-        editions = tuple(map(edition_of, self._copies.values()))
+            ages = self.freshness.resigned_ages_ms()
+        editions = tuple(map(edition_of, self.copies_by_kind.values()))
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
             self._own, ages, editions, size, self._peer_table.next_advertised()
