--- a/src/lycheedeal/cli/_client.py
+++ b/src/lycheedeal/cli/_client.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import os
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
+from urllib.parse import urlencode
 
 import aiohttp
 
@@ -93,6 +94,12 @@
         """Get the service-level counts and burn rates of one host."""
         return await self._call(host, 'GET', '/v1/burn', None)
 
+    async def get_placement(
+        self, host: Endpoint, fields: Mapping[str, str]
+    ) -> CallResult:
+        """Get from a relay where an opening would go."""
+        return await self._call(host, 'GET', f'/placement?{urlencode(fields)}', None)
+
     async def post_statement_to_all(
         self,
         hosts: Iterable[Endpoint],
@@ -153,6 +160,10 @@
 def _error_reason(error: Exception) -> str:
     if isinstance(error, aiohttp.ClientConnectorError) and error.errno:
         return os.strerror(error.errno).lower()
+    if isinstance(error, aiohttp.ContentTypeError):
+        path = error.request_info.url.path
+        status = f'HTTP status {error.status} without JSON'
+        return f'{status}: another program, or a build without {path}'
     if isinstance(error, TimeoutError):
         return 'no answer within the timeout'
     return str(error) or type(error).__name__
--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -1,4 +1,4 @@
-"""Command of ``lycheectl``: sends statements and explains flows from log lines."""
+"""Command of ``lycheectl``: sends statements, explains flows and placements."""
 
 import asyncio
 import sys
@@ -11,11 +11,14 @@
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Type
 
 from lycheedeal.cli import _options as shared_options
+from lycheedeal.cli._client import Answered, Rejected
 from lycheedeal.cli._exit_codes import ExitCode
 from lycheedeal.cli._output import (
     OutputForm,
+    format_cell,
     format_time,
     json_lines,
     object_lines,
@@ -23,6 +26,7 @@
     write_lines,
 )
 from lycheedeal.cli._statement import Outcome, send_statement
+from lycheedeal.cli._where import ask, parse_question, placement_lines
 from lycheedeal.exceptions import UsageError
 from lycheedeal.explaining import explain, format_explanation, parse_query
 
@@ -44,6 +48,8 @@
   explain flow IP:PORT [--log FILE]
   explain request IP:PORT at UNIX-SECONDS [--log FILE]
 
+  where ROUTE --host http://IP:PORT [--caller IP:PORT] [--json]
+
 Priority 0 is the most urgent. The floor is the share of slots that a kind keeps
 while other kinds are overloaded. "dry run" before a change validates it and
 shows what it would affect, without making it.
@@ -57,10 +63,16 @@
 "explain" contacts no host: it reads log lines of lychee-relay, of one or several
 hosts, and shows the decisions about a caller's flow and the related events.
 
+"where" asks one lychee-relay, at its metrics address, where an opening of a route
+would go now and why; nothing is sent to an upstream. ROUTE is the name of the
+route or its IP:PORT. A caller decides the service if the route has several. It is
+not available for lycheedeald.
+
 Examples:
 
   lycheectl --host 10.0.0.1:9002,10.0.0.2:9002 show config
   lycheectl dry run drain upstream api-3 of bitacora-api
+  lycheectl where r-api --host http://10.0.0.1:9109 --caller 100.64.0.7:40001
 
 Exit codes: 0 done, 1 refused or nothing found, 2 usage, 3 conflict with another
 change, 4 unknown whether the change was made, 5 no host reachable.
@@ -79,6 +91,8 @@
         option(
             'log', None, 'file with log lines for "explain"; - is standard input', False
         ),
+        option('caller', None, 'IP:PORT of the caller for "where"', False),
+        option('json', None, 'short for --output json'),
     ]
 
     def handle(self) -> int:
@@ -86,6 +100,8 @@
         match self.argument('statement'):
             case ['explain', *words]:
                 return self._explain(words)
+            case ['where', *words]:
+                return self._ask_where(words)
             case _:
                 return self._send()
 
@@ -101,9 +117,35 @@
         write_lines(self.io, format_explanation(explanation))
         return ExitCode.DONE if explanation.flow else ExitCode.REFUSED
 
+    def _ask_where(self, words: list[str]) -> int:
+        try:
+            form = self._parse_form()
+            question = parse_question(words, self.option('host'), self.option('caller'))
+            timeout = shared_options.parse_timeout(self.option('timeout'))
+        except UsageError as error:
+            self.line_error(f'lycheectl: {error}')
+            return ExitCode.USAGE
+        result = asyncio.run(ask(question, timeout))
+        match result:
+            case Answered(document=document):
+                lines = json_lines if form is OutputForm.JSON else placement_lines
+                write_lines(self.io, lines(document))
+                return ExitCode.DONE
+            case Rejected():
+                exit_code = ExitCode.REFUSED
+            case _:
+                exit_code = ExitCode.UNREACHABLE
+        reason = format_cell(result.reason)
+        self.io.write_error_line(f'lycheectl: {result.host}: {reason}', type=Type.RAW)
+        return exit_code
+
+    def _parse_form(self) -> OutputForm:
+        form = shared_options.parse_form(self.option('output'))
+        return OutputForm.JSON if self.option('json') else form
+
     def _send(self) -> int:
         try:
-            form = shared_options.parse_form(self.option('output'))
+            form = self._parse_form()
             call = send_statement(
                 shared_options.parse_hosts(self.option('host')),
                 ' '.join(self.argument('statement')),
