--- a/src/lycheedeal/cli/_ctl_command.py
+++ b/src/lycheedeal/cli/_ctl_command.py
@@ -65,8 +65,8 @@
 
 "where" asks one lychee-relay, at its metrics address, where an opening of a route
 would go now and why; nothing is sent to an upstream. ROUTE is the name of the
-route or its IP:PORT. A caller decides the service if the route has several. It is
-not available for lycheedeald.
+route or its IP:PORT. With --caller, the service of a route with several is the one
+that this caller gets. The daemon of our own protocol, lycheedeald, cannot be asked.
 
 Examples:
 
--- a/src/lycheedeal/cli/_where.py
+++ b/src/lycheedeal/cli/_where.py
@@ -75,7 +75,7 @@
     outcome = 'would be forwarded'
     if refusal is not None:
         outcome = f'would be reset: {format_cell(refusal)}'
-    yield f'service {name}, {share}% of the openings: {outcome}'
+    yield f'service {name}, share {share}%: {outcome}'
     yield from table_lines(service['upstreams'])
 
 
--- a/src/lycheedeal/relay/explaining.py
+++ b/src/lycheedeal/relay/explaining.py
@@ -29,7 +29,7 @@
 from lycheedeal.relay.zone import ZonePlugin
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class PlacementQuery:
     """Opening to explain.
 
@@ -41,7 +41,7 @@
     caller: RouteKey | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class UpstreamPlacement:
     """An upstream of a service.
 
@@ -54,7 +54,7 @@
     probability: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class ServicePlacement:
     """A service of the route; ``share`` is the part of the openings that it gets.
 
@@ -67,7 +67,7 @@
     refusal: RefusalReason | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Content:
     """Content of one kind of objects that the host has, and its age in seconds."""
 
@@ -75,7 +75,7 @@
     age: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class LoadsState:
     """Last report of loads; ``age`` is None if the host has none.
 
@@ -87,7 +87,7 @@
     zones: tuple[Zone, ...]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Placement:
     """Where an opening would go now, and the content that decides it.
 
@@ -102,7 +102,7 @@
     loads: LoadsState
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class RouteUnknown:
     """The configuration has no such route; None stands for no configuration."""
 
--- a/tests/unit/test_module_bundle.py
+++ b/tests/unit/test_module_bundle.py
@@ -127,3 +127,41 @@
     assert {'inspect', 'logging', 'subprocess', 'traceback'} <= set(lazy.split())
     assert rest == ['True', 'True x', '<module>']
     assert 'reported by asyncio' in completed.stderr
+
+
+# Prints the path of a module that the start does not load, and asks its question.
+QUESTION = """
+import sys
+sys.modules['ssl'] = None
+import module_bundle
+assert module_bundle.install('modules.bundle')
+import random
+import lycheedeal.platform.program
+from lycheedeal import hosting, ids, relay
+settings = relay.RelaySettings(
+    ids.HostId('a'), ids.Zone('z'), ids.Endpoint('127.0.0.1', 9), 0.5, (), 6
+)
+context = relay.RelayContext(settings, hosting.SystemClock(), random.Random())
+kernel = relay.build_kernel(context)
+assert 'lycheedeal.hosting.placement' not in sys.modules
+import lycheedeal.hosting.placement as placement
+print(placement.__file__)
+print(placement.respond(kernel, 'route=r-1').status.name)
+"""
+
+
+def test_placement_is_explained_beside_the_bundle(build_folder: Path) -> None:
+    """Guards against a question that fails where only the start is in the bundle.
+
+    The bundle names the folder in which it was built.
+    """
+    completed = subprocess.run(
+        [sys.executable, '-S', '-c', QUESTION],
+        capture_output=True,
+        check=True,
+        cwd=build_folder,
+        text=True,
+    )
+    path, status = completed.stdout.splitlines()
+    assert Path(path) == build_folder / 'lycheedeal' / 'hosting' / 'placement.py'
+    assert status == 'SERVICE_UNAVAILABLE'
--- a/tests/unit/test_relay_placement.py
+++ b/tests/unit/test_relay_placement.py
@@ -211,7 +211,7 @@
     """Guards against text output that fails on an answer, or leaves a part out."""
     host = simulation.add('a')
     text = '\n'.join(placement_lines(ask(host, 'route=r-api')))
-    assert 'service api, 100% of the openings: would be forwarded' in text
+    assert 'service api, share 100%: would be forwarded' in text
     assert 'unreported' in text and 'configuration' in text
     host.dispatch(relay.EvacuationsChanged(frozenset((Zone('south'),)), frozenset()))
     simulation.store.put(listing('i-3', zone='north', draining=True))
@@ -243,6 +243,13 @@
     assert errors.fetch().startswith('lycheectl: ')
 
 
+def test_help_says_which_program_can_be_asked() -> None:
+    """Guards against questions to lycheedeald, which has no such path."""
+    output = BufferedOutput()
+    assert run_program('lycheectl', ['--help'], output, output) == 0
+    assert 'lycheedeald, cannot be asked' in output.fetch()
+
+
 def test_start_does_not_load_the_explanation() -> None:
     """Guards against a start that takes longer for a question that nobody asks."""
     code = (
