--- a/src/lycheedeal/relay/evacuations.py
+++ b/src/lycheedeal/relay/evacuations.py
@@ -28,7 +28,7 @@
     def __init__(self, context: RelayContext) -> None:
         """Start without evacuations."""
         self._context = context
-        self._evacuated: frozenset[Zone] = frozenset()
+        self.evacuated: frozenset[Zone] = frozenset()
         # A store that came back from an older copy may lack an evacuation that its
         # operator writes again.
         self._missing = MissingEntries(context)
@@ -43,7 +43,7 @@
             ):
                 ended = frozenset(map(Zone, self._missing.take_ended(at)))
                 if ended:
-                    yield from self._replace(self._evacuated - ended)
+                    yield from self._replace(self.evacuated - ended)
 
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         for name in event.unusable:
@@ -60,22 +60,22 @@
             self._missing.discard(zone)
         gone = frozenset(map(Zone, (*event.removed, *event.unusable)))
         if event.complete:
-            gone = self._evacuated - present
+            gone = self.evacuated - present
         if not event.settled:
-            for zone in gone & self._evacuated:
+            for zone in gone & self.evacuated:
                 self._missing.add(zone)
             gone = frozenset()
         for zone in gone:
             self._missing.discard(zone)
-        yield from self._replace((self._evacuated - gone) | present)
+        yield from self._replace((self.evacuated - gone) | present)
 
     def _replace(self, evacuated: frozenset[Zone]) -> Iterator[Effect]:
-        resumed = self._evacuated - evacuated
-        for zone in evacuated - self._evacuated:
+        resumed = self.evacuated - evacuated
+        for zone in evacuated - self.evacuated:
             yield from self._record(zone, 'evacuated', 'Zone gets no new flows.')
         for zone in resumed:
             yield from self._record(zone, 'resumed', 'Zone gets new flows again.')
-        self._evacuated = evacuated
+        self.evacuated = evacuated
         yield Publish(EvacuationsChanged(evacuated, resumed))
 
     def _record(self, zone: Zone, change: str, text: str) -> Iterator[Effect]:
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from lycheedeal import relay
@@ -34,6 +34,7 @@
     port: int = 0,
     draining: bool = False,
     started_ms: int = 1,
+    warmup_ms: int = 0,
 ) -> relay.Listing:
     return relay.Listing(
         UpstreamId(name),
@@ -42,7 +43,7 @@
         Zone(zone),
         slots=2,
         draining=draining,
-        warmup_ms=0,
+        warmup_ms=warmup_ms,
         started_ms=started_ms,
     )
 
@@ -76,13 +77,17 @@
     ``watches_silent`` no watch reports a change. ``refused`` are the ids of hosts
     whose calls fail; ``calls`` has the host id and the name of each call. ``era``
     counts how often the store came back from an older copy. ``unusable`` names entries
-    that cannot be read.
+    that cannot be read, ``unusable_evacuations`` evacuations. ``terms`` are those of
+    services, and a part of the configuration.
     """
 
     era: int = 1
     revision: int = 10
     version: int = 1
     routes: tuple[relay.Route, ...] = ROUTES
+    terms: tuple[relay.ServiceTerms, ...] = ()
+    evacuations: dict[str, relay.Evacuation] = field(default_factory=dict)
+    unusable_evacuations: set[str] = field(default_factory=set)
     listings: dict[str, relay.Listing] = field(default_factory=dict)
     unusable: set[str] = field(default_factory=set)
     events: list[tuple[int, relay.StoreKind, str]] = field(default_factory=list)
@@ -91,6 +96,7 @@
     watches_silent: bool = False
     refused: set[str] = field(default_factory=set)
     calls: list[tuple[str, str]] = field(default_factory=list)
+    calls_by_kind: Counter[relay.StoreKind] = field(default_factory=Counter)
 
     @property
     def position(self) -> relay.Position:
@@ -116,6 +122,25 @@
             self.listings.pop(name)
         self._record(relay.StoreKind.UPSTREAMS, name)
 
+    def evacuate(self, *zones: str) -> None:
+        for zone in zones:
+            self.evacuations[zone] = relay.Evacuation(Zone(zone))
+            self.unusable_evacuations.discard(zone)
+            self._record(relay.StoreKind.EVACUATIONS, zone)
+
+    def damage_evacuation(self, zone: str) -> None:
+        """Write an evacuation that cannot be read."""
+        self.evacuations.pop(zone, None)
+        self.unusable_evacuations.add(zone)
+        self._record(relay.StoreKind.EVACUATIONS, zone)
+
+    def resume(self, *zones: str) -> None:
+        """Delete the evacuations of zones."""
+        for zone in zones:
+            self.evacuations.pop(zone, None)
+            self.unusable_evacuations.discard(zone)
+            self._record(relay.StoreKind.EVACUATIONS, zone)
+
     def configure(self, version: int, *routes: relay.Route) -> None:
         self.version, self.routes = version, routes
         self._record(relay.StoreKind.CONFIGURATION, 'main')
@@ -123,7 +148,9 @@
     def copy(self) -> 'Store':
         """Return a copy of the content and its history, for ``restore``."""
         content = Store(revision=self.revision, version=self.version)
-        content.routes = self.routes
+        content.routes, content.terms = self.routes, self.terms
+        content.evacuations = dict(self.evacuations)
+        content.unusable_evacuations = set(self.unusable_evacuations)
         content.listings = dict(self.listings)
         content.unusable = set(self.unusable)
         content.events = list(self.events)
@@ -133,7 +160,9 @@
         """Go back to a copy; later changes are lost and their revisions free again."""
         self.era += 1
         self.revision, self.version = copy.revision, copy.version
-        self.routes = copy.routes
+        self.routes, self.terms = copy.routes, copy.terms
+        self.evacuations = dict(copy.evacuations)
+        self.unusable_evacuations = set(copy.unusable_evacuations)
         self.listings = dict(copy.listings)
         self.unusable = set(copy.unusable)
         self.events = list(copy.events)
@@ -147,19 +176,20 @@
         self.events.append((self.revision, kind, name))
 
     def list_all(self, kind: relay.StoreKind) -> relay.ListAnswered:
-        entries: tuple[relay.Entry, ...] = tuple(self.listings.values())
-        unusable = tuple(sorted(self.unusable))
+        entries: tuple[relay.Entry, ...]
+        unusable: tuple[str, ...] = ()
         version = None
-        if kind is relay.StoreKind.CONFIGURATION:
-            entries, unusable = self.routes, ()
-            version = relay.ConfigurationVersion(self.version)
-        return relay.ListAnswered(
-            kind,
-            self.position,
-            entries,
-            unusable,
-            version,
-        )
+        match kind:
+            case relay.StoreKind.CONFIGURATION:
+                entries = *self.routes, *self.terms
+                version = relay.ConfigurationVersion(self.version)
+            case relay.StoreKind.UPSTREAMS:
+                entries = tuple(self.listings.values())
+                unusable = tuple(sorted(self.unusable))
+            case relay.StoreKind.EVACUATIONS:
+                entries = tuple(self.evacuations.values())
+                unusable = tuple(sorted(self.unusable_evacuations))
+        return relay.ListAnswered(kind, self.position, entries, unusable, version)
 
     def changes(
         self, kind: relay.StoreKind, since: int
@@ -178,13 +208,16 @@
                 answer.entries,
                 version=answer.version,
             )
-        present = [self.listings[name] for name in names if name in self.listings]
+        entries_by_name: Mapping[str, relay.Entry] = self.listings
         unusable = names & self.unusable
+        if kind is relay.StoreKind.EVACUATIONS:
+            entries_by_name = self.evacuations
+            unusable = names & self.unusable_evacuations
         return relay.WatchAnswered(
             kind,
             self.position,
-            tuple(present),
-            tuple(names - self.listings.keys() - unusable),
+            tuple(entries_by_name[one] for one in names if one in entries_by_name),
+            tuple(names - entries_by_name.keys() - unusable),
             tuple(unusable),
         )
 
@@ -209,7 +242,15 @@
         simulation.address_count += 1
         self.endpoint = Endpoint(f'10.0.0.{simulation.address_count}', 7720)
         settings = relay.RelaySettings(
-            HostId(name), Zone(zone), self.endpoint, 0.5, seeds, stop_seconds=6
+            HostId(name),
+            Zone(zone),
+            self.endpoint,
+            0.5,
+            seeds,
+            stop_seconds=6,
+            evacuation_seconds=simulation.evacuation_seconds,
+            warmup_overage=simulation.warmup_overage,
+            warmup_slack=simulation.warmup_slack,
         )
         self.context = relay.RelayContext(
             settings, simulation.clock, random.Random(name)
@@ -232,6 +273,24 @@
         self.dispatch(relay.PacketArrived(opening))
         return self.sent[-1].upstream
 
+    def try_open(
+        self, caller: int = CALLER, key: relay.RouteKey = ROUTE_KEY
+    ) -> relay.Upstream | None:
+        """Dispatch an opening; return the chosen upstream, None if it was refused."""
+        sent = len(self.sent)
+        opening = packet(relay.PacketKind.OPENING, caller=caller, key=key)
+        self.dispatch(relay.PacketArrived(opening))
+        return self.sent[-1].upstream if len(self.sent) > sent else None
+
+    def refusal(self) -> object:
+        """Return the reason of the last refusal."""
+        details = [one.details for one in self.records if 'reason' in one.details]
+        return details[-1]['reason']
+
+    def evacuated(self) -> frozenset[str]:
+        plugin = self.kernel.plugins_by_name['evacuations']
+        return frozenset(plugin.evacuated)
+
     def version(self) -> int | None:
         version: int | None = self.kernel.plugins_by_name['routes'].version
         return version
@@ -312,6 +371,7 @@
 
     def _record_call(self, call: str, kind: relay.StoreKind) -> None:
         self.simulation.store.calls.append((self.context.settings.host_id, call))
+        self.simulation.store.calls_by_kind[kind] += 1
 
 
 class RelaySimulation:
@@ -320,8 +380,14 @@
     Datagrams from and to endpoints in ``disconnected`` are lost, those between
     ``cut_zone`` and other zones, and a share of ``loss`` of all others. All that are
     sent go to ``recorded``, with the endpoint of the receiver, unless it is None.
+    Hosts that are added later have ``evacuation_seconds``, ``warmup_overage`` and
+    ``warmup_slack`` in their settings.
     """
 
+    evacuation_seconds: float = 0
+    warmup_overage: float | None = None
+    warmup_slack: float | None = None
+
     def __init__(self) -> None:
         self.clock = Clock()
         self.store = Store()
