--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -86,13 +86,20 @@
 
 def _refusal_reason(candidates: tuple[Candidate, ...]) -> RefusalReason:
     """Return the reason that ends first."""
-    found = {exclusion for one in candidates for exclusion in one.exclusions}
+    found = {exclusion for one in candidates for exclusion in _reasons(one)}
     for exclusion, reason in _REASON_BY_EXCLUSION:
         if exclusion in found:
             return reason
     return RefusalReason.NO_UPSTREAM
 
 
+def _reasons(candidate: Candidate) -> frozenset[Exclusion]:
+    """Return what keeps flows from an upstream; an evacuation outlasts the others."""
+    if Exclusion.EVACUATED in candidate.exclusions:
+        return frozenset((Exclusion.EVACUATED,))
+    return candidate.exclusions
+
+
 def _group(
     allowed: list[Candidate], demand: Demand, rng: random.Random
 ) -> list[Candidate]:
--- a/tests/unit/test_relay_evacuations.py
+++ b/tests/unit/test_relay_evacuations.py
@@ -135,6 +135,22 @@
         assert host.refusal() == 'evacuated'
 
 
+def test_cold_upstreams_of_an_evacuated_zone_are_refused_as_evacuated(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against the reason of a warm-up that does not matter."""
+    cold = listing('i-9', zone='north', service=INTAKE, warmup_ms=60_000)
+    for host in simulation.hosts.values():
+        host.context.settings.warmup_overage = 1.5
+        host.context.settings.warmup_slack = 5
+    simulation.store.put(cold)
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    for host in simulation.hosts.values():
+        assert host.try_open(key=INTAKE_KEY) is None
+        assert host.refusal() == 'evacuated'
+
+
 @pytest.mark.parametrize('begins', [True, False])
 def test_change_while_the_store_is_down_takes_effect_after_its_return(
     simulation: RelaySimulation, begins: bool
