--- a/src/lycheedeal/relay/evacuations.py
+++ b/src/lycheedeal/relay/evacuations.py
@@ -17,9 +17,11 @@
     EditionConfirmed,
     EvacuationsChanged,
     Event,
+    Tick,
 )
 from lycheedeal.relay._missing_entries import MissingEntries
-from lycheedeal.relay._records import Evacuation, StoreKind
+from lycheedeal.relay._records import START_POSITION, Evacuation, StoreKind
+from lycheedeal.relay._store_contact import StoreContact
 
 
 class EvacuationsPlugin:
@@ -32,18 +34,30 @@
         # A store that came back from an older copy may lack an evacuation that its
         # operator writes again.
         self._missing = MissingEntries(context)
+        self._contact = StoreContact(context)
+        self._era = START_POSITION.era
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
         match event:
             case ContentChanged(kind=StoreKind.EVACUATIONS):
                 yield from self._content_changed(event)
+                self._contact.note()
             case ContentConfirmed(StoreKind.EVACUATIONS, at) | EditionConfirmed(
                 StoreKind.EVACUATIONS, at
             ):
-                ended = frozenset(map(Zone, self._missing.take_ended(at)))
-                if ended:
-                    yield from self._replace(self.evacuated - ended)
+                self._contact.note()
+                yield from self._content_confirmed(self._contact.answered_at(at))
+            case Tick(now=now):
+                self._contact.tick(now)
+
+    def _content_confirmed(self, answered_at: float) -> Iterator[Effect]:
+        # An operator cannot write while the store is away.
+        if not self._contact.is_settled():
+            return
+        ended = frozenset(map(Zone, self._missing.take_ended(answered_at)))
+        if ended:
+            yield from self._replace(self.evacuated - ended)
 
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         for name in event.unusable:
@@ -53,6 +67,11 @@
                 'Evacuation cannot be read; it evacuates nothing.',
                 {'name': name, **event.position._asdict()},
             )
+        is_recovery = event.complete and not event.settled
+        if event.position.era > self._era or is_recovery:
+            # Evacuations may be missing for the whole time again.
+            self._missing.restart()
+        self._era = event.position.era
         present = frozenset(
             entry.zone for entry in event.entries if isinstance(entry, Evacuation)
         )
@@ -87,6 +106,6 @@
     PluginSpec(
         'evacuations',
         EvacuationsPlugin,
-        frozenset((ContentChanged, ContentConfirmed, EditionConfirmed)),
+        frozenset((ContentChanged, ContentConfirmed, EditionConfirmed, Tick)),
     )
 )
--- a/tests/unit/test_relay_evacuations.py
+++ b/tests/unit/test_relay_evacuations.py
@@ -203,6 +203,41 @@
     assert evacuated_sets(simulation) == {frozenset()}
 
 
+def test_second_restore_gives_evacuations_the_whole_time_again(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against flows to an evacuated zone after the store went back twice."""
+    copy = simulation.store.copy()
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    for _ in range(2):
+        simulation.store.restore(copy)
+        for _ in steps(simulation, SETTLING_SECONDS - 0.3):
+            assert evacuated_sets(simulation) == {frozenset({'north'})}
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    assert evacuated_sets(simulation) == {frozenset({'north'})}
+
+
+def test_outage_after_a_restore_gives_evacuations_the_whole_time_again(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against an evacuation that ends before its operator reaches the store."""
+    copy = simulation.store.copy()
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    simulation.store.restore(copy)
+    simulation.run(0.5)
+    simulation.store.up = False
+    simulation.run(10)
+    simulation.store.up = True
+    for _ in steps(simulation, SETTLING_SECONDS - 0.1):
+        assert evacuated_sets(simulation) == {frozenset({'north'})}
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    assert evacuated_sets(simulation) == {frozenset({'north'})}
+
+
 def test_hosts_that_the_store_refuses_learn_it_from_the_others(
     simulation: RelaySimulation,
 ) -> None:
