--- a/src/lycheedeal/relay/evacuations.py
+++ b/src/lycheedeal/relay/evacuations.py
@@ -18,10 +18,12 @@
     EvacuationsChanged,
     Event,
     Tick,
+    UpstreamsChanged,
 )
 from lycheedeal.relay._missing_entries import MissingEntries
 from lycheedeal.relay._records import START_POSITION, Evacuation, StoreKind
 from lycheedeal.relay._store_contact import StoreContact
+from lycheedeal.relay._upstream_table import UpstreamTable
 
 
 class EvacuationsPlugin:
@@ -36,6 +38,10 @@
         self._missing = MissingEntries(context)
         self._contact = StoreContact(context)
         self._era = START_POSITION.era
+        # None until this host has upstreams.
+        self._table: UpstreamTable | None = None
+        # Evacuated zones without upstreams.
+        self._unknown: frozenset[Zone] = frozenset()
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
@@ -48,6 +54,9 @@
             ):
                 self._contact.note()
                 yield from self._content_confirmed(self._contact.answered_at(at))
+            case UpstreamsChanged(table=table):
+                self._table = table
+                yield from self._find_unknown()
             case Tick(now=now):
                 self._contact.tick(now)
 
@@ -96,6 +105,22 @@
             yield from self._record(zone, 'resumed', 'Zone gets new flows again.')
         self.evacuated = evacuated
         yield Publish(EvacuationsChanged(evacuated, resumed))
+        yield from self._find_unknown()
+
+    def _find_unknown(self) -> Iterator[Effect]:
+        """Report evacuations that have no effect, as their zone has no upstreams."""
+        if self._table is None or not (self.evacuated or self._unknown):
+            return
+        upstreams = self._table.current_by_id.values()
+        unknown = self.evacuated.difference(one.listing.zone for one in upstreams)
+        for zone in unknown - self._unknown:
+            yield LogRecord(
+                Part.EVACUATIONS,
+                'unknown zone',
+                'Evacuation names a zone without upstreams; it evacuates nothing.',
+                {'zone': zone},
+            )
+        self._unknown = unknown
 
     def _record(self, zone: Zone, change: str, text: str) -> Iterator[Effect]:
         self._context.metrics.add('evacuations', change)
@@ -106,6 +131,14 @@
     PluginSpec(
         'evacuations',
         EvacuationsPlugin,
-        frozenset((ContentChanged, ContentConfirmed, EditionConfirmed, Tick)),
+        frozenset(
+            (
+                ContentChanged,
+                ContentConfirmed,
+                EditionConfirmed,
+                UpstreamsChanged,
+                Tick,
+            )
+        ),
     )
 )
--- a/tests/unit/test_relay_evacuations.py
+++ b/tests/unit/test_relay_evacuations.py
@@ -338,6 +338,21 @@
     assert not late.evacuated()
 
 
+def test_evacuation_of_a_zone_without_upstreams_is_logged(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against an operator who mistypes a zone and believes it evacuated."""
+    simulation.store.evacuate('nroth')
+    simulation.run(EVACUATE_SECONDS)
+    late = simulation.add('late', 'west')
+    text = 'Evacuation names a zone without upstreams; it evacuates nothing.'
+    assert all(text in found for found in texts(simulation, 'unknown zone'))
+    assert 'north' in used_zones(hosts_of(simulation, 'north')[0])
+    assert late.ready
+    logged = [one for one in late.records if one.kind == 'unknown zone']
+    assert len(logged) == 1
+
+
 def test_deployment_without_evacuations_does_not_read_them() -> None:
     """Guards against calls that count against the budget of other deployments."""
     simulation = RelaySimulation()
