--- a/src/lycheedeal/placement/_quota.py
+++ b/src/lycheedeal/placement/_quota.py
@@ -63,10 +63,13 @@
         planned = int(limit.openings * _PLANNED_SHARE)
         sharing = min(len(hosts), planned)
         own = _order(self._host_id, upstream_id)
-        if sum(_order(one, upstream_id) < own for one in hosts) >= sharing:
+        earlier = sum(_order(one, upstream_id) < own for one in hosts)
+        if earlier >= sharing:
             return 0
+        # The first hosts send one more each if the openings cannot be split evenly.
+        allowed = planned // sharing + (earlier < planned % sharing)
         sent = self._sent_by_id.get(upstream_id, ())
-        if sum(at > now - _WINDOW_SECONDS for at in sent) >= planned // sharing:
+        if sum(at > now - _WINDOW_SECONDS for at in sent) >= allowed:
             return 0
         return len(hosts) / sharing
 
