Keep the shares of lost hosts in the limits of cold upstreams

A host that is cut off from its peers still carries flows. It took the whole limit once it had forgotten them, as the others did with its share: up to twice the limit. A leader compared the hosts that it knows with the size of the zone in a beacon that it had received before it was the leader, and took no share after a loss of hosts.

--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -22,9 +22,9 @@
     UpstreamsChanged,
 )
 from lycheedeal.relay._flows import mean_in_flight
-from lycheedeal.relay._peer_table import PeerTable
 from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
+from lycheedeal.relay._sharing_hosts import SharingHosts
 from lycheedeal.relay._upstream_table import UpstreamTable
 
 # Requests in flight that an open flow adds to the estimate of load: on average a
@@ -33,14 +33,6 @@
 # Factor by which the answers of an upstream take longer while it warms up.
 _WARMUP_FACTOR: Final = 1.6
 _NO_LOAD: Final = Load(0, 0)
-# A host has a share in the limits of cold upstreams after running for this long
-# without a pause. By then its peers know it: beacons name all hosts of a zone of 30
-# within 3 s.
-_KNOWN_AFTER_SECONDS: Final = 6.0
-# Ticks come each 0.1 s; a longer gap means that the process was paused.
-_MAX_TICK_GAP_SECONDS: Final = 1.5
-# Nor has it one unless it knows this part of the hosts that its leader counts.
-_MIN_KNOWN_SHARE: Final = 0.9
 # How long upstreams are cold where the configuration does not tell.
 _WARMUP_SECONDS: Final = 2.0
 
@@ -69,10 +61,8 @@
         self._evacuated: frozenset[Zone] = frozenset()
         # When each zone was resumed after an evacuation.
         self._resumed_at_by_zone: dict[Zone, float] = {}
-        self._peer_table = PeerTable(context.settings.own_peer, context.clock)
+        self._sharing_hosts = SharingHosts(context)
         self._quota = WarmupQuota(context.settings.host_id)
-        self._last_tick = context.clock.monotonic()
-        self._running_since = self._last_tick
 
     def follow(self, event: Event) -> None:
         """Take in what an event tells."""
@@ -85,18 +75,14 @@
                 now = self._context.clock.monotonic()
                 self._evacuated = evacuated
                 self._resumed_at_by_zone.update(dict.fromkeys(resumed, now))
-            case PeerTableReady(peer_table=peer_table):
-                self._peer_table = peer_table
-            case Tick(now=now):
-                if now - self._last_tick > _MAX_TICK_GAP_SECONDS:
-                    self._running_since = now
-                self._last_tick = now
+            case PeerTableReady() | Tick():
+                self._sharing_hosts.follow(event)
 
     def upstreams(self, criteria: FlowCriteria) -> Iterator[tuple[Candidate, Upstream]]:
         """Yield the upstreams of a service that accept new flows."""
         now = self._context.clock.monotonic()
         region_loads = self._table.region_loads
-        hosts = self._sharing_hosts(now) if self._has_warmup_limit() else ()
+        hosts = self._sharing_hosts.ids(now) if self._has_warmup_limit() else ()
         for upstream in self._table.ready(criteria.service):
             candidate = Candidate(
                 upstream.listing.upstream_id,
@@ -186,18 +172,6 @@
             rate or 0, settings.warmup_overage or 0, settings.warmup_slack or 0
         )
 
-    def _sharing_hosts(self, now: float) -> tuple[HostId, ...]:
-        """Return the hosts of the zone; none if this host may not know all of them."""
-        own = self._peer_table.own
-        if now - self._running_since < _KNOWN_AFTER_SECONDS:
-            return ()
-        if not own.is_leader and self._peer_table.leader_id is None:
-            return ()
-        hosts = own.host_id, *(one.host_id for one in self._peer_table.of_own_zone())
-        if len(hosts) < self._peer_table.zone_size * _MIN_KNOWN_SHARE:
-            return ()
-        return hosts
-
 
 def _is_reported(region_loads: ReportedLoads, zone: Zone, now: float) -> bool:
     """Return whether a zone, which uses its upstreams most, has reported."""
