--- a/tests/unit/test_relay_store_histories.py
+++ b/tests/unit/test_relay_store_histories.py
@@ -33,12 +33,16 @@
 # Service that no route names.
 UNKNOWN = ServiceName('unknown')
 ZONES = ('north', 'south')
+# One of them has neither hosts nor upstreams.
+EVACUATED_ZONES = (*ZONES, 'elsewhere')
 HOSTS_PER_ZONE = 2
 # Until every host has what the store holds: the delay of a change, the removal of
 # entries and the time for which entries of a restored store are held back.
 SETTLING_SECONDS = 9.0
 # The store drops the entry of an upstream that it has not heard for this long.
 LAPSE_SECONDS = 3.0
+# An evacuation is in force on every host within this time.
+EVACUATE_SECONDS = 5.0
 # Operator and upstreams write again within this time of the store's return.
 RETURN_SECONDS = 2.0
 # More than one message holds.
@@ -60,6 +64,7 @@
     @initialize()
     def start(self) -> None:
         self.simulation = RelaySimulation()
+        self.simulation.evacuation_seconds = EVACUATE_SECONDS
         self.store = self.simulation.store
         self.version = 1
         self.routes = ROUTES
@@ -67,6 +72,8 @@
         self.entries_by_name = {name: listing(name) for name in FIRST_UPSTREAMS}
         self.started = len(FIRST_UPSTREAMS)
         self.copies: list[Store] = []
+        # What the operator wants.
+        self.evacuated: set[str] = set()
         # Entries of another writer, by id and start time.
         self.foreign: set[tuple[str, int]] = set()
         self.store.put(*self.entries_by_name.values())
@@ -135,6 +142,24 @@
             self.entries_by_name.pop(entry.upstream_id)
             self.store.delete(entry.upstream_id)
 
+    @rule(zone=st.sampled_from(EVACUATED_ZONES), seconds=delays)
+    def evacuate(self, zone: str, seconds: float) -> None:
+        self.evacuated.add(zone)
+        self.store.evacuate(zone)
+        self._run(seconds)
+
+    @precondition(lambda self: self.evacuated)
+    @rule(number=st.integers(0), seconds=delays, damages=st.booleans())
+    def resume(self, number: int, seconds: float, damages: bool) -> None:
+        """Delete an evacuation, or let another writer replace it by an odd object."""
+        zone = sorted(self.evacuated)[number % len(self.evacuated)]
+        self.evacuated.remove(zone)
+        if damages:
+            self.store.damage_evacuation(zone)
+        else:
+            self.store.resume(zone)
+        self._run(seconds)
+
     @rule(number=st.integers(0), seconds=delays)
     def damage_entry(self, number: int, seconds: float) -> None:
         """Let another writer replace an entry; its upstream goes on."""
@@ -202,6 +227,10 @@
         self, number: int, outage: float, late: float, times: int
     ) -> None:
         """Go back to a copy, or twice; operator and upstreams write again in 2 s."""
+        known = [
+            (host, host.evacuated() & self.evacuated)
+            for host in self.simulation.hosts.values()
+        ]
         for _ in range(times):
             if outage:
                 self.store.up = False
@@ -210,13 +239,22 @@
             self.store.restore(self.copies[number % len(self.copies)])
             del self.copies[number % len(self.copies) + 1 :]
             self._run(min(late, RETURN_SECONDS))
+            # An evacuation that the copy lacks may be written again.
+            assert all(zones <= host.evacuated() for host, zones in known)
         if self.store.version != self.version:
             self.store.configure(self.version, *self.routes)
         self.store.put(*self.entries_by_name.values())
+        self._write_evacuations()
         self._run(LAPSE_SECONDS)
         for name in self.store.listings.keys() - self.entries_by_name.keys():
             self.store.delete(name)
 
+    def _write_evacuations(self) -> None:
+        """Write what the operator wants over that of an older copy."""
+        stored = self.store.evacuations.keys()
+        self.store.resume(*sorted(stored - self.evacuated))
+        self.store.evacuate(*sorted(self.evacuated - stored))
+
     @invariant()
     def living_upstreams_are_not_gone(self) -> None:
         living = {_incarnation(one) for one in self.entries_by_name.values()}
@@ -235,7 +273,10 @@
             if self.store.listings.get(name) != entry:
                 self.store.put(entry)
         self._run(SETTLING_SECONDS)
+        assert self.store.evacuations.keys() == self.evacuated
         for host in self.simulation.hosts.values():
+            # No host is left with another set than that of the store.
+            assert host.evacuated() == self.evacuated
             assert host.version() == self.version
             assert host.routes() == {one.name: one for one in self.routes}
             states = host.incarnations()
