Check terms of services where they are decoded

A name that is no text to read, or that no datagram holds, gave terms that hosts could not pass on to each other; numbers from other hosts were not checked.

--- a/src/lycheedeal/platform/_terms.py
+++ b/src/lycheedeal/platform/_terms.py
@@ -3,11 +3,13 @@
 A number that cannot be used counts as missing and does not spoil the configuration.
 """
 
+import contextlib
 from collections.abc import Iterator
 from types import MappingProxyType
 from typing import Any, Final
 
 from lycheedeal import relay
+from lycheedeal.exceptions import DecodeError
 from lycheedeal.ids import ServiceName
 
 _MAX_DURATION_MS: Final = 3_600_000
@@ -23,19 +25,22 @@
 
 
 def decode_terms(services: Any) -> Iterator[relay.ServiceTerms]:
-    """Yield the terms of the services that have a name."""
+    """Yield the terms of the services that have a usable name."""
     for service in services if isinstance(services, list) else ():
-        name = service.get('name') if isinstance(service, dict) else None
-        if isinstance(name, str):
-            yield _decode_service(ServiceName(name), service)
+        with contextlib.suppress(DecodeError):
+            yield _decode_service(service)
 
 
-def _decode_service(name: ServiceName, service: dict[str, Any]) -> relay.ServiceTerms:
+def _decode_service(service: Any) -> relay.ServiceTerms:
+    """Return the terms of a service; raises DecodeError if it has no usable name."""
+    if not isinstance(service, dict):
+        raise DecodeError('service: expected an object')
+    name = relay.check_text('name', service.get('name'))
     fields = {key: service.get(key) for key in _MAX_BY_FIELD}
     usable = {key: _usable(fields[key], _MAX_BY_FIELD[key]) for key in fields}
     connections = usable['max_conns']
     return relay.ServiceTerms(
-        service=name,
+        service=ServiceName(name),
         max_connections=None if connections is None else int(connections),
         warmup_seconds=usable['warmup_s'],
         warmup_rate=usable['warmup_per_s'],
--- a/src/lycheedeal/relay/_entry_checks.py
+++ b/src/lycheedeal/relay/_entry_checks.py
@@ -4,10 +4,11 @@
 decoded: a failure in a later part of a host would cost other entries.
 """
 
+import math
 from typing import Any, Final
 
 from lycheedeal.exceptions import DecodeError
-from lycheedeal.relay._records import Listing, route_key
+from lycheedeal.relay._records import Listing, ServiceTerms, route_key
 
 # Longest name or text of an entry, in characters. Hosts send several entries in a
 # datagram of at most 8 KiB.
@@ -31,6 +32,18 @@
     check_integer('start', listing.started_ms)
 
 
+def check_terms(terms: ServiceTerms) -> None:
+    """Raise DecodeError unless the name and all numbers can be used."""
+    check_text('service', terms.service)
+    for name, number in (
+        ('connections', terms.max_connections),
+        ('warm-up', terms.warmup_seconds),
+        ('rate', terms.warmup_rate),
+    ):
+        if isinstance(number, bool) or not 0 <= (number or 0) < math.inf:
+            raise DecodeError(f'field {name}: expected a number from 0')
+
+
 def check_text(name: str, text: Any) -> str:
     """Return a text if it can be read; bytes that are no UTF-8 are not printable."""
     is_readable = isinstance(text, str) and text.isprintable()
--- a/src/lycheedeal/relay/_entry_codec.py
+++ b/src/lycheedeal/relay/_entry_codec.py
@@ -4,7 +4,7 @@
 
 from lycheedeal.exceptions import DecodeError
 from lycheedeal.ids import Endpoint, ServiceName, Zone
-from lycheedeal.relay._entry_checks import check_listing, check_text
+from lycheedeal.relay._entry_checks import check_listing, check_terms, check_text
 from lycheedeal.relay._records import (
     Entry,
     Evacuation,
@@ -86,13 +86,15 @@
             int() | float() | None as warmup_rate,
             list() as invalid,
         ]:
-            return ServiceTerms(
+            terms = ServiceTerms(
                 ServiceName(service),
                 max_connections,
                 warmup_seconds,
                 warmup_rate,
                 tuple(map(str, invalid)),
             )
+            check_terms(terms)
+            return terms
         case ['evacuation', zone]:
             return Evacuation(Zone(check_text('zone', zone)))
         case [
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -11,7 +11,7 @@
 
 from lycheedeal import relay
 from lycheedeal.exceptions import DecodeError, SettingsError
-from lycheedeal.ids import Endpoint, UpstreamId
+from lycheedeal.ids import Endpoint, ServiceName, UpstreamId, Zone
 from lycheedeal.platform._objects import DecodedObjects, numeric_upstream_id
 from lycheedeal.platform._packets import (
     HEADER_BYTES,
@@ -22,7 +22,7 @@
 )
 from lycheedeal.platform._settings import load_settings
 from lycheedeal.platform.start import bind_packet_socket
-from tests.platform_entries import SOUND_ENTRY
+from tests.platform_entries import SOUND_ENTRY, UNREADABLE
 
 # Upstreams of one region at the size in two years. A host that starts is to be ready
 # within 0.5 s, so decoding their list may not take longer.
@@ -206,6 +206,63 @@
     assert objects.unusable == ['main']
 
 
+SERVICE = {'name': 'api', 'max_conns': 2000, 'warmup_s': 2.5, 'warmup_per_s': 10}
+BAD_NUMBERS = (None, -1, 10**400, 1e300, float('inf'), float('nan'), '10', True, [], {})
+
+
+def decode_terms(*services: Any) -> list[relay.ServiceTerms]:
+    objects = DecodedObjects()
+    spec = {'version': 7, 'routes': [ROUTE], 'services': list(services)}
+    objects.add(relay.StoreKind.CONFIGURATION, item('main', spec))
+    assert objects.version == 7
+    return [one for one in objects.entries if isinstance(one, relay.ServiceTerms)]
+
+
+def test_terms_of_services_are_decoded() -> None:
+    (terms,) = decode_terms(SERVICE)
+    assert terms == relay.ServiceTerms(ServiceName('api'), 2000, 2.5, 10)
+    (terms,) = decode_terms({'name': 'api', 'warmup_per_s': 0, 'warmup_s': 0})
+    assert terms == relay.ServiceTerms(ServiceName('api'), None, 0, 0)
+
+
+@pytest.mark.parametrize('field', ['max_conns', 'warmup_s', 'warmup_per_s'])
+@pytest.mark.parametrize('number', BAD_NUMBERS)
+def test_bad_number_of_a_service_spoils_nothing_else(field: str, number: Any) -> None:
+    """Guards against one mistake that makes a configuration unusable."""
+    bad, good = decode_terms({**SERVICE, field: number}, {**SERVICE, 'name': 'intake'})
+    fields = {
+        'max_conns': bad.max_connections,
+        'warmup_s': bad.warmup_seconds,
+        'warmup_per_s': bad.warmup_rate,
+    }
+    assert fields == {name: None if name == field else SERVICE[name] for name in fields}
+    assert bad.invalid == (() if number is None else (field,))
+    assert good == relay.ServiceTerms(ServiceName('intake'), 2000, 2.5, 10)
+
+
+@pytest.mark.parametrize('name', [None, 7, '', 'x' * 500, 'a\nb', UNREADABLE])
+def test_service_without_a_usable_name_has_no_terms(name: Any) -> None:
+    """Guards against an entry that hosts cannot pass on to each other."""
+    assert len(decode_terms({**SERVICE, 'name': name}, SERVICE, None, 'text')) == 1
+
+
+@pytest.mark.parametrize('spec', [None, 'text', [], 7])
+def test_evacuation_without_an_object_as_spec_is_unusable(spec: Any) -> None:
+    """Guards against an odd object that takes a zone out of service."""
+    objects = DecodedObjects()
+    objects.add(relay.StoreKind.EVACUATIONS, item('north', spec))
+    objects.add(relay.StoreKind.EVACUATIONS, item(UNREADABLE, {}))
+    objects.add(relay.StoreKind.EVACUATIONS, item('south', {}))
+    objects.add(relay.StoreKind.EVACUATIONS, item('west', {'a new field': 1}))
+    assert objects.unusable == ['north', '']
+    assert objects.entries == [
+        relay.Evacuation(Zone('south')),
+        relay.Evacuation(Zone('west')),
+    ]
+    objects.add(relay.StoreKind.EVACUATIONS, item('south', {}), deleted=True)
+    assert objects.removed == ['south']
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
@@ -283,6 +340,30 @@
     assert settings.relay.heartbeat_seconds == seconds
 
 
+def test_limits_may_be_missing(tmp_path: Path) -> None:
+    """Guards against limits in deployments whose settings do not have them."""
+    settings = load_settings(write_settings(tmp_path, SETTINGS)).relay
+    assert relay.StoreKind.EVACUATIONS not in settings.kinds
+    assert settings.warmup_overage is settings.warmup_slack is None
+    fields = {'evacuate_ms': 5000, 'warmup_overage': 1.5, 'warmup_slack': 0}
+    path = write_settings(tmp_path, {**SETTINGS, **fields})
+    settings = load_settings(path).relay
+    assert settings.kinds == tuple(relay.StoreKind)
+    assert settings.evacuation_seconds == 5
+    assert (settings.warmup_overage, settings.warmup_slack) == (1.5, 0)
+
+
+@pytest.mark.parametrize('name', ['evacuate_ms', 'warmup_overage', 'warmup_slack'])
+@pytest.mark.parametrize('number', [-1, '5', True, float('inf'), float('nan'), []])
+def test_limit_that_is_no_number_is_reported(
+    tmp_path: Path, name: str, number: Any
+) -> None:
+    """Guards against a mistake in the settings that turns a limit off."""
+    with pytest.raises(SettingsError) as raised:
+        load_settings(write_settings(tmp_path, {**SETTINGS, name: number}))
+    assert len(raised.value.faults) == 1
+
+
 def test_all_settings_errors_are_reported(tmp_path: Path) -> None:
     invalid = {
         **SETTINGS,
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -10,6 +10,7 @@
 from lycheedeal import relay
 from lycheedeal.exceptions import DecodeError
 from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
+from lycheedeal.relay._entry_codec import decode_entry
 from lycheedeal.relay.peer_codec import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
@@ -41,7 +42,19 @@
     st.tuples(st.tuples(names.map(ServiceName), st.integers(1, 100))),
     st.integers(0, 9),
     st.booleans(),
+    st.integers(0, 60_000),
+    st.integers(0, 60_000),
 )
+quantities = st.none() | st.floats(0, 1e6)
+terms = st.builds(
+    relay.ServiceTerms,
+    readable_names.map(ServiceName),
+    st.none() | st.integers(0, 10**7),
+    quantities,
+    quantities,
+    st.lists(names, max_size=3).map(tuple),
+)
+evacuations = st.builds(relay.Evacuation, readable_names.map(Zone))
 listings = st.builds(
     relay.Listing,
     readable_names.map(UpstreamId),
@@ -64,7 +77,7 @@
     st.booleans(),
     st.booleans(),
     st.none() | numbers,
-    st.lists(routes | listings, max_size=4).map(tuple),
+    st.lists(routes | terms | evacuations | listings, max_size=4).map(tuple),
     st.lists(names, max_size=3).map(tuple),
     st.lists(names, max_size=3).map(tuple),
     st.booleans(),
@@ -78,8 +91,8 @@
     st.builds(
         relay.Beacon,
         peers,
-        st.tuples(numbers, numbers),
-        st.tuples(editions, editions),
+        st.tuples(numbers, numbers, numbers),
+        st.tuples(editions, editions, editions),
         numbers,
         st.tuples(peers, peers),
     )
@@ -188,3 +201,27 @@
 def test_malformed_messages_are_refused(datagram: bytes) -> None:
     with pytest.raises(DecodeError):
         decode_message(datagram)
+
+
+ENTRIES = (
+    ['service', 'api', True, 2.0, 10.0, []],
+    ['service', 'api', -1, 2.0, 10.0, []],
+    ['service', 'api', 100, -0.5, 10.0, []],
+    ['service', 'api', 100, 2.0, False, []],
+    ['service', 'api', 100, 2.0, float('inf'), []],
+    ['service', 'api', 100, float('nan'), 10.0, []],
+    ['service', 'api', 100, 2.0, '10', []],
+    ['service', '', 100, 2.0, 10.0, []],
+    ['service', 'x' * 500, 100, 2.0, 10.0, []],
+    ['evacuation', ''],
+    ['evacuation', None],
+    ['evacuation', 'x' * 500],
+    ['evacuation', 'a\nb'],
+)
+
+
+@pytest.mark.parametrize('entry', ENTRIES)
+def test_terms_and_evacuations_of_peers_are_checked(entry: list[object]) -> None:
+    """Guards against numbers and names that a later part of a host cannot use."""
+    with pytest.raises(DecodeError):
+        decode_entry(entry)
