--- a/src/lycheedeal/relay/upstreams.py
+++ b/src/lycheedeal/relay/upstreams.py
@@ -101,8 +101,10 @@
         yield Publish(UpstreamsChanged(self.table, self._position, is_full_list))
 
     def _content_confirmed(self, answered_at: float) -> Iterator[Effect]:
-        for name in self._missing.take_ended(answered_at):
-            yield from self._set_missing(name, UpstreamState.GONE)
+        # Upstreams cannot write while the store is away.
+        if self._contact.is_settled():
+            for name in self._missing.take_ended(answered_at):
+                yield from self._set_missing(name, UpstreamState.GONE)
         yield from self._use_entries(self._outdated.take_due(answered_at))
 
     def _apply(self, event: ContentChanged, settled: bool) -> Iterator[Effect]:
--- a/tests/unit/test_relay_restored_store.py
+++ b/tests/unit/test_relay_restored_store.py
@@ -230,6 +230,26 @@
     assert states_of(simulation, 'i-6') == {UpstreamState.READY}
 
 
+def test_outage_after_a_restore_gives_entries_the_whole_time_again(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against resets when the store is away while entries are missing."""
+    copy = simulation.store.copy()
+    simulation.store.put(listing('i-6'))
+    simulation.run(1)
+    simulation.store.restore(copy)
+    simulation.run(0.5)
+    simulation.store.up = False
+    simulation.run(10)
+    simulation.store.up = True
+    for _ in steps(simulation, RETURN_SECONDS - 0.2):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    simulation.store.put(listing('i-6'))
+    for _ in steps(simulation, 4):
+        assert UpstreamState.GONE not in states_of(simulation, 'i-6')
+    assert states_of(simulation, 'i-6') == {UpstreamState.READY}
+
+
 def test_upstream_is_kept_if_the_message_of_its_return_is_lost(
     simulation: RelaySimulation,
 ) -> None:
