--- a/src/lycheedeal/placement/_quota.py
+++ b/src/lycheedeal/placement/_quota.py
@@ -16,6 +16,9 @@
 # Hosts whose tables of the zone differ for a while may count themselves among the
 # first, too. The rest of the limit is for their openings.
 _PLANNED_SHARE: Final = 0.8
+# In a zone of fewer hosts the share of a host that the others do not know is larger
+# than the rest of the limit.
+_MIN_ZONE_HOSTS: Final = 4
 # Longer than the second of the limit, by the time that the delays of two packets on
 # their way to the upstream may differ.
 _WINDOW_SECONDS: Final = 1.3
@@ -34,6 +37,17 @@
         """Return the openings that all hosts may send in a second."""
         return self.rate * self.overage + self.slack
 
+    @property
+    def planned(self) -> int:
+        """Return the openings that the hosts split among each other.
+
+        The rest has room for the share of one more host that the others do not know,
+        also where shares are rounded up.
+        """
+        planned = int(self.openings * _PLANNED_SHARE)
+        unknown = -(-planned // _MIN_ZONE_HOSTS)
+        return planned if planned + unknown <= self.openings else planned - 1
+
 
 class WarmupQuota:
     """Share of this host in the limits of cold upstreams.
@@ -60,13 +74,16 @@
         zone, this one among them.
         """
         hosts = tuple(zone_hosts)
-        planned = int(limit.openings * _PLANNED_SHARE)
+        planned = limit.planned
         sharing = min(len(hosts), planned)
         own = _order(self._host_id, upstream_id)
-        if sum(_order(one, upstream_id) < own for one in hosts) >= sharing:
+        earlier = sum(_order(one, upstream_id) < own for one in hosts)
+        if earlier >= sharing:
             return 0
+        # The first hosts send one more each if the openings cannot be split evenly.
+        allowed = planned // sharing + (earlier < planned % sharing)
         sent = self._sent_by_id.get(upstream_id, ())
-        if sum(at > now - _WINDOW_SECONDS for at in sent) >= planned // sharing:
+        if sum(at > now - _WINDOW_SECONDS for at in sent) >= allowed:
             return 0
         return len(hosts) / sharing
 
--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -108,13 +108,20 @@
 
 def refusal_reason(candidates: Iterable[Candidate]) -> RefusalReason:
     """Return the reason that ends first."""
-    found = {exclusion for one in candidates for exclusion in one.exclusions}
+    found = {exclusion for one in candidates for exclusion in _reasons(one)}
     for exclusion, reason in _REASON_BY_EXCLUSION:
         if exclusion in found:
             return reason
     return RefusalReason.NO_UPSTREAM
 
 
+def _reasons(candidate: Candidate) -> frozenset[Exclusion]:
+    """Return what keeps flows from an upstream; an evacuation outlasts the others."""
+    if Exclusion.EVACUATED in candidate.exclusions:
+        return frozenset((Exclusion.EVACUATED,))
+    return candidate.exclusions
+
+
 def groups(allowed: list[Candidate], demand: Demand, is_probe: bool) -> Groups:
     """Return the groups for a flow, which is a probe with ``PROBE_SHARE``."""
     others = [one for one in allowed if Exclusion.UNANSWERED not in one.exclusions]
