Ramp up upstreams that start or recover at a pace that follows their answers

An idle upstream draws many times the flows of a loaded one, so one that starts or recovers was flooded, and one that was silent stayed idle until avoidances and failure votes expired. Each host now gives it a part of the flows of an average sibling, which grows or falls with its answers. Hosts of a zone share trials of a silent upstream and use it again once one of them was answered.

--- a/src/lycheedeal/placement/__init__.py
+++ b/src/lycheedeal/placement/__init__.py
@@ -11,6 +11,17 @@
     Candidate,
     Exclusion,
 )
+from lycheedeal.placement._pace import (
+    STEP_SECONDS,
+    Observation,
+    Pacer,
+    Ramp,
+    RampCause,
+    RampChange,
+    apply_paces,
+    attraction,
+)
+from lycheedeal.placement._probes import ProbeSchedule
 from lycheedeal.placement._quota import WarmupLimit, WarmupQuota
 from lycheedeal.placement._selection import (
     Demand,
@@ -23,13 +34,22 @@
 __all__ = (
     'HARD_EXCLUSIONS',
     'NOT_EXCLUDED',
+    'STEP_SECONDS',
     'Candidate',
     'Demand',
     'Exclusion',
+    'Observation',
+    'Pacer',
+    'ProbeSchedule',
+    'Ramp',
+    'RampCause',
+    'RampChange',
     'RefusalReason',
     'Refused',
     'Selected',
     'WarmupLimit',
     'WarmupQuota',
+    'apply_paces',
+    'attraction',
     'select',
 )
--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -80,10 +80,15 @@
     if not allowed:
         return Refused(_refusal_reason(known))
     group = _group(allowed, demand, rng)
-    weights = [one.share * one.load**-_WEIGHT_EXPONENT for one in group]
+    weights = [one.share * draw_weight(one.load) for one in group]
     return Selected(rng.choices(group, weights)[0], len(group))
 
 
+def draw_weight(load: float) -> float:
+    """Return the weight of an upstream by its load alone."""
+    return load**-_WEIGHT_EXPONENT
+
+
 def _refusal_reason(candidates: tuple[Candidate, ...]) -> RefusalReason:
     """Return the reason that ends first."""
     found = {exclusion for one in candidates for exclusion in one.exclusions}
@@ -137,6 +142,10 @@
     """
     if not remote:
         return local
+    # If all upstreams of the zone ramp up, the rest of its flows goes elsewhere.
+    share = max(one.share for one in local)
+    if share < 1 and rng.random() >= share:
+        return remote
     margin = _BULK_SPILL_MARGIN if demand.bulk else _SPILL_MARGIN
     here = _mean_load(local)
     there = _mean_load(remote) + margin
@@ -144,4 +153,7 @@
 
 
 def _mean_load(group: list[Candidate]) -> float:
-    return sum(one.load for one in group) / len(group)
+    """Return the mean load; upstreams that ramp up count by the flows they get."""
+    shares = [min(one.share, 1) for one in group]
+    loads = (one.load * share for one, share in zip(group, shares, strict=True))
+    return sum(loads) / sum(shares)
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -11,8 +11,10 @@
     Exclusion,
     WarmupLimit,
     WarmupQuota,
+    apply_paces,
 )
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import LogRecord
 from lycheedeal.relay._events import (
     EvacuationsChanged,
     Event,
@@ -23,6 +25,7 @@
 )
 from lycheedeal.relay._flows import mean_in_flight
 from lycheedeal.relay._peer_table import PeerTable
+from lycheedeal.relay._ramps import RampUps
 from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
 from lycheedeal.relay._upstream_table import UpstreamTable
@@ -30,7 +33,8 @@
 # Requests in flight that an open flow adds to the estimate of load: on average a
 # caller sends a request each second or two, and it takes 30 ms.
 _LOAD_PER_FLOW: Final = 0.02
-# Factor by which the answers of an upstream take longer while it warms up.
+# Factor by which the answers of an upstream take longer while it warms up, unless its
+# answer times are known.
 _WARMUP_FACTOR: Final = 1.6
 _NO_LOAD: Final = Load(0, 0)
 # A host has a share in the limits of cold upstreams after running for this long
@@ -71,6 +75,7 @@
         self._resumed_at_by_zone: dict[Zone, float] = {}
         self._peer_table = PeerTable(context.settings.own_peer, context.clock)
         self._quota = WarmupQuota(context.settings.host_id)
+        self._ramps = RampUps(context)
         self._last_tick = context.clock.monotonic()
         self._running_since = self._last_tick
 
@@ -79,12 +84,14 @@
         match event:
             case UpstreamsChanged(table=table):
                 self._table = table
+                self._ramps.follow_table(table)
             case RoutesChanged(terms_by_service=terms):
                 self._terms_by_service = terms
             case EvacuationsChanged(evacuated=evacuated, resumed=resumed):
                 now = self._context.clock.monotonic()
                 self._evacuated = evacuated
                 self._resumed_at_by_zone.update(dict.fromkeys(resumed, now))
+                self._ramps.resume(resumed)
             case PeerTableReady(peer_table=peer_table):
                 self._peer_table = peer_table
             case Tick(now=now):
@@ -92,18 +99,22 @@
                     self._running_since = now
                 self._last_tick = now
 
+    def advance(self, now: float) -> Iterator[LogRecord]:
+        """Adapt the paces of upstreams that ramp up; yield their changes."""
+        yield from self._ramps.advance(now, self._load_when_warm)
+
     def upstreams(self, criteria: FlowCriteria) -> Iterator[tuple[Candidate, Upstream]]:
         """Yield the upstreams of a service that accept new flows."""
         now = self._context.clock.monotonic()
-        region_loads = self._table.region_loads
         hosts = self._sharing_hosts(now) if self._has_warmup_limit() else ()
-        for upstream in self._table.ready(criteria.service):
-            candidate = Candidate(
-                upstream.listing.upstream_id,
-                upstream.listing.zone == self._zone,
-                load_of(region_loads, upstream, now),
-                exclusions=self._exclusions(upstream, criteria, now),
-            )
+        upstreams_by_candidate = {
+            self._candidate(upstream, criteria, now): upstream
+            for upstream in self._table.ready(criteria.service)
+        }
+        paces_by_id = self._ramps.paces_by_id(now)
+        if paces_by_id:
+            apply_paces(upstreams_by_candidate, paces_by_id)
+        for candidate, upstream in upstreams_by_candidate.items():
             if self._is_limited(upstream, now):
                 self._apply_limit(candidate, upstream, hosts, now)
             yield candidate, upstream
@@ -111,26 +122,53 @@
     def record_opening(self, upstream: Upstream) -> None:
         """Note that an opening is sent to an upstream."""
         now = self._context.clock.monotonic()
+        self._ramps.probes.record(upstream.listing.upstream_id, now)
         if self._is_limited(upstream, now):
             self._quota.record(upstream.listing.upstream_id, now)
 
+    def record_unanswered(self, upstream: Upstream) -> None:
+        """Note that an upstream left an opening unanswered."""
+        self._ramps.note_unanswered(upstream)
+
     def expire(self, now: float) -> None:
-        """Forget openings and resumptions that have no effect any more."""
+        """Forget what has no effect any more, and count the hosts of the zone."""
+        # A leader gets no beacon that tells the number.
+        known = 1 + sum(1 for _ in self._peer_table.of_own_zone())
+        self._ramps.probes.set_hosts(max(known, self._peer_table.zone_size))
         self._quota.expire(now)
 
+    def _candidate(
+        self, upstream: Upstream, criteria: FlowCriteria, now: float
+    ) -> Candidate:
+        factor = self._ramps.warmup_factor(upstream) or _WARMUP_FACTOR
+        return Candidate(
+            upstream.listing.upstream_id,
+            upstream.listing.zone == self._zone,
+            load_of(self._table.region_loads, upstream, now, factor),
+            exclusions=self._exclusions(upstream, criteria, now),
+        )
+
+    def _load_when_warm(self, upstream: Upstream, now: float) -> float:
+        return load_of(self._table.region_loads, upstream, now, warmup_factor=1)
+
     def _exclusions(
         self, upstream: Upstream, criteria: FlowCriteria, now: float
     ) -> frozenset[Exclusion]:
         region_loads = self._table.region_loads
         zone = upstream.listing.zone
         is_remote = zone != self._zone
+        is_repeated = criteria.excluded is not None
+        is_tried = self._ramps.is_tried(upstream, is_repeated, now)
         found = [
             exclusion
             for exclusion, applies in (
                 (Exclusion.EVACUATED, zone in self._evacuated),
                 (Exclusion.UNANSWERED, upstream is criteria.excluded),
-                (Exclusion.AVOIDED, upstream.avoided_until > now),
-                (Exclusion.SUSPECTED, region_loads.is_suspected(upstream, now)),
+                (Exclusion.AVOIDED, not is_tried and upstream.avoided_until > now),
+                (
+                    Exclusion.SUSPECTED,
+                    not is_tried and region_loads.is_suspected(upstream, now),
+                ),
                 (
                     Exclusion.UNREPORTED,
                     is_remote and not _is_reported(region_loads, zone, now),
@@ -204,7 +242,12 @@
     return zone in region_loads.zones and region_loads.is_fresh(now)
 
 
-def load_of(region_loads: ReportedLoads, upstream: Upstream, now: float) -> float:
+def load_of(
+    region_loads: ReportedLoads,
+    upstream: Upstream,
+    now: float,
+    warmup_factor: float = _WARMUP_FACTOR,
+) -> float:
     """Return the expected requests for each slot, including one more request.
 
     Requests in flight and the estimate from open flows count half each: a flow
@@ -220,5 +263,5 @@
         flows = reported.open_flows
     load = 1 + (in_flight + _LOAD_PER_FLOW * flows) / 2
     if upstream.warm_at > now:
-        load *= _WARMUP_FACTOR
+        load *= warmup_factor
     return load / max(upstream.listing.slots, 1)
--- a/src/lycheedeal/relay/_reported_loads.py
+++ b/src/lycheedeal/relay/_reported_loads.py
@@ -1,5 +1,6 @@
 """Loads from the last report of a host, a zone or a region."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -49,6 +50,15 @@
         """Return the loads of all reported upstreams."""
         return {**self._previous, **self._loads}
 
+    def failing_tokens(self) -> Iterator[Token]:
+        """Yield the upstreams with enough failure votes to be suspected."""
+        for loads in (self._loads, self._previous):
+            yield from (
+                token
+                for token, load in loads.items()
+                if load.failure_votes >= _MIN_FAILURE_VOTES
+            )
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the report is recent enough to use."""
         return self.reported_at + REPORT_VALID_SECONDS > now
--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -111,6 +111,7 @@
                 self._confirmed_at = at
             case Tick(now=now):
                 self._last_tick = now
+                yield from self._candidates.advance(now)
                 if now >= self._next_expiry:
                     self._next_expiry = now + _EXPIRY_INTERVAL_SECONDS
                     self.flow_table.expire(now)
@@ -240,6 +241,7 @@
         flow = self.flow_table.flows_by_key.get(packet.flow)
         if flow is None or flow.confirmed:
             return None
+        self._candidates.record_unanswered(flow.upstream)
         if record_unanswered(flow.upstream, now):
             self._count('upstream avoided')
             yield LogRecord(
