Return from silence by answers, and count only silences after an answer as relapses

Trials are shared by the hosts of a zone each second; suspected upstreams get few of the flows that ignore suspicions.

--- a/src/lycheedeal/placement/_pace.py
+++ b/src/lycheedeal/placement/_pace.py
@@ -18,8 +18,10 @@
 
 # Time between two steps: half the interval of reports.
 STEP_SECONDS: Final = 0.5
-# Pace at the start, halved by each relapse.
+# Paces at the start, halved by each relapse. An upstream that was silent is not cold,
+# and is tried before.
 _START_PACE: Final = 0.1
+_RETURN_PACE: Final = 0.25
 # Low enough for one that fails all the time, high enough to notice that it recovers.
 _MIN_PACE: Final = 0.02
 # Largest growth in a step. From the start, the pace of a sibling takes 2.5 s; reports
@@ -41,9 +43,6 @@
 # From then on the pace grows at the rate of an unknown upstream at least, so that a
 # ramp-up ends within 22 s.
 _LEARNING_SECONDS: Final = 8.0
-# An upstream that was treated as recovered, against old votes, and is not heard for
-# this long counts as silent again. Longer than a success vote and two reports.
-_UNHEARD_SECONDS: Final = 3.5
 # A silence within this time after a ramp-up is a relapse.
 _MEMORY_SECONDS: Final = 30.0
 _MAX_RELAPSES: Final = 2
@@ -61,7 +60,6 @@
         Exclusion.FULL,
         Exclusion.UNANSWERED,
         Exclusion.AVOIDED,
-        Exclusion.SUSPECTED,
     )
 )
 
@@ -122,7 +120,8 @@
 
     ``is_early`` means that it answers again although failure votes or the avoidance
     have not ended. ``was_unheard`` means that the zone had no success vote for it
-    during its silence, so that a later one proves an answer.
+    during its silence, so that a later one proves an answer; ``was_heard`` that it has
+    answered since, so that a further silence is a relapse.
     """
 
     cause: RampCause
@@ -132,7 +131,7 @@
     relapses: int = 0
     is_early: bool = False
     was_unheard: bool = False
-    heard_at: float = 0
+    was_heard: bool = False
     unanswered: int = 0
     failure_votes: int = 0
     is_rising: bool = True
@@ -161,7 +160,7 @@
             relapses = min(known.relapses + 1, _MAX_RELAPSES)
         steps = max(elapsed, 0) / STEP_SECONDS
         grown = math.pow(_GROWTH, _UNKNOWN_QUALITY * steps)
-        pace = min(_start_pace(relapses) * grown, 1)
+        pace = min(_start_pace(relapses, cause) * grown, 1)
         ramp = Ramp(cause, _Phase.RAMPING, now - max(elapsed, 0), pace, relapses)
         self._ramps_by_id[upstream_id] = ramp
         return ramp
@@ -211,7 +210,8 @@
         ramp = self._ramps_by_id.get(upstream_id)
         if ramp is None:
             if seen.is_silent:
-                ramp = Ramp(RampCause.SILENCE, _Phase.SILENT, now, _start_pace(0))
+                cause = RampCause.SILENCE
+                ramp = Ramp(cause, _Phase.SILENT, now, _start_pace(0, cause))
                 self._ramps_by_id[upstream_id] = ramp
                 _note(ramp, seen)
             return None
@@ -222,15 +222,16 @@
             case _Phase.RAMPING:
                 change = _step_ramping(ramp, seen, now)
             case _Phase.ENDED if seen.is_silent:
-                _fall_silent(ramp, now, ramp.relapses + 1)
+                _fall_silent(ramp, now)
             case _Phase.ENDED if now - ramp.since > _MEMORY_SECONDS:
                 self._ramps_by_id.pop(upstream_id)
         _note(ramp, seen)
         return change
 
 
-def _start_pace(relapses: int) -> float:
-    return max(_START_PACE * math.pow(0.5, relapses), _MIN_PACE)
+def _start_pace(relapses: int, cause: RampCause) -> float:
+    pace = _RETURN_PACE if cause is RampCause.SILENCE else _START_PACE
+    return max(pace * math.pow(0.5, relapses), _MIN_PACE)
 
 
 def _note(ramp: Ramp, seen: Observation) -> None:
@@ -243,13 +244,14 @@
         ramp.was_unheard = True
 
 
-def _fall_silent(ramp: Ramp, now: float, relapses: int) -> None:
+def _fall_silent(ramp: Ramp, now: float) -> None:
     ramp.cause = RampCause.SILENCE
     ramp.phase = _Phase.SILENT
     ramp.since = now
-    ramp.relapses = min(relapses, _MAX_RELAPSES)
-    ramp.pace = _start_pace(ramp.relapses)
-    ramp.is_early = ramp.was_unheard = False
+    if ramp.was_heard:
+        ramp.relapses = min(ramp.relapses + 1, _MAX_RELAPSES)
+    ramp.pace = _start_pace(ramp.relapses, ramp.cause)
+    ramp.is_early = ramp.was_unheard = ramp.was_heard = False
 
 
 def _step_silent(ramp: Ramp, seen: Observation, now: float) -> RampChange | None:
@@ -257,7 +259,7 @@
     if seen.is_silent and not is_back:
         return None
     ramp.phase = _Phase.RAMPING
-    ramp.since = ramp.heard_at = now
+    ramp.since = now
     ramp.is_early = seen.is_silent
     ramp.is_rising = True
     ramp.turns = 0
@@ -266,10 +268,9 @@
 
 def _step_ramping(ramp: Ramp, seen: Observation, now: float) -> RampChange | None:
     if seen.is_answering or seen.success_votes:
-        ramp.heard_at = now
-    has_relapsed = seen.is_silent and _has_relapsed(ramp, seen)
-    if has_relapsed or (seen.is_silent and now - ramp.heard_at > _UNHEARD_SECONDS):
-        _fall_silent(ramp, now, relapses=ramp.relapses + has_relapsed)
+        ramp.was_heard = True
+    if seen.is_silent and _has_relapsed(ramp, seen):
+        _fall_silent(ramp, now)
         return RampChange.SILENT
     ramp.is_early = seen.is_silent
     quality = _quality(ramp, seen, now)
@@ -299,10 +300,9 @@
 
 def _has_failed(ramp: Ramp, seen: Observation) -> bool:
     """Return whether openings were unanswered since the previous step."""
-    has_votes = seen.failure_votes is not None
-    return seen.unanswered > ramp.unanswered or (
-        has_votes and (seen.failure_votes or 0) > ramp.failure_votes
-    )
+    failure_votes = seen.failure_votes or 0
+    has_new_votes = failure_votes > max(ramp.failure_votes, seen.success_votes or 0)
+    return has_new_votes or seen.unanswered > ramp.unanswered
 
 
 def _quality(ramp: Ramp, seen: Observation, now: float) -> float:
@@ -322,7 +322,8 @@
         return -1
     if seen.slowness is None:
         if seen.is_answering or seen.success_votes:
-            return _OPENING_QUALITY
+            was_silent = ramp.cause is RampCause.SILENCE
+            return 1 if was_silent else _OPENING_QUALITY
         # Old votes against it leave no doubt in its favour.
         return 0 if seen.is_silent else _UNKNOWN_QUALITY
     quality = _HOLDING_SLOWNESS - seen.slowness
@@ -336,7 +337,15 @@
 
     The shares stay as they are while most of the service ramps up.
     """
-    available = [one for one in candidates if not one.exclusions & _UNAVAILABLE]
+    available = [
+        one
+        for one in candidates
+        if not one.exclusions & _UNAVAILABLE
+        # Some flows ignore suspicions; a silent upstream gets few of them.
+        and (
+            Exclusion.SUSPECTED not in one.exclusions or one.upstream_id in paces_by_id
+        )
+    ]
     ramping = [one for one in available if one.upstream_id in paces_by_id]
     if len(ramping) > len(available) * (1 - _MIN_STEADY_SHARE):
         return
--- a/src/lycheedeal/placement/_probes.py
+++ b/src/lycheedeal/placement/_probes.py
@@ -13,7 +13,7 @@
 
 # Time between two trials of all hosts of a zone together. Failure votes end after
 # 6.4 s; an upstream that answers again is to be found well before.
-_ZONE_INTERVAL_SECONDS: Final = 1.5
+_ZONE_INTERVAL_SECONDS: Final = 1.0
 # Shortest time between those of one host, which may not know the others.
 _MIN_INTERVAL_SECONDS: Final = 3.0
 # Factors on the interval: hosts that notice a silence at the same time do not try the
