--- a/src/lycheedeal/relay/_ramps.py
+++ b/src/lycheedeal/relay/_ramps.py
@@ -67,8 +67,8 @@
         self._context = context
         self._table = UpstreamTable()
         self._pacer = Pacer()
-        # Each known upstream, and whether it accepted new flows.
-        self._known_by_id: dict[UpstreamId, tuple[Upstream, bool]] = {}
+        self._known_by_id: dict[UpstreamId, Upstream] = {}
+        self._ready_by_id: dict[UpstreamId, Upstream] = {}
         self._started: list[Upstream] = []
         # Upstreams that may be avoided; to look at all of them takes too long.
         self._failing_by_id: dict[UpstreamId, Upstream] = {}
@@ -78,24 +78,30 @@
     def follow_table(self, table: UpstreamTable) -> None:
         """Start the ramp-ups of upstreams that are new, or accept flows again."""
         self._table = table
-        known_by_id = self._known_by_id
-        self._known_by_id = {
-            upstream_id: (upstream, upstream.state is UpstreamState.READY)
+        ready_by_id = {
+            upstream_id: upstream
             for upstream_id, upstream in table.current_by_id.items()
+            if upstream.state is UpstreamState.READY
         }
+        # Most changes renew entries only; upstreams are compared by identity.
+        if ready_by_id == self._ready_by_id:
+            return
+        known_by_id = self._known_by_id
+        before = self._ready_by_id
+        self._ready_by_id = ready_by_id
+        self._known_by_id = dict(table.current_by_id)
         self._pacer.retain(self._known_by_id.keys())
-        for upstream_id, (upstream, is_ready) in self._known_by_id.items():
-            known = known_by_id.get(upstream_id)
-            if is_ready and known != (upstream, True):
-                is_first = not known_by_id
-                self._accepts_flows(upstream, known and known[0], is_first)
+        for upstream_id, upstream in ready_by_id.items():
+            if before.get(upstream_id) is not upstream:
+                known = known_by_id.get(upstream_id)
+                self._accepts_flows(upstream, known, not known_by_id)
 
     def resume(self, zones: Iterable[Zone]) -> None:
         """Start the ramp-ups of all upstreams of zones that get flows again."""
         now = self._context.clock.monotonic()
         resumed = frozenset(zones)
-        for upstream, is_ready in self._known_by_id.values():
-            if is_ready and upstream.listing.zone in resumed:
+        for upstream in self._ready_by_id.values():
+            if upstream.listing.zone in resumed:
                 self._start(upstream, RampCause.RESUMED, now)
 
     def note_unanswered(self, upstream: Upstream) -> None:
@@ -174,8 +180,8 @@
         )
         ids = (*self._pacer.ids(), *self._failing_by_id, *suspected)
         for upstream_id in dict.fromkeys(ids):
-            upstream, is_ready = self._known_by_id.get(upstream_id, (None, False))
-            if upstream is not None and is_ready:
+            upstream = self._ready_by_id.get(upstream_id)
+            if upstream is not None:
                 yield upstream
 
     def _step(
