--- a/src/lycheedeal/placement/_pace.py
+++ b/src/lycheedeal/placement/_pace.py
@@ -157,7 +157,9 @@
         relapses = 0
         known = self._ramps_by_id.get(upstream_id)
         if known is not None and cause is RampCause.START:
-            relapses = min(known.relapses + 1, _MAX_RELAPSES)
+            # A silence before a restart belongs to it.
+            is_relapse = known.phase is not _Phase.SILENT
+            relapses = min(known.relapses + is_relapse, _MAX_RELAPSES)
         steps = max(elapsed, 0) / STEP_SECONDS
         grown = math.pow(_GROWTH, _UNKNOWN_QUALITY * steps)
         pace = min(_start_pace(relapses, cause) * grown, 1)
--- a/src/lycheedeal/relay/_ramps.py
+++ b/src/lycheedeal/relay/_ramps.py
@@ -198,20 +198,16 @@
         now = self._context.clock.monotonic()
         if known is upstream:
             self._start(upstream, RampCause.RELISTED, now)
-        elif not is_first_table or self._is_new(upstream, now):
+        elif not is_first_table or upstream.warm_at > now:
             self._start(upstream, RampCause.START, now)
+        else:
+            age = self._context.clock.wall() - upstream.listing.started_ms / 1000
+            if 0 <= age < _NEW_SECONDS:
+                self._start(upstream, RampCause.START, now, age)
 
-    def _is_new(self, upstream: Upstream, now: float) -> bool:
-        """Return whether an upstream was new when this host first read its entry."""
-        return upstream.warm_at > now or 0 <= self._age(upstream) < _NEW_SECONDS
-
-    def _age(self, upstream: Upstream) -> float:
-        return self._context.clock.wall() - upstream.listing.started_ms / 1000
-
-    def _start(self, upstream: Upstream, cause: RampCause, now: float) -> None:
-        elapsed = 0.0
-        if cause is RampCause.START and 0 <= self._age(upstream) < _NEW_SECONDS:
-            elapsed = self._age(upstream)
+    def _start(
+        self, upstream: Upstream, cause: RampCause, now: float, elapsed: float = 0
+    ) -> None:
         self._pacer.start(upstream.listing.upstream_id, cause, now, elapsed)
         self._started.append(upstream)
 
--- a/tests/unit/test_placement_pace.py
+++ b/tests/unit/test_placement_pace.py
@@ -65,6 +65,13 @@
     assert ramp_seconds(pacer, seen) < ramp_seconds(pacer, seen) < 6
 
 
+def test_first_restart_after_a_crash_is_no_relapse() -> None:
+    """Guards against a slower start because the crash was noticed as a silence."""
+    pacer = Pacer()
+    pacer.step(NEW, Observation(is_silent=True), 0)
+    assert pacer.start(NEW, RampCause.START, 1).pace == 0.1
+
+
 def test_upstream_that_answers_again_returns_before_the_votes_end() -> None:
     """Guards against idle time until old votes expire, and against their return.
 
