--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -103,7 +103,12 @@
 
 def weight(candidate: Candidate) -> float:
     """Return the weight with which an upstream is drawn from its group."""
-    return candidate.share * candidate.load**-_WEIGHT_EXPONENT
+    return candidate.share * draw_weight(candidate.load)
+
+
+def draw_weight(load: float) -> float:
+    """Return the weight of an upstream by its load alone."""
+    return load**-_WEIGHT_EXPONENT
 
 
 def refusal_reason(candidates: Iterable[Candidate]) -> RefusalReason:
@@ -176,8 +181,13 @@
     margin = _BULK_SPILL_MARGIN if demand.bulk else _SPILL_MARGIN
     here = _mean_load(local)
     there = _mean_load(remote) + margin
-    return max(1 - there / here, 0)
+    # If all upstreams of the zone ramp up, the rest of its flows goes elsewhere.
+    kept = min(max(one.share for one in local), 1)
+    return 1 - kept * min(there / here, 1)
 
 
 def _mean_load(group: list[Candidate]) -> float:
-    return sum(one.load for one in group) / len(group)
+    """Return the mean load; upstreams that ramp up count by the flows they get."""
+    shares = [min(one.share, 1) for one in group]
+    loads = (one.load * share for one, share in zip(group, shares, strict=True))
+    return sum(loads) / sum(shares)
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -11,8 +11,10 @@
     Exclusion,
     WarmupLimit,
     WarmupQuota,
+    apply_paces,
 )
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._effects import LogRecord
 from lycheedeal.relay._events import (
     EvacuationsChanged,
     Event,
@@ -22,6 +24,7 @@
     UpstreamsChanged,
 )
 from lycheedeal.relay._flows import mean_in_flight
+from lycheedeal.relay._ramps import RampUps
 from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
 from lycheedeal.relay._sharing_hosts import SharingHosts
@@ -30,7 +33,8 @@
 # Requests in flight that an open flow adds to the estimate of load: on average a
 # caller sends a request each second or two, and it takes 30 ms.
 _LOAD_PER_FLOW: Final = 0.02
-# Factor by which the answers of an upstream take longer while it warms up.
+# Factor by which the answers of an upstream take longer while it warms up, unless its
+# answer times are known.
 _WARMUP_FACTOR: Final = 1.6
 _NO_LOAD: Final = Load(0, 0)
 # How long upstreams are cold where the configuration does not tell.
@@ -63,33 +67,40 @@
         self._resumed_at_by_zone: dict[Zone, float] = {}
         self._sharing_hosts = SharingHosts(context)
         self._quota = WarmupQuota(context.settings.host_id)
+        self._ramps = RampUps(context)
 
     def follow(self, event: Event) -> None:
         """Take in what an event tells."""
         match event:
             case UpstreamsChanged(table=table):
                 self._table = table
+                self._ramps.follow_table(table)
             case RoutesChanged(terms_by_service=terms):
                 self._terms_by_service = terms
             case EvacuationsChanged(evacuated=evacuated, resumed=resumed):
                 now = self._context.clock.monotonic()
                 self._evacuated = evacuated
                 self._resumed_at_by_zone.update(dict.fromkeys(resumed, now))
+                self._ramps.resume(resumed)
             case PeerTableReady() | Tick():
                 self._sharing_hosts.follow(event)
 
+    def advance(self, now: float) -> Iterator[LogRecord]:
+        """Adapt the paces of upstreams that ramp up; yield their changes."""
+        yield from self._ramps.advance(now, self._load_when_warm)
+
     def upstreams(self, criteria: FlowCriteria) -> Iterator[tuple[Candidate, Upstream]]:
         """Yield the upstreams of a service that accept new flows."""
         now = self._context.clock.monotonic()
-        region_loads = self._table.region_loads
         hosts = self._sharing_hosts.ids(now) if self._has_warmup_limit() else ()
-        for upstream in self._table.ready(criteria.service):
-            candidate = Candidate(
-                upstream.listing.upstream_id,
-                upstream.listing.zone == self._zone,
-                load_of(region_loads, upstream, now),
-                exclusions=self._exclusions(upstream, criteria, now),
-            )
+        upstreams_by_candidate = {
+            self._candidate(upstream, criteria, now): upstream
+            for upstream in self._table.ready(criteria.service)
+        }
+        paces_by_id = self._ramps.paces_by_id(now)
+        if paces_by_id:
+            apply_paces(upstreams_by_candidate, paces_by_id)
+        for candidate, upstream in upstreams_by_candidate.items():
             if self._is_limited(upstream, now):
                 self._apply_limit(candidate, upstream, hosts, now)
             yield candidate, upstream
@@ -97,26 +108,51 @@
     def record_opening(self, upstream: Upstream) -> None:
         """Note that an opening is sent to an upstream."""
         now = self._context.clock.monotonic()
+        self._ramps.probes.record(upstream.listing.upstream_id, now)
         if self._is_limited(upstream, now):
             self._quota.record(upstream.listing.upstream_id, now)
 
+    def record_unanswered(self, upstream: Upstream) -> None:
+        """Note that an upstream left an opening unanswered."""
+        self._ramps.note_unanswered(upstream)
+
     def expire(self, now: float) -> None:
-        """Forget openings and resumptions that have no effect any more."""
+        """Forget what has no effect any more, and count the hosts of the zone."""
+        self._ramps.probes.set_hosts(self._sharing_hosts.count())
         self._quota.expire(now)
 
+    def _candidate(
+        self, upstream: Upstream, criteria: FlowCriteria, now: float
+    ) -> Candidate:
+        factor = self._ramps.warmup_factor(upstream) or _WARMUP_FACTOR
+        return Candidate(
+            upstream.listing.upstream_id,
+            upstream.listing.zone == self._zone,
+            load_of(self._table.region_loads, upstream, now, factor),
+            exclusions=self._exclusions(upstream, criteria, now),
+        )
+
+    def _load_when_warm(self, upstream: Upstream, now: float) -> float:
+        return load_of(self._table.region_loads, upstream, now, warmup_factor=1)
+
     def _exclusions(
         self, upstream: Upstream, criteria: FlowCriteria, now: float
     ) -> frozenset[Exclusion]:
         region_loads = self._table.region_loads
         zone = upstream.listing.zone
         is_remote = zone != self._zone
+        is_repeated = criteria.excluded is not None
+        is_tried = self._ramps.is_tried(upstream, is_repeated, now)
         found = [
             exclusion
             for exclusion, applies in (
                 (Exclusion.EVACUATED, zone in self._evacuated),
                 (Exclusion.UNANSWERED, upstream is criteria.excluded),
-                (Exclusion.AVOIDED, upstream.avoided_until > now),
-                (Exclusion.SUSPECTED, region_loads.is_suspected(upstream, now)),
+                (Exclusion.AVOIDED, not is_tried and upstream.avoided_until > now),
+                (
+                    Exclusion.SUSPECTED,
+                    not is_tried and region_loads.is_suspected(upstream, now),
+                ),
                 (
                     Exclusion.UNREPORTED,
                     is_remote and not _is_reported(region_loads, zone, now),
@@ -178,7 +214,12 @@
     return zone in region_loads.zones and region_loads.is_fresh(now)
 
 
-def load_of(region_loads: ReportedLoads, upstream: Upstream, now: float) -> float:
+def load_of(
+    region_loads: ReportedLoads,
+    upstream: Upstream,
+    now: float,
+    warmup_factor: float = _WARMUP_FACTOR,
+) -> float:
     """Return the expected requests for each slot, including one more request.
 
     Requests in flight and the estimate from open flows count half each: a flow
@@ -194,5 +235,5 @@
         flows = reported.open_flows
     load = 1 + (in_flight + _LOAD_PER_FLOW * flows) / 2
     if upstream.warm_at > now:
-        load *= _WARMUP_FACTOR
+        load *= warmup_factor
     return load / max(upstream.listing.slots, 1)
--- a/src/lycheedeal/relay/_sharing_hosts.py
+++ b/src/lycheedeal/relay/_sharing_hosts.py
@@ -58,6 +58,12 @@
         own = self._peer_table.own
         return own.host_id, *self._known_at_by_id
 
+    def count(self) -> int:
+        """Return the number of hosts of the zone, as far as this host knows."""
+        known = 1 + sum(1 for _ in self._peer_table.of_own_zone())
+        # A leader gets no beacon that tells the number.
+        return max(known, self._peer_table.zone_size)
+
     def _follows_leader(self) -> bool:
         """Return whether this host follows a leader, and knows the hosts that it does.
 
