Place flows by expected wait, with the speed of upstreams, and respect connection limits

Hosts estimate the speed of each upstream relative to the others of its service from the answers in the sums of the load reports. Little's law takes the wait in the queue out of the answer times. The load of a candidate is multiplied by the service time that the answers prove; without proof it stays as it was.

An upstream at the connection limit of its service gets no flow. Its open flows are those of the last report, what this host opened since, and a margin that follows the growth between reports. A limit of 0 counts as a mistake.

--- a/src/lycheedeal/placement/__init__.py
+++ b/src/lycheedeal/placement/__init__.py
@@ -11,6 +11,7 @@
     Candidate,
     Exclusion,
 )
+from lycheedeal.placement._connections import FlowCount, taper
 from lycheedeal.placement._quota import WarmupLimit, WarmupQuota
 from lycheedeal.placement._selection import (
     Demand,
@@ -19,17 +20,22 @@
     Selected,
     select,
 )
+from lycheedeal.placement._speed import Answered, SpeedEstimates
 
 __all__ = (
     'HARD_EXCLUSIONS',
     'NOT_EXCLUDED',
+    'Answered',
     'Candidate',
     'Demand',
     'Exclusion',
+    'FlowCount',
     'RefusalReason',
     'Refused',
     'Selected',
+    'SpeedEstimates',
     'WarmupLimit',
     'WarmupQuota',
     'select',
+    'taper',
 )
--- a/src/lycheedeal/placement/_candidates.py
+++ b/src/lycheedeal/placement/_candidates.py
@@ -35,7 +35,8 @@
 class Candidate:
     """An upstream that accepts new flows.
 
-    ``load`` is the expected wait in requests for each slot, with the new one.
+    ``load`` is the expected wait in requests for each slot, with the new one, in the
+    time that a usual upstream takes for one. ``speed`` is 1 for a usual upstream.
     ``share`` is the part of the flows of its load that it gets while it ramps up.
     """
 
@@ -43,4 +44,5 @@
     is_local: bool
     load: float
     share: float = 1
+    speed: float = 1
     exclusions: frozenset[Exclusion] = NOT_EXCLUDED
--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -144,4 +144,10 @@
 
 
 def _mean_load(group: list[Candidate]) -> float:
-    return sum(one.load for one in group) / len(group)
+    """Return the mean of the expected waits, by the flows that upstreams can take.
+
+    The mean of equal weights would send flows away from an idle zone with slow
+    upstreams, which get few of its flows.
+    """
+    speed = sum(one.speed for one in group)
+    return sum(one.load * one.speed for one in group) / speed
--- a/src/lycheedeal/platform/_terms.py
+++ b/src/lycheedeal/platform/_terms.py
@@ -11,7 +11,8 @@
 from lycheedeal.ids import ServiceName
 
 _MAX_DURATION_MS: Final = 3_600_000
-# Largest usable values of the fields of a service; a larger one is a mistake.
+# Largest usable values of the fields of a service; a larger one is a mistake. So is a
+# limit of no connections, which would take the service out of use.
 _MAX_BY_FIELD: Final = MappingProxyType(
     {'max_conns': 10_000_000, 'warmup_s': 3600, 'warmup_per_s': 1_000_000}
 )
@@ -33,6 +34,9 @@
 def _decode_service(name: ServiceName, service: dict[str, Any]) -> relay.ServiceTerms:
     fields = {key: service.get(key) for key in _MAX_BY_FIELD}
     usable = {key: _usable(fields[key], _MAX_BY_FIELD[key]) for key in fields}
+    # Fractions below 1 are no limit either.
+    if not int(usable['max_conns'] or 0):
+        usable['max_conns'] = None
     connections = usable['max_conns']
     return relay.ServiceTerms(
         service=name,
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -11,6 +11,7 @@
     Exclusion,
     WarmupLimit,
     WarmupQuota,
+    taper,
 )
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._events import (
@@ -25,6 +26,7 @@
 from lycheedeal.relay._peer_table import PeerTable
 from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
+from lycheedeal.relay._upstream_conditions import connection_room
 from lycheedeal.relay._upstream_table import UpstreamTable
 
 # Requests in flight that an open flow adds to the estimate of load: on average a
@@ -102,8 +104,10 @@
                 upstream.listing.upstream_id,
                 upstream.listing.zone == self._zone,
                 load_of(region_loads, upstream, now),
+                speed=1 / upstream.slowness,
                 exclusions=self._exclusions(upstream, criteria, now),
             )
+            self._apply_connection_limit(candidate, upstream, now)
             if self._is_limited(upstream, now):
                 self._apply_limit(candidate, upstream, hosts, now)
             yield candidate, upstream
@@ -178,6 +182,20 @@
         else:
             candidate.exclusions |= {Exclusion.WARMING_UP}
 
+    def _apply_connection_limit(
+        self, candidate: Candidate, upstream: Upstream, now: float
+    ) -> None:
+        terms = self._terms_by_service.get(upstream.listing.service)
+        if terms is None or not terms.max_connections:
+            return
+        room = connection_room(
+            self._table.region_loads, upstream, terms.max_connections, now
+        )
+        if room > 0:
+            candidate.share *= taper(room)
+        else:
+            candidate.exclusions |= {Exclusion.FULL}
+
     def _limit(self, service: ServiceName) -> WarmupLimit:
         settings = self._context.settings
         terms = self._terms_by_service.get(service)
@@ -205,8 +223,9 @@
 
 
 def load_of(region_loads: ReportedLoads, upstream: Upstream, now: float) -> float:
-    """Return the expected requests for each slot, including one more request.
+    """Return the expected wait in requests for each slot, including one more request.
 
+    The unit is the time that a usual upstream of the service takes for a request.
     Requests in flight and the estimate from open flows count half each: a flow
     that was just opened has not caused its load yet.
     """
@@ -218,7 +237,7 @@
         newer = upstream.in_flight - mean_in_flight(upstream, now)
         in_flight = max(reported.in_flight + newer, 0)
         flows = reported.open_flows
-    load = 1 + (in_flight + _LOAD_PER_FLOW * flows) / 2
+    load = (1 + (in_flight + _LOAD_PER_FLOW * flows) / 2) * upstream.slowness
     if upstream.warm_at > now:
         load *= _WARMUP_FACTOR
     return load / max(upstream.listing.slots, 1)
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -1,11 +1,12 @@
 """Data types of the packet relay: packets, routes, upstreams and peers."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final, NamedTuple, NewType
 
 from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
+from lycheedeal.placement import FlowCount
 
 # Address and port of the caller in the upper 48 bits, of the route in the lower 48.
 FlowKey = NewType('FlowKey', int)
@@ -245,6 +246,13 @@
     # Requests answered since the last report of this host, and the sum of their times.
     answers: int = 0
     answer_seconds: float = 0
+    # Open flows in the last report of this host, and in the one before.
+    reported_flows: int = 0
+    earlier_reported_flows: int = 0
+    # Open flows of all hosts, kept if the service has a limit.
+    flow_count: FlowCount = field(default_factory=FlowCount)
+    # Service time in that of a usual upstream of the service.
+    slowness: float = 1
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_reported_loads.py
+++ b/src/lycheedeal/relay/_reported_loads.py
@@ -26,8 +26,8 @@
     # The previous report, valid for tokens that may be in parts still missing.
     _previous: Loads = field(default_factory=dict)
 
-    def apply(self, report: LoadReport, now: float) -> None:
-        """Apply one part of a report."""
+    def apply(self, report: LoadReport, now: float) -> bool:
+        """Apply one part of a report; returns whether all parts have arrived."""
         this_report = report.peer.host_id, report.number
         if this_report != self._report:
             self._report = this_report
@@ -38,8 +38,10 @@
         self.zones = report.zones
         self._parts.add(report.part)
         self._loads.update(report.loads)
-        if len(self._parts) == report.parts:
+        is_complete = len(self._parts) == report.parts
+        if is_complete:
             self._previous = {}
+        return is_complete
 
     def find(self, token: Token) -> Load | None:
         """Return the load of an upstream, or None if none was reported."""
--- a/src/lycheedeal/relay/loads.py
+++ b/src/lycheedeal/relay/loads.py
@@ -22,6 +22,7 @@
     LeadershipChanged,
     PeerMessageReceived,
     PeerTableReady,
+    RoutesChanged,
     SpreadRequested,
     Tick,
     UpstreamsChanged,
@@ -38,6 +39,7 @@
     Upstream,
 )
 from lycheedeal.relay._reported_loads import REPORT_VALID_SECONDS, ReportedLoads
+from lycheedeal.relay._upstream_conditions import UpstreamConditions
 from lycheedeal.relay._upstream_table import UpstreamTable
 
 # Time between two reports of a host; longer in a zone of many hosts.
@@ -72,6 +74,7 @@
         self._reports_by_host: dict[HostId, ReportedLoads] = {}
         self._reports_by_zone: dict[Zone, ReportedLoads] = {}
         self._next_report = 0.0
+        self._conditions = UpstreamConditions(context)
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
@@ -84,8 +87,11 @@
                 self._is_leader = self._own.is_leader = is_leader
             case PeerMessageReceived(message=LoadReport() as report):
                 yield from self._report_received(report)
+            case RoutesChanged(terms_by_service=terms):
+                self._conditions.terms_by_service = terms
             case Tick(now=now):
                 yield from self._send_due_report(now)
+                yield from self._conditions.tick(self._table, now)
 
     def _send_due_report(self, now: float) -> Iterator[Effect]:
         if now < self._next_report:
@@ -121,6 +127,8 @@
         for upstream in self._table.by_token.values():
             upstream.answers = 0
             upstream.answer_seconds = 0
+            upstream.earlier_reported_flows = upstream.reported_flows
+            upstream.reported_flows = upstream.open_flows
         return loads
 
     def _own_loads(self) -> Loads:
@@ -195,7 +203,9 @@
     def _apply(self, report: LoadReport) -> Iterator[Effect]:
         now = self._context.clock.monotonic()
         region = self._table.region_loads
-        region.apply(report, now)
+        if region.apply(report, now):
+            interval = self._report_interval()
+            yield from self._conditions.update(self._table, interval, now)
         for token in (*report.loads, *self._suspected):
             upstream = self._table.by_token.get(token)
             suspected = upstream is not None and region.is_suspected(upstream, now)
@@ -297,6 +307,7 @@
                 PeerTableReady,
                 LeadershipChanged,
                 PeerMessageReceived,
+                RoutesChanged,
                 Tick,
             ),
         ),
