Count what each host opened since the report against connection limits

A report that is older than usual, such as after the loss of a leader, counted the flows that a host had reported to it as known. The known flows of this host are now those of the report. Hosts expect each other to open as many flows as they do, and a false report counts as at most a tenth above the limit.

--- a/src/lycheedeal/placement/_connections.py
+++ b/src/lycheedeal/placement/_connections.py
@@ -1,7 +1,8 @@
 """Limit on the flows that an upstream holds, over all hosts.
 
 Reports tell the open flows of all hosts a second or two late. A margin stands for
-what the other hosts open meanwhile. It follows the growth between reports.
+what the other hosts open meanwhile. It follows the growth between reports, and what
+this host opens itself: if room appears at all hosts at once, each takes its share.
 """
 
 import math
@@ -11,11 +12,16 @@
 # Age of the flows in a report when it arrives: each host reports to its leader once a
 # second, and the leaders their sums.
 _REPORT_AGE_SECONDS: Final = 2.5
-# Part of a limit that is kept free in any case.
-_MIN_MARGIN: Final = 0.005
+# Part of a limit that is kept free at most for openings that no host has made yet: one
+# for each host.
+_MAX_RESERVE: Final = 0.025
 # Largest margin, as part of the limit: an odd report must not exclude an upstream that
 # has room.
-_MAX_MARGIN: Final = 0.1
+_MAX_MARGIN: Final = 0.2
+# Growth that gives the largest margin.
+_MAX_GROWTH_PER_SECOND: Final = _MAX_MARGIN / _REPORT_AGE_SECONDS
+# Open flows, as part of the limit, that a report counts as at most.
+_MAX_KNOWN: Final = 1.1
 # Part of the limit over which the weight of an upstream falls to nothing.
 _TAPER: Final = 0.1
 # Part of the limit by which the known flows fall in a second at most. The first sums
@@ -28,38 +34,48 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class FlowCount:
-    """Open flows of an upstream as of its last report, and their growth in a second."""
+    """Open flows of an upstream as of its last report, and their growth in a second.
+
+    ``own_flows`` are those of them that this host reported.
+    """
 
     flows: float = 0
+    own_flows: int = 0
     growth: float = 0
     counted_at: float = _NEVER
 
-    def update(self, reported: float, limit: int, now: float) -> None:
-        """Take in the open flows of a report."""
+    def update(self, reported: float, own_flows: int, limit: int, now: float) -> None:
+        """Take in the open flows of a report, and those of this host among them."""
+        known = min(reported, limit * _MAX_KNOWN)
         elapsed = now - self.counted_at
         if elapsed <= 0:
             return
         self.counted_at = now
+        self.own_flows = own_flows
         if math.isinf(elapsed):
-            self.flows = reported
+            self.flows = known
             return
-        grown = (reported - self.flows) / elapsed
+        grown = min((known - self.flows) / elapsed, limit * _MAX_GROWTH_PER_SECOND)
         self.growth = max(grown, self.growth * _GROWTH_RETENTION, 0)
         fallen = self.flows - limit * _MAX_FALL_PER_SECOND * elapsed
-        self.flows = max(reported, fallen)
+        self.flows = max(known, fallen)
 
-    def room(self, limit: int, newer_flows: int, now: float) -> float:
+    def room(self, limit: int, open_flows: int, hosts: int, now: float) -> float:
         """Return the flows that an upstream has room for, as part of its limit.
 
-        ``newer_flows`` are those that this host opened since its last report. The
-        result is not positive for an upstream at its limit.
+        ``open_flows`` are those of this host now. The others of ``hosts`` hosts are
+        expected to have opened as many since the report. The result is not positive
+        for an upstream at its limit.
         """
-        margin = 0.0
+        newer_flows = max(open_flows - self.own_flows, 0)
+        opened_elsewhere = float(newer_flows * (hosts - 1))
         if self.growth:
             age = _REPORT_AGE_SECONDS + now - self.counted_at
-            margin = min(self.growth * age / limit, _MAX_MARGIN)
+            opened_elsewhere = max(opened_elsewhere, self.growth * age)
+        margin = min(opened_elsewhere / limit, _MAX_MARGIN)
+        reserve = min(hosts / limit, _MAX_RESERVE)
         used = (self.flows + newer_flows) / limit
-        return 1 - used - max(margin, _MIN_MARGIN)
+        return 1 - used - max(margin, reserve)
 
 
 def taper(room: float) -> float:
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -189,7 +189,11 @@
         if terms is None or not terms.max_connections:
             return
         room = connection_room(
-            self._table.region_loads, upstream, terms.max_connections, now
+            self._table.region_loads,
+            upstream,
+            terms.max_connections,
+            len(self._peer_table) + 1,
+            now,
         )
         if room > 0:
             candidate.share *= taper(room)
--- a/src/lycheedeal/relay/_upstream_conditions.py
+++ b/src/lycheedeal/relay/_upstream_conditions.py
@@ -105,12 +105,16 @@
             limit = self._limit_of(upstream)
             if not limit:
                 continue
-            upstream.flow_count.update(load.open_flows, limit, now)
+            # The sum contains the last report of this host, or the one before.
+            own = min(upstream.reported_flows, upstream.earlier_reported_flows)
+            upstream.flow_count.update(load.open_flows, own, limit, now)
             if upstream.flow_count.flows:
                 self._counted.add(upstream.token)
             upstream_id = upstream.listing.upstream_id
             bound = _FULL_UNTIL if upstream_id in self._full else 0
-            if connection_room(table.region_loads, upstream, limit, now) <= bound:
+            # Alike on all hosts: without what other hosts may have opened since.
+            room = connection_room(table.region_loads, upstream, limit, 1, now)
+            if room <= bound:
                 full.add(upstream_id)
         for upstream_id in sorted(full ^ self._full):
             yield self._full_record(table, upstream_id, upstream_id in full)
@@ -158,18 +162,20 @@
 
 
 def connection_room(
-    region_loads: ReportedLoads, upstream: Upstream, limit: int, now: float
+    region_loads: ReportedLoads,
+    upstream: Upstream,
+    limit: int,
+    hosts: int,
+    now: float,
 ) -> float:
     """Return the room of an upstream for new flows, as part of its limit.
 
-    Without a recent report, only the flows of this host are known.
+    Without a recent report, only the flows of this host are known. ``hosts`` is the
+    number of hosts that open flows.
     """
     if not region_loads.is_fresh(now):
         return 1 - upstream.open_flows / limit
-    # The report may contain the last report of this host, or the one before.
-    reported = min(upstream.reported_flows, upstream.earlier_reported_flows)
-    newer = max(upstream.open_flows - reported, 0)
-    return upstream.flow_count.room(limit, newer, now)
+    return upstream.flow_count.room(limit, upstream.open_flows, hosts, now)
 
 
 def _answers_by_service(
