--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -144,10 +144,11 @@
 
 
 def _mean_load(group: list[Candidate]) -> float:
-    """Return the mean of the expected waits, by the flows that upstreams can take.
+    """Return the mean of the expected waits, by the flows that their speed gives them.
 
-    The mean of equal weights would send flows away from an idle zone with slow
-    upstreams, which get few of its flows.
+    With equal weights, an idle zone with slow upstreams would send flows away, though
+    they get few of its flows.
     """
-    speed = sum(one.speed for one in group)
-    return sum(one.load * one.speed for one in group) / speed
+    weights = [one.speed**_WEIGHT_EXPONENT for one in group]
+    waits = (one.load * weight for one, weight in zip(group, weights, strict=True))
+    return sum(waits) / sum(weights)
