Keep connection limits on many hosts

The reserve is now subtracted besides the margin, and the margin follows the interval of the reports, which is longer in a large zone.

--- a/src/lycheedeal/placement/_connections.py
+++ b/src/lycheedeal/placement/_connections.py
@@ -9,17 +9,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-# Age of the flows in a report when it arrives: each host reports to its leader once a
-# second, and the leaders their sums.
-_REPORT_AGE_SECONDS: Final = 2.5
+# Age of the flows in a report when it arrives, without the time between two reports
+# of a host: leaders report their sums once a second.
+_SUM_AGE_SECONDS: Final = 1.5
 # Part of a limit that is kept free at most for openings that no host has made yet: one
 # for each host.
-_MAX_RESERVE: Final = 0.025
+_MAX_RESERVE: Final = 0.05
 # Largest margin, as part of the limit: an odd report must not exclude an upstream that
 # has room.
 _MAX_MARGIN: Final = 0.2
 # Growth that gives the largest margin.
-_MAX_GROWTH_PER_SECOND: Final = _MAX_MARGIN / _REPORT_AGE_SECONDS
+_MAX_GROWTH_PER_SECOND: Final = 0.08
 # Open flows, as part of the limit, that a report counts as at most.
 _MAX_KNOWN: Final = 1.1
 # Part of the limit over which the weight of an upstream falls to nothing.
@@ -36,11 +36,13 @@
 class FlowCount:
     """Open flows of an upstream as of its last report, and their growth in a second.
 
-    ``own_flows`` are those of them that this host reported.
+    ``own_flows`` are those of them that this host reported. Hosts report once an
+    ``interval``, in seconds.
     """
 
     flows: float = 0
     own_flows: int = 0
+    interval: float = 1
     growth: float = 0
     counted_at: float = _NEVER
 
@@ -70,12 +72,12 @@
         newer_flows = max(open_flows - self.own_flows, 0)
         opened_elsewhere = float(newer_flows * (hosts - 1))
         if self.growth:
-            age = _REPORT_AGE_SECONDS + now - self.counted_at
+            age = _SUM_AGE_SECONDS + self.interval + now - self.counted_at
             opened_elsewhere = max(opened_elsewhere, self.growth * age)
         margin = min(opened_elsewhere / limit, _MAX_MARGIN)
         reserve = min(hosts / limit, _MAX_RESERVE)
         used = (self.flows + newer_flows) / limit
-        return 1 - used - max(margin, reserve)
+        return 1 - used - margin - reserve
 
 
 def taper(room: float) -> float:
--- a/src/lycheedeal/relay/_upstream_conditions.py
+++ b/src/lycheedeal/relay/_upstream_conditions.py
@@ -58,7 +58,7 @@
             speeds.update(answered_by_id, now)
         yield from self._set_slowness(table, now)
         if any(one.max_connections for one in self.terms_by_service.values()):
-            yield from self._count_flows(table, loads, now)
+            yield from self._count_flows(table, interval, now)
 
     def tick(self, table: UpstreamTable, now: float) -> Iterator[LogRecord]:
         """Let the estimates fade."""
@@ -96,8 +96,9 @@
                     yield upstream_id, slowness
 
     def _count_flows(
-        self, table: UpstreamTable, loads: Loads, now: float
+        self, table: UpstreamTable, interval: float, now: float
     ) -> Iterator[LogRecord]:
+        loads = table.region_loads.all_loads()
         full: set[UpstreamId] = set()
         no_loads = dict.fromkeys(self._counted - loads.keys(), _NO_LOAD)
         self._counted = set(loads)
@@ -107,6 +108,7 @@
                 continue
             # The sum contains the last report of this host, or the one before.
             own = min(upstream.reported_flows, upstream.earlier_reported_flows)
+            upstream.flow_count.interval = interval
             upstream.flow_count.update(load.open_flows, own, limit, now)
             if upstream.flow_count.flows:
                 self._counted.add(upstream.token)
