--- a/src/lycheedeal/placement/__init__.py
+++ b/src/lycheedeal/placement/__init__.py
@@ -11,6 +11,7 @@
     Candidate,
     Exclusion,
 )
+from lycheedeal.placement._connections import FlowCount, taper
 from lycheedeal.placement._pace import (
     STEP_SECONDS,
     Observation,
@@ -30,14 +31,17 @@
     Selected,
     select,
 )
+from lycheedeal.placement._speed import Answered, SpeedEstimates
 
 __all__ = (
     'HARD_EXCLUSIONS',
     'NOT_EXCLUDED',
     'STEP_SECONDS',
+    'Answered',
     'Candidate',
     'Demand',
     'Exclusion',
+    'FlowCount',
     'Observation',
     'Pacer',
     'ProbeSchedule',
@@ -47,9 +51,11 @@
     'RefusalReason',
     'Refused',
     'Selected',
+    'SpeedEstimates',
     'WarmupLimit',
     'WarmupQuota',
     'apply_paces',
     'attraction',
     'select',
+    'taper',
 )
--- a/src/lycheedeal/placement/_selection.py
+++ b/src/lycheedeal/placement/_selection.py
@@ -187,7 +187,11 @@
 
 
 def _mean_load(group: list[Candidate]) -> float:
-    """Return the mean load; upstreams that ramp up count by the flows they get."""
-    shares = [min(one.share, 1) for one in group]
-    loads = (one.load * share for one, share in zip(group, shares, strict=True))
-    return sum(loads) / sum(shares)
+    """Return the mean of the expected waits, by the flows that upstreams get.
+
+    With equal weights, an idle zone with slow upstreams would send flows away, though
+    they get few of its flows.
+    """
+    weights = [min(one.share, 1) * one.speed**_WEIGHT_EXPONENT for one in group]
+    waits = (one.load * weight for one, weight in zip(group, weights, strict=True))
+    return sum(waits) / sum(weights)
--- a/src/lycheedeal/relay/_choice.py
+++ b/src/lycheedeal/relay/_choice.py
@@ -12,6 +12,7 @@
     WarmupLimit,
     WarmupQuota,
     apply_paces,
+    taper,
 )
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._effects import LogRecord
@@ -28,6 +29,7 @@
 from lycheedeal.relay._records import Load, ServiceTerms, Upstream
 from lycheedeal.relay._reported_loads import ReportedLoads
 from lycheedeal.relay._sharing_hosts import SharingHosts
+from lycheedeal.relay._upstream_conditions import connection_room
 from lycheedeal.relay._upstream_table import UpstreamTable
 
 # Requests in flight that an open flow adds to the estimate of load: on average a
@@ -101,6 +103,7 @@
         if paces_by_id:
             apply_paces(upstreams_by_candidate, paces_by_id)
         for candidate, upstream in upstreams_by_candidate.items():
+            self._apply_connection_limit(candidate, upstream, now)
             if self._is_limited(upstream, now):
                 self._apply_limit(candidate, upstream, hosts, now)
             yield candidate, upstream
@@ -129,6 +132,7 @@
             upstream.listing.upstream_id,
             upstream.listing.zone == self._zone,
             load_of(self._table.region_loads, upstream, now, factor),
+            speed=1 / upstream.slowness,
             exclusions=self._exclusions(upstream, criteria, now),
         )
 
@@ -200,6 +204,24 @@
         else:
             candidate.exclusions |= {Exclusion.WARMING_UP}
 
+    def _apply_connection_limit(
+        self, candidate: Candidate, upstream: Upstream, now: float
+    ) -> None:
+        terms = self._terms_by_service.get(upstream.listing.service)
+        if terms is None or not terms.max_connections:
+            return
+        room = connection_room(
+            self._table.region_loads,
+            upstream,
+            terms.max_connections,
+            self._sharing_hosts.known_hosts,
+            now,
+        )
+        if room > 0:
+            candidate.share *= taper(room)
+        else:
+            candidate.exclusions |= {Exclusion.FULL}
+
     def _limit(self, service: ServiceName) -> WarmupLimit:
         settings = self._context.settings
         terms = self._terms_by_service.get(service)
@@ -220,8 +242,9 @@
     now: float,
     warmup_factor: float = _WARMUP_FACTOR,
 ) -> float:
-    """Return the expected requests for each slot, including one more request.
+    """Return the expected wait in requests for each slot, including one more request.
 
+    The unit is the time that a usual upstream of the service takes for a request.
     Requests in flight and the estimate from open flows count half each: a flow
     that was just opened has not caused its load yet.
     """
@@ -233,7 +256,7 @@
         newer = upstream.in_flight - mean_in_flight(upstream, now)
         in_flight = max(reported.in_flight + newer, 0)
         flows = reported.open_flows
-    load = 1 + (in_flight + _LOAD_PER_FLOW * flows) / 2
+    load = (1 + (in_flight + _LOAD_PER_FLOW * flows) / 2) * upstream.slowness
     if upstream.warm_at > now:
         load *= warmup_factor
     return load / max(upstream.listing.slots, 1)
--- a/src/lycheedeal/relay/_sharing_hosts.py
+++ b/src/lycheedeal/relay/_sharing_hosts.py
@@ -58,6 +58,11 @@
         own = self._peer_table.own
         return own.host_id, *self._known_at_by_id
 
+    @property
+    def known_hosts(self) -> int:
+        """Return the number of hosts that this one knows in all zones, with itself."""
+        return len(self._peer_table) + 1
+
     def count(self) -> int:
         """Return the number of hosts of the zone, as far as this host knows."""
         known = 1 + sum(1 for _ in self._peer_table.of_own_zone())
