End evacuations at once whose deletion a watch reports after a restore

A copy that brought an evacuation back kept a zone out for 2.5 s after the operator had deleted it again, beside one that the copy lacked: all zones were out.

--- a/src/lycheedeal/relay/evacuations.py
+++ b/src/lycheedeal/relay/evacuations.py
@@ -89,7 +89,8 @@
         gone = frozenset(map(Zone, (*event.removed, *event.unusable)))
         if event.complete:
             gone = self.evacuated - present
-        if not event.settled:
+        # What differs between two lists is missing, what a watch reports is deleted.
+        if not event.settled and (event.complete or event.exact):
             for zone in gone & self.evacuated:
                 self._missing.add(zone)
             gone = frozenset()
--- a/tests/unit/test_relay_evacuations.py
+++ b/tests/unit/test_relay_evacuations.py
@@ -203,6 +203,23 @@
     assert evacuated_sets(simulation) == {frozenset()}
 
 
+def test_evacuation_that_the_copy_brings_back_ends_when_it_is_deleted(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against zones that are all out: a deleted object is not a missing one."""
+    simulation.store.evacuate('north')
+    simulation.run(EVACUATE_SECONDS)
+    copy = simulation.store.copy()
+    simulation.store.resume('north')
+    simulation.run(EVACUATE_SECONDS)
+    simulation.store.restore(copy)
+    simulation.run(1)
+    assert evacuated_sets(simulation) == {frozenset({'north'})}
+    simulation.store.resume('north')
+    simulation.run(1)
+    assert evacuated_sets(simulation) == {frozenset()}
+
+
 def test_second_restore_gives_evacuations_the_whole_time_again(
     simulation: RelaySimulation,
 ) -> None:
