--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -8,6 +8,8 @@
 DRAIN_SECONDS = 3.0
 # A change of the configuration is in force at all relays within this time.
 CONFIG_SECONDS = 3.0
+# No new flow reaches a target of a zone later than this after its evacuation.
+EVACUATE_SECONDS = 5.0
 # All guarantees hold again within this time after a fault has ended.
 RECOVERY_SECONDS = 4.0
 # A relay exits within this time after SIGTERM.
--- a/soak/_relays.py
+++ b/soak/_relays.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from lycheedeal.ids import Endpoint
-from soak._findings import STOP_SECONDS, Findings, Stability, now
+from soak._findings import EVACUATE_SECONDS, STOP_SECONDS, Findings, Stability, now
 from soak._packets import End
 from soak._proxy import Proxy
 
@@ -75,6 +75,7 @@
             'seeds': self.seeds,
             'core_share': 0.5,
             'stop_seconds': STOP_SECONDS,
+            'evacuate_ms': int(EVACUATE_SECONDS * 1000),
             'store': str(self.store_proxy.endpoint),
         }
         partial = self._settings_path.with_suffix('.partial')
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-from soak._findings import DRAIN_SECONDS, Findings, now
+from soak._findings import DRAIN_SECONDS, EVACUATE_SECONDS, Findings, now
 from soak._packets import ACK, FIN, RST, SYN, End, Segment, decode
-from soak._relays import PACKET_PORT, Router
+from soak._relays import PACKET_PORT, Relay, Router
 from standins.object_store import ObjectStoreServer
 
 TARGET_PORT = 9000
@@ -130,6 +130,9 @@
         self._router = router
         self._rng = rng
         self._last_numeric_id = 0x1000
+        # Times of the event loop at which the store accepted and deleted evacuations.
+        self._evacuated_at_by_zone: dict[str, float] = {}
+        self._resumed_at_by_zone: dict[str, float] = {}
 
     async def add_target(self, ip: str, zone: str, service: str) -> TargetSocket:
         """Bind an address and start a target there."""
@@ -187,9 +190,32 @@
             one.incarnation is not None
             and one.incarnation.service == service
             and one.incarnation.accepts_since(since)
+            and self._is_in_service(one.incarnation.zone)
             for one in self.sockets
         )
 
+    async def evacuate(self, zone: str) -> None:
+        """Evacuate a zone in the store."""
+        # Set before the write, so that no check runs while it is in progress, and
+        # after it, because the bound counts from the acceptance of the object.
+        self._evacuated_at_by_zone[zone] = now()
+        await self._store.put('evacuations', zone, {})
+        self._evacuated_at_by_zone[zone] = now()
+
+    async def resume(self, zone: str) -> None:
+        """Delete the evacuation of a zone from the store."""
+        self._evacuated_at_by_zone.pop(zone)
+        self._resumed_at_by_zone[zone] = now()
+        await self._store.delete('evacuations', zone)
+        self._resumed_at_by_zone[zone] = now()
+
+    def _is_in_service(self, zone: str) -> bool:
+        """Return whether no relay may take a zone for evacuated."""
+        if zone in self._evacuated_at_by_zone:
+            return False
+        resumed_at = self._resumed_at_by_zone.get(zone)
+        return resumed_at is None or now() - resumed_at > EVACUATE_SECONDS
+
     async def drain(self, incarnation: Incarnation) -> None:
         """Mark a target as draining in the store."""
         if incarnation.draining_since is None:
@@ -240,10 +266,24 @@
                 'DRAIN',
                 f'{relay.name} opened a flow at draining target {incarnation.name}',
             )
+        self._check_evacuation(incarnation, relay)
         flow = segment.source, segment.destination
         incarnation.flows.add(flow)
         return self._answer(segment, SYN | ACK)
 
+    def _check_evacuation(self, incarnation: Incarnation, relay: Relay) -> None:
+        evacuated_at = self._evacuated_at_by_zone.get(incarnation.zone)
+        if evacuated_at is None or now() - evacuated_at <= EVACUATE_SECONDS:
+            return
+        if relay.stability.is_stable() and self.store_is_stable():
+            self.findings.report_violation(
+                'EVACUATE',
+                f'{relay.name} opened a flow at {incarnation.name} in the evacuated '
+                f'zone {incarnation.zone}',
+            )
+        else:
+            self.findings.count('flows to an evacuated zone during a fault')
+
     def _answer(self, segment: Segment, flags: int) -> Segment:
         return Segment(
             segment.destination,
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from soak._environment import Environment
+from soak._evacuations import evacuate_zone
 from soak._faults import FAULTS, Fault, restore_store
 from soak._findings import Findings, now
 from soak._odd_entries import leave_odd_entry
@@ -25,6 +26,7 @@
         until = now() + seconds
         faults.add(asyncio.ensure_future(_restore_repeatedly(environment, seed, until)))
         faults.add(asyncio.ensure_future(_leave_odd_entries(environment, seed, until)))
+        faults.add(asyncio.ensure_future(_evacuate(environment, seed, until)))
         while now() < until:
             fault = environment.rng.choice(FAULTS)
             environment.findings.record_event(fault.__name__)
@@ -58,6 +60,13 @@
         await leave_odd_entry(environment, rng)
 
 
+async def _evacuate(environment: Environment, seed: int, until: float) -> None:
+    rng = random.Random(seed)
+    while now() < until:
+        environment.findings.record_event(evacuate_zone.__name__)
+        await evacuate_zone(environment, rng)
+
+
 async def _run_fault(environment: Environment, fault: Fault) -> None:
     coroutine: Awaitable[None] = fault(environment)
     try:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -82,7 +82,7 @@
         await self._remove(kind, name)
 
     async def _remove(self, kind: str, name: str) -> None:
-        item = self._objects[kind].pop(name, None)
+        item = self._objects.get(kind, {}).pop(name, None)
         # A restored store may lack the object.
         if item is not None:
             self.revision += 1
@@ -115,7 +115,7 @@
 
     async def write_again(self) -> None:
         """Write what the last restore lost, and delete what it brought back."""
-        for kind, wanted in self._wanted.items():
+        for kind, wanted in tuple(self._wanted.items()):
             present = self._objects.get(kind, {})
             lost = [
                 (name, spec)
