Keep a host that the others do not know within the limit of cold upstreams

The openings that cannot be split evenly gave such a host one more: 7 where 6.5 are the limit, with four hosts. They are used only where the rest of the limit has room. The test of the split expected them always; it now states for each limit which number is used.

--- a/src/lycheedeal/placement/_quota.py
+++ b/src/lycheedeal/placement/_quota.py
@@ -66,8 +66,11 @@
         earlier = sum(_order(one, upstream_id) < own for one in hosts)
         if earlier >= sharing:
             return 0
-        # The first hosts send one more each if the openings cannot be split evenly.
-        allowed = planned // sharing + (earlier < planned % sharing)
+        allowed = planned // sharing
+        # The first hosts send one more each if the openings cannot be split evenly, and
+        # a host that the others do not know stays within the rest of the limit.
+        if earlier < planned % sharing and allowed + 1 <= limit.openings - planned:
+            allowed += 1
         sent = self._sent_by_id.get(upstream_id, ())
         if sum(at > now - _WINDOW_SECONDS for at in sent) >= allowed:
             return 0
