Do not reset an opening that another host may have forwarded

What callers saw: in the soak, an open flow was reset by a relay that had restarted. A copy of its opening had waited in the relay's socket; the relay had no upstream for it (all zones evacuated for a moment) and sent a reset, although another relay had forwarded the first copy and the flow was open.

Two of the three new tests fail without the change. Two tests that expected a reset in the first two seconds of a host now let it run before.

--- a/src/lycheedeal/relay/forwarding.py
+++ b/src/lycheedeal/relay/forwarding.py
@@ -57,6 +57,9 @@
 # The host does not know whether the store failed before, and entries that expired
 # meanwhile may be back up to 2 s later.
 _STARTUP_GRACE_SECONDS: Final = 3.0
+# Callers give an opening up after 1.4 s. A host reads those that waited in its socket
+# once it is ready, which takes less than a second.
+_OPENING_SECONDS: Final = 2.4
 # Ticks come each 0.1 s. After a longer gap the process was paused: openings that
 # waited meanwhile are older than their callers wait, and the table is old, too.
 _MAX_TICK_GAP_SECONDS: Final = 1.5
@@ -86,7 +89,9 @@
         self._unknown_since: dict[Token, float] = {}
         self._confirmed_at = float('-inf')
         self._full_list_at = float('-inf')
-        self._full_lists_valid_from = context.clock.monotonic() + _STARTUP_GRACE_SECONDS
+        started_at = context.clock.monotonic()
+        self._full_lists_valid_from = started_at + _STARTUP_GRACE_SECONDS
+        self._resets_from = started_at + _OPENING_SECONDS
 
     @property
     def candidates(self) -> CandidateList:
@@ -185,7 +190,7 @@
     def _handle_opening(self, packet: Packet) -> Iterator[Effect]:
         route = self._routes_by_key.get(packet.route)
         if route is None:
-            yield from self._reset(packet, 'no route', None)
+            yield from self._refuse_opening(packet, 'no route')
             return
         now = self._context.clock.monotonic()
         if now - self._last_tick > _MAX_TICK_GAP_SECONDS:
@@ -198,7 +203,7 @@
         upstreams_by_candidate = dict(self._candidates.upstreams(criteria))
         match select(upstreams_by_candidate, Demand(route.bulk), self._context.rng):
             case Refused(reason=reason):
-                yield from self._reset(packet, reason.value, None)
+                yield from self._refuse_opening(packet, reason.value)
             case Selected() as selected:
                 upstream = upstreams_by_candidate[selected.candidate]
                 yield from self._open(packet, route, upstream, selected)
@@ -263,6 +268,19 @@
             )
         return flow.upstream
 
+    def _refuse_opening(self, packet: Packet, reason: str) -> Iterator[Effect]:
+        """Reset the flow of an opening, unless another host may have opened it.
+
+        That may be so if this host does not know the first copy of the opening, or if
+        the opening waited in the socket while the process started.
+        """
+        now = self._context.clock.monotonic()
+        is_known = packet.flow in self.flow_table.flows_by_key
+        if now < self._resets_from or (packet.attempt and not is_known):
+            yield self._drop(packet, reason, None)
+        else:
+            yield from self._reset(packet, reason, None)
+
     def _reset(
         self,
         packet: Packet,
--- a/tests/unit/test_relay_forwarding.py
+++ b/tests/unit/test_relay_forwarding.py
@@ -17,6 +17,9 @@
     route,
 )
 
+# Until a host that has just started resets the flows of openings that it refuses.
+STARTUP_SECONDS = 2
+
 
 @pytest.fixture
 def simulation() -> RelaySimulation:
@@ -67,11 +70,43 @@
 
 def test_opening_without_route_is_reset(simulation: RelaySimulation) -> None:
     host = simulation.add('a')
+    simulation.run(STARTUP_SECONDS)
     unknown = relay.route_key('198.18.0.99', 443)
     host.dispatch(relay.PacketArrived(packet(PacketKind.OPENING, key=unknown)))
     assert [one.route for one in host.resets] == [unknown]
 
 
+@pytest.mark.parametrize(('seconds', 'attempt'), [(0, 0), (STARTUP_SECONDS, 1)])
+def test_refused_opening_that_another_host_may_have_forwarded_is_not_reset(
+    simulation: RelaySimulation, seconds: float, attempt: int
+) -> None:
+    """Guards against the reset of a flow that another copy of its opening opened.
+
+    The copy waited in the socket of a host that started, or is the first that this host
+    sees.
+    """
+    host = simulation.add('a')
+    simulation.run(seconds)
+    unknown = relay.route_key('198.18.0.99', 443)
+    opening = packet(PacketKind.OPENING, key=unknown, attempt=attempt)
+    host.dispatch(relay.PacketArrived(opening))
+    assert not host.sent and not host.resets
+
+
+def test_copy_of_an_opening_is_reset_if_no_upstream_is_left(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against callers that wait for an answer that cannot come."""
+    host = simulation.add('a')
+    simulation.run(STARTUP_SECONDS)
+    host.open()
+    for name in tuple(simulation.store.listings):
+        simulation.store.delete(name)
+    simulation.run(1)
+    host.dispatch(relay.PacketArrived(packet(PacketKind.OPENING, attempt=1)))
+    assert len(host.resets) == 1
+
+
 def test_forged_opening_is_dropped(simulation: RelaySimulation) -> None:
     host = simulation.add('a')
     host.dispatch(relay.PacketArrived(packet(PacketKind.FORGED)))
@@ -370,6 +405,7 @@
 
 def test_configuration_without_routes_is_in_force(simulation: RelaySimulation) -> None:
     host = simulation.add('a')
+    simulation.run(STARTUP_SECONDS)
     simulation.store.configure(2)
     simulation.run(0.2)
     assert host.version() == 2
