--- a/soak/_relays.py
+++ b/soak/_relays.py
@@ -75,7 +75,7 @@
             'seeds': self.seeds,
             'core_share': 0.5,
             'stop_seconds': STOP_SECONDS,
-            'evacuate_ms': int(EVACUATE_SECONDS * 1000),
+            'bounds': {'evacuate_ms': int(EVACUATE_SECONDS * 1000)},
             'store': str(self.store_proxy.endpoint),
         }
         partial = self._settings_path.with_suffix('.partial')
