--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -86,7 +86,9 @@
         # A restored store may lack the object.
         if item is not None:
             self.revision += 1
-            await self._add_event(kind, item, deleted=True)
+            # The deletion is the last change of the object.
+            meta = {**item['meta'], 'revision': self.revision}
+            await self._add_event(kind, {**item, 'meta': meta}, deleted=True)
 
     def compact(self) -> None:
         """Drop the history: watches from an earlier revision get status 410."""
