--- a/review/testbed.py
+++ b/review/testbed.py
@@ -59,8 +59,8 @@
 class Record:
     """Writes record.txt: one line for each thing sent, answered, run or done."""
 
-    def __init__(self, folder):
-        self.file = open(folder / 'record.txt', 'w', encoding='utf-8')
+    def __init__(self, path):
+        self.file = open(path, 'w', encoding='utf-8')
         self.started_at = now()
 
     def write(self, text):
@@ -765,8 +765,8 @@
 class Bed:
     """A small deployment: zones with two relays each, and the stand-ins around it."""
 
-    def __init__(self, folder, zones=('a', 'b')):
-        self.record = Record(folder)
+    def __init__(self, record_path, zones=('a', 'b')):
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory(prefix='lychee-review-')
         self.folder = Path(self.temporary.name)
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())['roles']
@@ -991,18 +991,17 @@
     """The case could not be played."""
 
 
-def main(play, folder):
+def main(play, record_path, trouble):
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it cannot run."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        return asyncio.run(run(play, folder, trouble))
+        return asyncio.run(run(play, record_path, trouble))
     except (CannotRun, OSError) as error:
         print(f'cannot run: {error}', file=sys.stderr)
         return 2
 
 
-async def run(play, folder, trouble):
-    bed = Bed(folder)
+async def run(play, record_path, trouble):
+    bed = Bed(record_path)
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     for number_ in (signal.SIGTERM, signal.SIGINT):
