Log content that is behind what a leader announces

A host now writes a line of kind 'behind' when a beacon of its leader announces a later edition than its own, counts these times, and shows the version in force as a level, which is also there when the log lines of the moment are not. The state moves to a class of its own; decisions stay as they were.

--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -62,6 +62,9 @@
         previous = self.version
         self.version = event.version
         self._context.metrics.add('configuration', 'applied')
+        self._context.metrics.set_gauge(
+            'configuration_version', 'in force', event.version
+        )
         by_key = {route.key: route for route in self.routes_by_name.values()}
         terms = {one.service: one for one in self.terms_by_name.values()}
         removed = frozenset(self._removed)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -45,6 +45,7 @@
     Freshness,
 )
 from lycheedeal.relay._greetings import Greetings
+from lycheedeal.relay._lag import Lag
 from lycheedeal.relay._messages import (
     Beacon,
     BeaconRequest,
@@ -69,9 +70,6 @@
 # Time between two updates of the age metrics and removals of hosts that are no
 # longer heard.
 _MAINTENANCE_INTERVAL_SECONDS: Final = 2.0
-# A host whose edition is behind that of the leader for longer than this reads
-# from the store itself.
-_MAX_LAG_SECONDS: Final = 0.9
 
 
 class ZonePlugin:
@@ -93,7 +91,7 @@
         self._started_at = context.clock.monotonic()
         self._leader_heard_at = self._started_at
         self._leadership_changed_at = self._started_at
-        self._lagging_since: dict[StoreKind, float] = {}
+        self._lag = Lag(context)
         self._last_beacon_at = 0.0
         self._next_beacon_request = 0.0
         self._next_maintenance = 0.0
@@ -125,7 +123,7 @@
         if event.version is None and event.kind is StoreKind.CONFIGURATION:
             return
         difference = self.copies_by_kind[event.kind].apply(event)
-        self._lagging_since.pop(event.kind, None)
+        self._lag.end(event.kind)
         if difference is None or not self._is_leader:
             return
         for part in split_part(difference, self._own.host_id):
@@ -208,14 +206,15 @@
         now = self._context.clock.monotonic()
         kinds = zip(self.copies_by_kind, beacon.ages_ms, beacon.editions, strict=True)
         for kind, age_ms, edition in kinds:
-            if edition <= edition_of(self.copies_by_kind[kind]):
-                self._lagging_since.pop(kind, None)
+            own_edition = edition_of(self.copies_by_kind[kind])
+            if edition <= own_edition:
+                self._lag.end(kind)
                 yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
                 yield from self._offer(kind, edition, beacon)
                 continue
-            since = self._lagging_since.setdefault(kind, now)
-            if now - since > _MAX_LAG_SECONDS:
-                self._lagging_since[kind] = now
+            leader_id = beacon.peer.host_id
+            yield from self._lag.begin(kind, own_edition, edition, leader_id)
+            if self._lag.restart_overdue(kind):
                 yield Publish(RefreshRequested(kind))
             else:
                 request = SnapshotRequest(self._own.host_id, kind)
