Move the exchange of content in a zone to a class of its own

The plug-in of the zone decides who leads; what hosts send to each other, and request, is another matter and made the module too long. No decision changes.

--- /dev/null
+++ b/src/lycheedeal/relay/_exchange.py
@@ -0,0 +1,119 @@
+"""Content that the hosts of a zone send to each other."""
+
+from collections.abc import Iterator
+
+from lycheedeal.dispatch import Publish
+from lycheedeal.ids import HostId
+from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._copies import (
+    ContentCopy,
+    Reassembler,
+    as_content,
+    edition_of,
+    split_part,
+)
+from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
+from lycheedeal.relay._events import EditionConfirmed, RefreshRequested
+from lycheedeal.relay._lag import Lag
+from lycheedeal.relay._messages import Beacon, ContentPart, SnapshotRequest
+from lycheedeal.relay._peer_table import PeerTable
+from lycheedeal.relay._records import START_POSITION, Edition, StoreKind
+
+
+class ContentExchange:
+    """Copies of the content, and what is sent to other hosts or requested from them."""
+
+    def __init__(self, context: RelayContext, peer_table: PeerTable) -> None:
+        """Start without content."""
+        self._context = context
+        self._own_id = context.settings.host_id
+        self._peer_table = peer_table
+        self._reassembler = Reassembler()
+        self.copies_by_kind = {
+            kind: ContentCopy(kind) for kind in context.settings.kinds
+        }
+        self.lag = Lag(context)
+
+    def editions(self) -> tuple[Edition, ...]:
+        """Return the edition of each kind."""
+        return tuple(map(edition_of, self.copies_by_kind.values()))
+
+    def compare(self, beacon: Beacon) -> Iterator[Effect]:
+        """Confirm each kind whose edition is not behind; ask for the others."""
+        now = self._context.clock.monotonic()
+        kinds = zip(self.copies_by_kind, beacon.ages_ms, beacon.editions, strict=True)
+        for kind, age_ms, edition in kinds:
+            own_edition = edition_of(self.copies_by_kind[kind])
+            if edition <= own_edition:
+                self.lag.end(kind)
+                yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
+                yield from self._offer(kind, edition, beacon)
+                continue
+            leader_id = beacon.peer.host_id
+            yield from self.lag.begin(kind, own_edition, edition, leader_id)
+            if self.lag.restart_overdue(kind):
+                yield Publish(RefreshRequested(kind))
+            else:
+                request = SnapshotRequest(self._own_id, kind)
+                yield SendPeer(beacon.peer.endpoint, request)
+
+    def receive(self, part: ContentPart) -> Iterator[Effect]:
+        """Publish a change once all its parts are there, if it is later."""
+        change = (
+            self._reassembler.add(part) if part.kind in self.copies_by_kind else None
+        )
+        if change is None:
+            return
+        copy = self.copies_by_kind[change.kind]
+        if edition_of(change) <= edition_of(copy):
+            self._context.metrics.add('peer_content', 'ignored')
+            yield _ignored_record(change, copy)
+            return
+        if not copy.accepts(change):
+            sender = self._peer_table.find(part.host_id)
+            if sender is not None:
+                request = SnapshotRequest(self._own_id, change.kind)
+                yield SendPeer(sender.endpoint, request)
+            return
+        yield Publish(as_content(change))
+
+    def send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
+        """Send the whole content of a kind to a host that asks for it."""
+        peer = self._peer_table.find(host_id)
+        copy = self.copies_by_kind.get(kind)
+        if peer is None or copy is None or copy.position == START_POSITION:
+            return
+        for part in split_part(copy.snapshot(), self._own_id):
+            yield SendPeer(peer.endpoint, part)
+
+    def _offer(
+        self, kind: StoreKind, edition: Edition, beacon: Beacon
+    ) -> Iterator[Effect]:
+        """Send the leader a configuration that is newer than its own.
+
+        It may have read an older one from a store that came back from a copy. On
+        average one host of the zone sends it.
+        """
+        copy = self.copies_by_kind[kind]
+        is_newer = kind is StoreKind.CONFIGURATION and edition < edition_of(copy)
+        if is_newer and self._context.rng.random() * beacon.zone_size < 1:
+            for part in split_part(copy.snapshot(), self._own_id):
+                yield SendPeer(beacon.peer.endpoint, part)
+
+
+def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
+    return LogRecord(
+        Part.ZONE,
+        'content',
+        'Content of a peer was ignored: the own content counts as equal or newer.',
+        {
+            'objects': change.kind.value,
+            'sender': change.host_id,
+            'era': change.position.era,
+            'own_era': copy.position.era,
+            'revision': change.position.revision,
+            'own_revision': copy.position.revision,
+            'version': change.version,
+            'own_version': copy.version,
+        },
+    )
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -11,31 +11,23 @@
 from typing import Final
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
-from lycheedeal.ids import HostId
 from lycheedeal.relay._context import RelayContext
-from lycheedeal.relay._copies import (
-    ContentCopy,
-    Reassembler,
-    as_content,
-    edition_of,
-    split_part,
-)
+from lycheedeal.relay._copies import split_part
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import (
     ContentChanged,
     ContentConfirmed,
     CopiesReady,
-    EditionConfirmed,
     Event,
     LeadershipChanged,
     PeerMessageReceived,
     PeerTableReady,
-    RefreshRequested,
     SpreadRequested,
     Started,
     StopRequested,
     Tick,
 )
+from lycheedeal.relay._exchange import ContentExchange
 from lycheedeal.relay._freshness import (
     BEACON_INTERVAL_SECONDS,
     LEADER_TIMEOUT_SECONDS,
@@ -45,7 +37,6 @@
     Freshness,
 )
 from lycheedeal.relay._greetings import Greetings
-from lycheedeal.relay._lag import Lag
 from lycheedeal.relay._messages import (
     Beacon,
     BeaconRequest,
@@ -55,7 +46,7 @@
     SnapshotRequest,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import START_POSITION, Edition, Source, StoreKind
+from lycheedeal.relay._records import Source, StoreKind
 
 # With more leaders than this in the zone, the interval between beacons grows in
 # proportion.
@@ -81,17 +72,14 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._greetings = Greetings(context, self._peer_table)
-        self.copies_by_kind = {
-            kind: ContentCopy(kind) for kind in context.settings.kinds
-        }
+        self._exchange = ContentExchange(context, self._peer_table)
+        self.copies_by_kind = self._exchange.copies_by_kind
         self.freshness = Freshness(context)
-        self._reassembler = Reassembler()
         self._is_leader = False
         self._stopping = False
         self._started_at = context.clock.monotonic()
         self._leader_heard_at = self._started_at
         self._leadership_changed_at = self._started_at
-        self._lag = Lag(context)
         self._last_beacon_at = 0.0
         self._next_beacon_request = 0.0
         self._next_maintenance = 0.0
@@ -123,7 +111,7 @@
         if event.version is None and event.kind is StoreKind.CONFIGURATION:
             return
         difference = self.copies_by_kind[event.kind].apply(event)
-        self._lag.end(event.kind)
+        self._exchange.lag.end(event.kind)
         if difference is None or not self._is_leader:
             return
         for part in split_part(difference, self._own.host_id):
@@ -148,13 +136,13 @@
             case Beacon() as beacon:
                 yield from self._beacon_received(beacon)
             case ContentPart() as part:
-                yield from self._part_received(part)
+                yield from self._exchange.receive(part)
             case BeaconRequest(peer=peer):
                 self._peer_table.record_heard(peer)
                 if self._is_leader:
                     yield SendPeer(peer.endpoint, self._own_beacon())
             case SnapshotRequest(host_id=host_id, kind=kind):
-                yield from self._send_snapshot(host_id, kind)
+                yield from self._exchange.send_snapshot(host_id, kind)
 
     def _greeted(self, greeting: Greeting) -> Iterator[Effect]:
         yield from self._greetings.answer(greeting)
@@ -192,7 +180,7 @@
         yield from self._set_leadership(
             is_leader=False, reason='another leader is heard'
         )
-        yield from self._compare_editions(beacon)
+        yield from self._exchange.compare(beacon)
 
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
@@ -201,66 +189,6 @@
             return True
         return rank(beacon.peer) < rank(self._own)
 
-    def _compare_editions(self, beacon: Beacon) -> Iterator[Effect]:
-        """Confirm each kind whose edition is not behind; ask for the others."""
-        now = self._context.clock.monotonic()
-        kinds = zip(self.copies_by_kind, beacon.ages_ms, beacon.editions, strict=True)
-        for kind, age_ms, edition in kinds:
-            own_edition = edition_of(self.copies_by_kind[kind])
-            if edition <= own_edition:
-                self._lag.end(kind)
-                yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
-                yield from self._offer(kind, edition, beacon)
-                continue
-            leader_id = beacon.peer.host_id
-            yield from self._lag.begin(kind, own_edition, edition, leader_id)
-            if self._lag.restart_overdue(kind):
-                yield Publish(RefreshRequested(kind))
-            else:
-                request = SnapshotRequest(self._own.host_id, kind)
-                yield SendPeer(beacon.peer.endpoint, request)
-
-    def _offer(
-        self, kind: StoreKind, edition: Edition, beacon: Beacon
-    ) -> Iterator[Effect]:
-        """Send the leader a configuration that is newer than its own.
-
-        It may have read an older one from a store that came back from a copy. On
-        average one host of the zone sends it.
-        """
-        copy = self.copies_by_kind[kind]
-        is_newer = kind is StoreKind.CONFIGURATION and edition < edition_of(copy)
-        if is_newer and self._context.rng.random() * beacon.zone_size < 1:
-            for part in split_part(copy.snapshot(), self._own.host_id):
-                yield SendPeer(beacon.peer.endpoint, part)
-
-    def _part_received(self, part: ContentPart) -> Iterator[Effect]:
-        change = (
-            self._reassembler.add(part) if part.kind in self.copies_by_kind else None
-        )
-        if change is None:
-            return
-        copy = self.copies_by_kind[change.kind]
-        if edition_of(change) <= edition_of(copy):
-            self._context.metrics.add('peer_content', 'ignored')
-            yield _ignored_record(change, copy)
-            return
-        if not copy.accepts(change):
-            sender = self._peer_table.find(part.host_id)
-            if sender is not None:
-                request = SnapshotRequest(self._own.host_id, change.kind)
-                yield SendPeer(sender.endpoint, request)
-            return
-        yield Publish(as_content(change))
-
-    def _send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
-        peer = self._peer_table.find(host_id)
-        copy = self.copies_by_kind.get(kind)
-        if peer is None or copy is None or copy.position == START_POSITION:
-            return
-        for part in split_part(copy.snapshot(), self._own.host_id):
-            yield SendPeer(peer.endpoint, part)
-
     def _stop(self) -> Iterator[Effect]:
         self._stopping = True
         yield Publish(SpreadRequested(self._own_beacon()))
@@ -344,31 +272,16 @@
         ages = self.freshness.ages_ms()
         if self._stopping:
             ages = self.freshness.resigned_ages_ms()
-        editions = tuple(map(edition_of, self.copies_by_kind.values()))
         size = sum(1 for _ in self._peer_table.of_own_zone()) + 1
         return Beacon(
-            self._own, ages, editions, size, self._peer_table.next_advertised()
+            self._own,
+            ages,
+            self._exchange.editions(),
+            size,
+            self._peer_table.next_advertised(),
         )
 
 
-def _ignored_record(change: ContentPart, copy: ContentCopy) -> LogRecord:
-    return LogRecord(
-        Part.ZONE,
-        'content',
-        'Content of a peer was ignored: the own content counts as equal or newer.',
-        {
-            'objects': change.kind.value,
-            'sender': change.host_id,
-            'era': change.position.era,
-            'own_era': copy.position.era,
-            'revision': change.position.revision,
-            'own_revision': copy.position.revision,
-            'version': change.version,
-            'own_version': copy.version,
-        },
-    )
-
-
 register(
     PluginSpec(
         'zone',
