Confirm only content whose edition a beacon does not exceed

What callers may see: flows are opened on a route more than 3 s after it was removed, by hosts that were told that the store had confirmed their content.

Cause: a beacon tells when the store confirmed the content of its sender. The receiver took the ages for those of its own content before it compared the editions, so a host that was behind counted as fresh and did not read. If the sender failed, or resigned, before the content had arrived, the host waited for the next leader, and each further beacon began the wait anew. A host whose content was stale also resigned on such a beacon and cancelled its own call to the store.

Ages now count only for kinds of which the own edition is not behind, so a host reads at the latest when its own content is stale. A leader follows another one once it has what that one announces, so it does not cancel a call that may bring the content first.

--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -1,6 +1,7 @@
 """Content that the hosts of a zone send to each other."""
 
 from collections.abc import Iterator
+from operator import gt
 
 from lycheedeal.dispatch import Publish
 from lycheedeal.ids import HostId
@@ -14,6 +15,7 @@
 )
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import EditionConfirmed, RefreshRequested
+from lycheedeal.relay._freshness import Freshness
 from lycheedeal.relay._lag import Lag
 from lycheedeal.relay._messages import Beacon, ContentPart, SnapshotRequest
 from lycheedeal.relay._peer_table import PeerTable
@@ -23,11 +25,14 @@
 class ContentExchange:
     """Copies of the content, and what is sent to other hosts or requested from them."""
 
-    def __init__(self, context: RelayContext, peer_table: PeerTable) -> None:
+    def __init__(
+        self, context: RelayContext, peer_table: PeerTable, freshness: Freshness
+    ) -> None:
         """Start without content."""
         self._context = context
         self._own_id = context.settings.host_id
         self._peer_table = peer_table
+        self._freshness = freshness
         self._reassembler = Reassembler()
         self.copies_by_kind = {
             kind: ContentCopy(kind) for kind in context.settings.kinds
@@ -38,6 +43,10 @@
         """Return the edition of each kind."""
         return tuple(map(edition_of, self.copies_by_kind.values()))
 
+    def is_behind(self, beacon: Beacon) -> bool:
+        """Return whether the sender has later content of any kind."""
+        return any(map(gt, beacon.editions, self.editions()))
+
     def compare(self, beacon: Beacon) -> Iterator[Effect]:
         """Confirm each kind whose edition is not behind; ask for the others."""
         now = self._context.clock.monotonic()
@@ -46,6 +55,7 @@
             own_edition = edition_of(self.copies_by_kind[kind])
             if edition <= own_edition:
                 self.lag.end(kind)
+                self._freshness.confirm(kind, now - age_ms / 1000)
                 yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
                 yield from self._offer(kind, edition, beacon)
                 continue
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -46,7 +46,7 @@
     SnapshotRequest,
 )
 from lycheedeal.relay._peer_table import PeerTable, rank
-from lycheedeal.relay._records import Source, StoreKind
+from lycheedeal.relay._records import Peer, Source, StoreKind
 
 # With more leaders than this in the zone, the interval between beacons grows in
 # proportion.
@@ -72,9 +72,9 @@
         self._own = context.settings.own_peer
         self._peer_table = PeerTable(self._own, context.clock)
         self._greetings = Greetings(context, self._peer_table)
-        self._exchange = ContentExchange(context, self._peer_table)
-        self.copies_by_kind = self._exchange.copies_by_kind
         self.freshness = Freshness(context)
+        self._exchange = ContentExchange(context, self._peer_table, self.freshness)
+        self.copies_by_kind = self._exchange.copies_by_kind
         self._is_leader = False
         self._stopping = False
         self._started_at = context.clock.monotonic()
@@ -169,18 +169,25 @@
         is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
         if not is_fresh or (self._is_leader and not self._outranked_by(beacon)):
             return
-        for kind, age in zip(self.copies_by_kind, beacon.ages_ms, strict=True):
-            self.freshness.confirm(kind, now - age / 1000)
-        if self._peer_table.leader_id != beacon.peer.host_id:
-            self._peer_table.leader_id = beacon.peer.host_id
-            yield SendPeer(
-                beacon.peer.endpoint, Greeting(self._own, wants_answer=False)
-            )
-        self._leader_heard_at = now
+        if self._is_leader and self._exchange.is_behind(beacon):
+            # The content may come sooner by a call that is in progress. The sender
+            # answers requests only of hosts that it knows.
+            yield self._greeting_to(beacon.peer)
+        else:
+            yield from self._follow(beacon.peer)
+        yield from self._exchange.compare(beacon)
+
+    def _follow(self, leader: Peer) -> Iterator[Effect]:
+        if self._peer_table.leader_id != leader.host_id:
+            self._peer_table.leader_id = leader.host_id
+            yield self._greeting_to(leader)
+        self._leader_heard_at = self._context.clock.monotonic()
         yield from self._set_leadership(
             is_leader=False, reason='another leader is heard'
         )
-        yield from self._exchange.compare(beacon)
+
+    def _greeting_to(self, peer: Peer) -> SendPeer:
+        return SendPeer(peer.endpoint, Greeting(self._own, wants_answer=False))
 
     def _outranked_by(self, beacon: Beacon) -> bool:
         """Return whether the sender should lead the zone rather than this host."""
