--- a/tests/unit/test_relay_missed_change.py
+++ b/tests/unit/test_relay_missed_change.py
@@ -1,5 +1,7 @@
 """Hosts that are told of a change but do not receive it."""
 
+from collections.abc import Callable
+
 import pytest
 
 from lycheedeal import relay
@@ -9,6 +11,7 @@
     STEP_SECONDS,
     RelayHost,
     RelaySimulation,
+    Store,
     listing,
 )
 
@@ -21,6 +24,7 @@
     """Loses content that hosts send to each other while ``loses_content``."""
 
     loses_content = False
+    evacuation_seconds = 5.0
 
     def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
         if not (self.loses_content and b'"content"' in datagram):
@@ -78,16 +82,37 @@
     assert not lagging
 
 
-def test_content_that_is_behind_is_not_confirmed() -> None:
+def drain(store: Store) -> None:
+    store.put(listing('i-1', draining=True))
+
+
+def evacuate(store: Store) -> None:
+    store.evacuate('south')
+
+
+def configure(store: Store) -> None:
+    store.configure(NEW, *ROUTES)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'change'),
+    [
+        (relay.StoreKind.CONFIGURATION, configure),
+        (relay.StoreKind.UPSTREAMS, drain),
+        (relay.StoreKind.EVACUATIONS, evacuate),
+    ],
+)
+def test_content_that_is_behind_is_not_confirmed(
+    kind: relay.StoreKind, change: Callable[[Store], None]
+) -> None:
     """Guards against a host that takes the age of its leader's content for its own."""
     simulation = build({'south': 4})
+    (leader,) = simulation.leaders()
     simulation.loses_content = True
     changed_at = simulation.clock.now
-    simulation.store.configure(NEW, *ROUTES)
+    change(simulation.store)
     simulation.run(0.5)
-    lagging = [one for one in simulation.hosts.values() if one.version() == OLD]
-    assert lagging
+    lagging = [one for one in simulation.hosts.values() if one is not leader]
     for host in lagging:
         freshness = host.kernel.plugins_by_name['zone'].freshness
-        confirmed_at = freshness.confirmed_at(relay.StoreKind.CONFIGURATION)
-        assert confirmed_at <= changed_at
+        assert freshness.confirmed_at(kind) <= changed_at
