--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -17,6 +17,8 @@
 from tests.platform_entries import SOUND_ENTRY
 
 TIMEOUT_SECONDS = 10.0
+# Far longer than the pause between two calls of a host that watches.
+IDLE_SECONDS = 2.0
 UPSTREAMS = StoreKind.UPSTREAMS
 
 # Answers the requests of one connection, which come as their paths.
@@ -502,3 +504,26 @@
         assert_fault(await harness.next_event(), StoreFault.MALFORMED)
 
     play(test, answer)
+
+
+def test_connection_that_went_silent_while_idle_does_not_delay_a_list() -> None:
+    """Guards against a list that waits for its timeout on a connection long unused."""
+
+    async def answer_once(
+        paths: asyncio.Queue[str], writer: asyncio.StreamWriter
+    ) -> None:
+        await paths.get()
+        writer.write(listed(5, 'i-1'))
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(listed(6, 'i-1'))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 5)
+        await asyncio.sleep(IDLE_SECONDS)
+        client.list_objects(UPSTREAMS)
+        assert_revision(await harness.next_event(), 6)
+
+    play(test, answer_once, answer)
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -237,15 +237,19 @@
         name: str,
         zone: str,
         seeds: tuple[Endpoint, ...] = (),
+        endpoint: Endpoint | None = None,
+        core_share: float = 0.5,
     ) -> None:
         self.simulation = simulation
-        simulation.address_count += 1
-        self.endpoint = Endpoint(f'10.0.0.{simulation.address_count}', 7720)
+        if endpoint is None:
+            simulation.address_count += 1
+            endpoint = Endpoint(f'10.0.0.{simulation.address_count}', 7720)
+        self.endpoint = endpoint
         settings = relay.RelaySettings(
             HostId(name),
             Zone(zone),
             self.endpoint,
-            0.5,
+            core_share,
             seeds,
             stop_seconds=6,
             evacuation_seconds=simulation.evacuation_seconds,
