Replace connections to the store that have been idle for a second

Callers got routes of an outdated configuration for longer than the 3 s in which a change must be in force.

Cause: a host that is no longer told that its content is current reads the store after 1.9 to 2.5 s. If it has not called since its start, its connection may have gone silent meanwhile without an end, as connections on the platform may, and the list waits for its timeout of 1 s before a new connection is tried.

A call costs nothing more: the new connection takes a round trip, and a host that watches pauses for 0.25 s only.

--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -1,6 +1,7 @@
 """Persistent HTTP/1.1 connection to the platform's object store."""
 
 import asyncio
+import time
 from typing import Final, NamedTuple
 
 import httptools
@@ -9,6 +10,9 @@
 
 # Longer answers count as malformed.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+# An unused connection may have gone silent, which only a timeout would show. A host
+# that watches pauses for 0.25 s at most.
+MAX_IDLE_SECONDS: Final = 1.0
 # Header with the era of the store, in each of its answers.
 _ERA_HEADER: Final = b'store-era'
 
@@ -45,9 +49,15 @@
         self._body = bytearray()
         self._era = relay.Era(0)
         self._response: asyncio.Future[Answer] | None = None
+        self._used_at = time.monotonic()
         self.is_closed = False
         self.latest_position = relay.START_POSITION
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection has not been used for long."""
+        return time.monotonic() - self._used_at > MAX_IDLE_SECONDS
+
     async def get(self, path: str) -> Answer:
         """Return the answer to a GET request.
 
@@ -117,6 +127,7 @@
         if not self._parser.should_keep_alive():
             self.is_closed = True
         if self._response is not None and not self._response.done():
+            self._used_at = time.monotonic()
             status = self._parser.get_status_code()
             self._response.set_result(Answer(status, self._era, bytes(self._body)))
 
--- a/tests/timed_relays.py
+++ b/tests/timed_relays.py
@@ -13,6 +13,7 @@
 
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint
+from lycheedeal.platform._connection import MAX_IDLE_SECONDS
 from lycheedeal.relay.peer_codec import decode_message, encode_message
 from tests.relay_simulation import STEP_SECONDS, RelayHost, RelaySimulation
 
@@ -75,6 +76,7 @@
         self.calls_by_kind: dict[relay.StoreKind, Call] = {}
         # Whether the open connection for a kind still passes data.
         self.connections: dict[relay.StoreKind, bool] = {}
+        self._answered_at: dict[relay.StoreKind, float] = {}
         self.versions: list[tuple[float, int]] = []
         self._waiting: deque[Action] = deque()
         self._is_working = False
@@ -197,6 +199,8 @@
             lambda: self.enqueue(lambda: self._finish(call, silent)),
         )
         delay = simulation.store_latency()
+        if self._is_idle(call.kind):
+            self.connections.pop(call.kind, None)
         if call.kind not in self.connections:
             delay += 2 * simulation.store_latency()
         works = self.connections.setdefault(call.kind, True)
@@ -206,6 +210,10 @@
                 lambda: simulation.receive_call(self, call),
             )
 
+    def _is_idle(self, kind: relay.StoreKind) -> bool:
+        now = self.simulation.clock.now
+        return now - self._answered_at.get(kind, now) > MAX_IDLE_SECONDS
+
     def finish(self, call: Call, event: relay.Event) -> None:
         """Receive the answer of the store, unless the connection has gone silent."""
         if self.connections.get(call.kind):
@@ -215,6 +223,7 @@
         if self.calls_by_kind.get(call.kind) is not call:
             return
         del self.calls_by_kind[call.kind]
+        self._answered_at[call.kind] = self.simulation.clock.now
         if isinstance(event, relay.CallFailed):
             self.connections.pop(call.kind, None)
         self.dispatch(event)
