Count the time that messages wait in a paused process as age

A host that was paused, or busy for long, took what its sockets held for new: a beacon or an answer of the store confirmed its content as of the moment when it was read. The host then told its zone, with a small age, that this content was current, and hosts that were in order did not read the store meanwhile.

Ticks are regular unless the process is held up, so the delay of the last tick, or of the one that is due, bounds the time that a message can have waited. Ages in beacons and answers of watches now include it.

--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable
 from types import FrameType
-from typing import Final, Protocol
+from typing import Protocol
 
 from lycheedeal import relay
 from lycheedeal.datagrams import bind_datagrams, read_batch
@@ -24,9 +24,6 @@
     encode_message,
 )
 
-# Interval of Tick events.
-_TICK_SECONDS: Final = 0.1
-
 Dispatch = Callable[[relay.Event], None]
 
 
@@ -128,7 +125,7 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, self._receive_signal)
         self.dispatch(relay.Started())
-        loop.call_later(_TICK_SECONDS, self._tick)
+        loop.call_later(relay.TICK_SECONDS, self._tick)
 
     async def wait(self) -> None:
         """Wait until the kernel requests the end of the process."""
@@ -209,7 +206,7 @@
             self.dispatch(relay.PeerMessageReceived(message))
 
     def _tick(self) -> None:
-        asyncio.get_running_loop().call_later(_TICK_SECONDS, self._tick)
+        asyncio.get_running_loop().call_later(relay.TICK_SECONDS, self._tick)
         now = self._context.clock.monotonic()
         self.dispatch(relay.Tick(now))
         self._front_end.tick(now)
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -98,6 +98,7 @@
     flow_text,
     route_key,
 )
+from lycheedeal.relay._receive_delay import TICK_SECONDS
 from lycheedeal.relay._tokens import token_of
 from lycheedeal.relay._upstream_table import UpstreamTable
 
@@ -127,6 +128,7 @@
 __all__ = (
     'BUCKET_SECONDS',
     'RELAY_PLUGINS',
+    'TICK_SECONDS',
     'NO_EDITION',
     'START_POSITION',
     'Histogram',
--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -55,8 +55,9 @@
             own_edition = edition_of(self.copies_by_kind[kind])
             if edition <= own_edition:
                 self.lag.end(kind)
-                self._freshness.confirm(kind, now - age_ms / 1000)
-                yield Publish(EditionConfirmed(kind, now - age_ms / 1000))
+                confirmed_at = now - self._freshness.received_age(age_ms)
+                self._freshness.confirm(kind, confirmed_at)
+                yield Publish(EditionConfirmed(kind, confirmed_at))
                 yield from self._offer(kind, edition, beacon)
                 continue
             leader_id = beacon.peer.host_id
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from lycheedeal.relay._context import RelayContext
+from lycheedeal.relay._receive_delay import ReceiveDelay
 from lycheedeal.relay._records import StoreKind
 from lycheedeal.relay.reading import ANSWER_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
 
@@ -29,6 +30,15 @@
         """Start without a confirmation of any kind."""
         self._context = context
         self._confirmed_at = dict.fromkeys(context.settings.kinds, float('-inf'))
+        self._receive_delay = ReceiveDelay(context.clock)
+
+    def tick(self, now: float) -> None:
+        """Note that the process runs."""
+        self._receive_delay.tick(now)
+
+    def received_age(self, age_ms: int) -> float:
+        """Return the seconds that an age in a message received now stands for."""
+        return age_ms / 1000 + self._receive_delay.seconds()
 
     def confirm(self, kind: StoreKind, at: float) -> None:
         """Note that the content of a kind was current at a time."""
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -33,6 +33,7 @@
     WatchingChanged,
 )
 from lycheedeal.relay._reader import Phase, Reader
+from lycheedeal.relay._receive_delay import ReceiveDelay
 from lycheedeal.relay._records import (
     START_POSITION,
     Era,
@@ -76,6 +77,7 @@
         self._era: Era | None = None
         # Content of this host, which peers change, too.
         self._copies: Mapping[StoreKind, ContentCopy] = {}
+        self._receive_delay = ReceiveDelay(context.clock)
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
@@ -182,7 +184,8 @@
             is_whole = event.kind is StoreKind.CONFIGURATION
             yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
-        yield Publish(ContentConfirmed(event.kind, now))
+        answered_at = now - self._receive_delay.seconds()
+        yield Publish(ContentConfirmed(event.kind, answered_at))
         if _has_changes(event):
             reader.phase = Phase.PAUSING
             reader.resume_at = now + _COALESCE_SECONDS
@@ -294,6 +297,7 @@
             yield from self._list(reader)
 
     def _tick(self, now: float) -> Iterator[Effect]:
+        self._receive_delay.tick(now)
         for reader in self._readers.values():
             if now < reader.resume_at:
                 continue
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -101,7 +101,8 @@
             if self._followed == peer.host_id:
                 self._heard_at = now - LEADER_TIMEOUT_SECONDS
             return
-        is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
+        age = self._freshness.received_age(max(beacon.ages_ms))
+        is_fresh = age < MAX_FRESH_AGE_SECONDS
         if not is_fresh or self._goes_before(peer):
             return
         if self._followed != peer.host_id or self._watches:
@@ -120,7 +121,8 @@
                 request = SnapshotRequest(self._own.host_id, kind)
                 yield SendPeer(peer.endpoint, request)
                 continue
-            yield Publish(ContentConfirmed(kind, now - age_ms / 1000, Source.PEER))
+            confirmed_at = now - self._freshness.received_age(age_ms)
+            yield Publish(ContentConfirmed(kind, confirmed_at, Source.PEER))
             if kind is StoreKind.CONFIGURATION:
                 yield from self._offer_configuration(edition, peer)
 
@@ -145,6 +147,7 @@
         return self._freshness.oldest_age() < MAX_FRESH_AGE_SECONDS
 
     def _tick(self, now: float) -> Iterator[Effect]:
+        self._freshness.tick(now)
         if not self._is_leader or self._stopping:
             return
         if not self._watches:
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -166,7 +166,8 @@
                 self._peer_table.leader_id = None
                 self._leader_heard_at = now - LEADER_TIMEOUT_SECONDS
             return
-        is_fresh = max(beacon.ages_ms) / 1000 < MAX_FRESH_AGE_SECONDS
+        age = self.freshness.received_age(max(beacon.ages_ms))
+        is_fresh = age < MAX_FRESH_AGE_SECONDS
         if not is_fresh or (self._is_leader and not self._outranked_by(beacon)):
             return
         if self._is_leader and self._exchange.is_behind(beacon):
@@ -201,6 +202,7 @@
         yield Publish(SpreadRequested(self._own_beacon()))
 
     def _tick(self, now: float) -> Iterator[Effect]:
+        self.freshness.tick(now)
         yield from self._decide_leadership(now)
         if self._is_leader and not self._stopping:
             yield from self._send_beacon(now)
