Let a watching host that is behind keep its calls to the store

A leader that watched the store for its zone stopped as soon as it heard a fresh watching leader of another zone, and cancelled its calls. If that one announced content that it did not have, a call that would have brought it was lost, and the host depended on a message instead.

The host now asks for the content and goes on watching until it has what is announced. The test failed before.

--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterator, Mapping
+from operator import gt
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.ids import HostId
@@ -105,12 +106,16 @@
         is_fresh = age < MAX_FRESH_AGE_SECONDS
         if not is_fresh or self._goes_before(peer):
             return
-        if self._followed != peer.host_id or self._watches:
+        # The content that is missing may come sooner by a call that is in progress.
+        if not (self._watches and self._is_behind(beacon)):
             self._followed = peer.host_id
             yield from self._set_watching(False, 'a leader of another zone watches')
         self._heard_at = now
         yield from self._compare_editions(beacon)
 
+    def _is_behind(self, beacon: RegionBeacon) -> bool:
+        return any(map(gt, beacon.editions, map(edition_of, self._copies.values())))
+
     def _compare_editions(self, beacon: RegionBeacon) -> Iterator[Effect]:
         """Confirm each kind whose edition is not behind; ask for the others."""
         peer = beacon.peer
--- a/tests/unit/test_relay_region.py
+++ b/tests/unit/test_relay_region.py
@@ -3,8 +3,9 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint
+from lycheedeal.ids import Endpoint, HostId, Zone
 from lycheedeal.relay import UpstreamState, route_key
+from lycheedeal.relay._copies import edition_of
 from tests.relay_simulation import (
     API,
     INTAKE,
@@ -199,3 +200,32 @@
     watcher.dispatch(relay.StopRequested())
     simulation.run(0.5)
     assert any(host is not watcher for host in simulation.watchers())
+
+
+def fresh_beacon(
+    host: RelayHost, edition: relay.Edition | None = None
+) -> relay.PeerMessageReceived:
+    """Return a beacon of a host that goes before all others.
+
+    It has the content of ``host``, unless ``edition`` is that of its configuration.
+    """
+    copies = host.kernel.plugins_by_name['zone'].copies_by_kind.values()
+    editions = [edition_of(copy) for copy in copies]
+    if edition is not None:
+        editions[0] = edition
+    peer = relay.Peer(
+        HostId('elsewhere-0'), Zone('elsewhere'), Endpoint('10.9.0.1', 7720), 4, True
+    )
+    beacon = relay.RegionBeacon(peer, (0,) * len(editions), tuple(editions))
+    return relay.PeerMessageReceived(beacon)
+
+
+def test_watching_host_that_is_behind_keeps_its_calls(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against a call that is cancelled before its content has come."""
+    watcher = watcher_of(simulation)
+    watcher.dispatch(fresh_beacon(watcher, relay.Edition((0, 2))))
+    assert len(watcher.watches) == 2
+    watcher.dispatch(fresh_beacon(watcher))
+    assert not watcher.watches
