Tell the leaders of other zones that a host stops watching the store

Leaders of zones follow one of them that watches the store.

A host that stops watching sends a last beacon with an age that says so. Its followers wait one beacon interval for the next watching host, then watch. The test failed before: nobody watched for a second.

--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -17,8 +17,10 @@
 # leaders, or start to watch, at the same time.
 STAGGER_SECONDS: Final = 0.12
 MAX_STAGGER_SECONDS: Final = 0.6
-# Age in the beacon of a host that resigns because its process stops.
+# Ages in the beacon of a host that resigns because its process stops, and of one that
+# does because another host takes its part.
 _RESIGNED_AGE_MS: Final = -1
+_HANDED_OVER_AGE_MS: Final = -2
 # Upper limit of ages; also the age of content that was never confirmed.
 _MAX_AGE_SECONDS: Final = 3600.0
 
@@ -74,6 +76,14 @@
         """Return the ages that the beacon of a stopping host has."""
         return (_RESIGNED_AGE_MS,) * len(self._confirmed_at)
 
+    def handed_over_ages_ms(self) -> tuple[int, ...]:
+        """Return the ages that the last beacon has before another host sends them."""
+        return (_HANDED_OVER_AGE_MS,) * len(self._confirmed_at)
+
+    def is_handed_over(self, ages_ms: tuple[int, ...]) -> bool:
+        """Return whether the sender of a last beacon expects another host to send."""
+        return ages_ms == self.handed_over_ages_ms()
+
     def update_metrics(self) -> None:
         """Set the gauges of the ages."""
         for kind in self._confirmed_at:
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -99,8 +99,7 @@
         self._peer_table.record_heard(peer)
         now = self._context.clock.monotonic()
         if beacon.ages_ms[0] < 0:
-            if self._followed == peer.host_id:
-                self._heard_at = now - LEADER_TIMEOUT_SECONDS
+            self._end_following(beacon)
             return
         age = self._freshness.received_age(max(beacon.ages_ms))
         is_fresh = age < MAX_FRESH_AGE_SECONDS
@@ -113,6 +112,14 @@
         self._heard_at = now
         yield from self._compare_editions(beacon)
 
+    def _end_following(self, beacon: RegionBeacon) -> None:
+        if self._followed != beacon.peer.host_id:
+            return
+        self._heard_at = self._context.clock.monotonic() - LEADER_TIMEOUT_SECONDS
+        if self._freshness.is_handed_over(beacon.ages_ms):
+            # The next beacon of the host that watches now may be on its way.
+            self._heard_at += BEACON_INTERVAL_SECONDS
+
     def _is_behind(self, beacon: RegionBeacon) -> bool:
         return any(map(gt, beacon.editions, map(edition_of, self._copies.values())))
 
@@ -183,6 +190,8 @@
         self._next_beacon = 0.0
         if watches:
             self._followed = None
+        else:
+            yield from self._send_ages(self._freshness.handed_over_ages_ms())
         yield Publish(WatchingChanged(watches))
         yield LogRecord(
             Part.ZONE,
@@ -203,8 +212,11 @@
         ages = self._freshness.ages_ms()
         if self._stopping:
             ages = self._freshness.resigned_ages_ms()
+        yield from self._send_ages(ages)
+
+    def _send_ages(self, ages_ms: tuple[int, ...]) -> Iterator[Effect]:
         editions = tuple(map(edition_of, self._copies.values()))
-        yield from self._send_to_leaders(RegionBeacon(self._own, ages, editions))
+        yield from self._send_to_leaders(RegionBeacon(self._own, ages_ms, editions))
 
     def _send_to_leaders(self, message: RegionBeacon | ContentPart) -> Iterator[Effect]:
         for peer in self._peer_table.other_zone_leaders():
--- a/tests/unit/test_relay_region.py
+++ b/tests/unit/test_relay_region.py
@@ -229,3 +229,14 @@
     assert len(watcher.watches) == 2
     watcher.dispatch(fresh_beacon(watcher))
     assert not watcher.watches
+
+
+def test_watching_host_that_hands_over_to_a_failed_one_is_replaced(
+    simulation: RelaySimulation,
+) -> None:
+    """Guards against zones that wait for a host which has stopped watching."""
+    watcher = watcher_of(simulation)
+    watcher.dispatch(fresh_beacon(watcher))
+    assert not simulation.watchers()
+    simulation.run(0.6)
+    assert simulation.watchers()
