Do not let a leader that is behind hide that others are ahead

A host that hears of a later edition asks for it, and reads the store itself if it does not come within 0.9 s. A beacon of another leader with the host's own, older edition ended that time, so with two leaders in a zone the host never read and depended on the requested messages alone until its content became stale.

The time now ends when the announced edition is reached. The test failed before: the host made no call to the store in 1.5 s.

--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -54,7 +54,7 @@
         for kind, age_ms, edition in kinds:
             own_edition = edition_of(self.copies_by_kind[kind])
             if edition <= own_edition:
-                self.lag.end(kind)
+                self.lag.end_at(kind, own_edition)
                 confirmed_at = now - self._freshness.received_age(age_ms)
                 self._freshness.confirm(kind, confirmed_at)
                 yield Publish(EditionConfirmed(kind, confirmed_at))
--- a/src/lycheedeal/relay/_lag.py
+++ b/src/lycheedeal/relay/_lag.py
@@ -19,15 +19,27 @@
         """Start with nothing behind."""
         self._context = context
         self._since: dict[StoreKind, float] = {}
+        # Latest edition that a leader announced while the content was behind.
+        self._announced: dict[StoreKind, Edition] = {}
 
     def end(self, kind: StoreKind) -> None:
-        """Note that the content of a kind is not behind, or has just changed."""
+        """Note that the content of a kind has just changed."""
         self._since.pop(kind, None)
+        self._announced.pop(kind, None)
+
+    def end_at(self, kind: StoreKind, own: Edition) -> None:
+        """Note that a leader announced no later edition than the own one.
+
+        Another leader may have announced one.
+        """
+        if self._announced.get(kind, own) <= own:
+            self.end(kind)
 
     def begin(
         self, kind: StoreKind, own: Edition, announced: Edition, leader: HostId
     ) -> Iterator[Effect]:
         """Note that a leader announced a later edition than the own one."""
+        self._announced[kind] = max(self._announced.get(kind, announced), announced)
         if kind in self._since:
             return
         self._since[kind] = self._context.clock.monotonic()
--- a/tests/unit/test_relay_missed_change.py
+++ b/tests/unit/test_relay_missed_change.py
@@ -5,7 +5,9 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint
+from lycheedeal.ids import Endpoint, HostId, Zone
+from lycheedeal.relay import Edition
+from lycheedeal.relay._copies import edition_of
 from tests.relay_simulation import (
     ROUTES,
     STEP_SECONDS,
@@ -116,3 +118,23 @@
     for host in lagging:
         freshness = host.kernel.plugins_by_name['zone'].freshness
         assert freshness.confirmed_at(kind) <= changed_at
+
+
+def test_host_that_hears_two_leaders_reads_what_one_of_them_announces() -> None:
+    """Guards against a leader that is behind, too, and hides that its zone is."""
+    simulation = build({'south': 4})
+    (leader,) = simulation.leaders()
+    host = next(one for one in simulation.hosts.values() if one is not leader)
+    copies = host.kernel.plugins_by_name['zone'].copies_by_kind.values()
+    editions = tuple(map(edition_of, copies))
+    ahead = Edition((0, NEW)), *editions[1:]
+    simulation.store.calls.clear()
+    for _ in range(3):
+        for sender, announced in (('south-8', ahead), ('south-9', editions)):
+            peer = relay.Peer(
+                HostId(sender), Zone('south'), Endpoint('10.9.0.1', 7720), 4, True
+            )
+            beacon = relay.Beacon(peer, (0,) * len(editions), announced, 4, ())
+            host.dispatch(relay.PeerMessageReceived(beacon))
+        simulation.run(0.5)
+    assert (host.context.settings.host_id, 'list') in simulation.store.calls
