--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -254,11 +254,8 @@
 
     async def _connect(self, kind: relay.StoreKind) -> Connection:
         connection = self._connections_by_kind.get(kind)
-        if connection is not None and connection.is_idle:
-            self._metrics.add('store_connections', 'idle')
+        if connection is None or connection.is_closed or connection.is_idle:
             self._drop_connection(kind)
-            connection = None
-        if connection is None or connection.is_closed:
             self._metrics.add('store_connections', 'opened')
             loop = asyncio.get_running_loop()
             _, connection = await loop.create_connection(
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -288,6 +288,7 @@
     def _stop_reading(self, reader: Reader) -> Iterator[Effect]:
         # The first list is not cancelled: readiness may wait for it.
         if reader.has_listed and reader.phase is not Phase.IDLE:
+            self._context.metrics.add('store_calls', f'cancel {reader.kind.value}')
             yield CancelCall(reader.kind)
             reader.phase = Phase.IDLE
             reader.failures = 0
@@ -300,6 +301,8 @@
 
     def _tick(self, now: float) -> Iterator[Effect]:
         self._receive_delay.tick(now)
+        delay = self._receive_delay.seconds()
+        self._context.metrics.observe('receive_delay_seconds', 'all', delay)
         for reader in self._readers.values():
             if now < reader.resume_at:
                 continue
--- a/tests/change_histories.py
+++ b/tests/change_histories.py
@@ -14,7 +14,7 @@
 # A host counts this long after the last trouble of its own, or of the store.
 STABLE_SECONDS = 4.0
 _SETTLE_SECONDS = 8.0
-_STORE_SHARE_OF_HERD = 0.6
+_HERD_SHARE = 0.6
 
 
 @dataclass(frozen=True)
@@ -221,7 +221,7 @@
 
     def _kill_herd(self) -> None:
         for host in list(self.simulation.timed_hosts()):
-            if self._rng.random() < _STORE_SHARE_OF_HERD:
+            if self._rng.random() < _HERD_SHARE:
                 self._kill(host, 1.0)
 
     def _kill_watchers(self) -> None:
