Judge late changes at each moment at which a host counts

A late change counted only if the host was calm when it got the change, so a host that had a trouble in the meantime was passed over.

--- a/tests/change_histories.py
+++ b/tests/change_histories.py
@@ -127,17 +127,17 @@
         until = min(boot.ended_at, now if in_force_at is None else in_force_at)
         host_id = boot.host.context.settings.host_id
         troubles = (
-            (boot.started_at, boot.started_at),
             *self._troubles_by_host.get(host_id, ()),
             *self._store_troubles,
         )
-        is_calm = all(
-            end + STABLE_SECONDS <= until or begin >= until for begin, end in troubles
+        due_at = max(
+            acknowledged_at + IN_FORCE_SECONDS, boot.started_at + STABLE_SECONDS
         )
-        seconds = until - acknowledged_at
-        if seconds <= IN_FORCE_SECONDS or not is_calm:
-            return None
-        return LateChange(host_id, version, round(seconds, 2))
+        # A calm time begins at one of these moments.
+        moments = due_at, *(end + STABLE_SECONDS for _, end in troubles)
+        if any(due_at <= at < until and _is_calm(at, troubles) for at in moments):
+            return LateChange(host_id, version, round(until - acknowledged_at, 2))
+        return None
 
     def _start_hosts(self, deployment: Deployment) -> None:
         count = sum(deployment.hosts_by_zone.values())
@@ -249,7 +249,8 @@
     def _delay_hosts(self) -> None:
         """Let events wait at hosts that are busy with packets."""
         hosts = list(self.simulation.timed_hosts())
-        for host in {*self._leaders(), *self._rng.sample(hosts, len(hosts) // 4)}:
+        some = self._rng.sample(hosts, len(hosts) // 4)
+        for host in dict.fromkeys((*self._leaders(), *some)):
             host.iteration_seconds = self._rng.choice((0.1, 0.2, 0.4))
             self._record_trouble(host, _SETTLE_SECONDS)
 
@@ -280,3 +281,7 @@
 
     def _watchers(self) -> list[TimedHost]:
         return [one for one in self._leaders() if one.calls_by_kind]
+
+
+def _is_calm(at: float, troubles: tuple[tuple[float, float], ...]) -> bool:
+    return not any(begin <= at < end + STABLE_SECONDS for begin, end in troubles)
--- a/tests/timed_relays.py
+++ b/tests/timed_relays.py
@@ -254,8 +254,8 @@
 class TimedSimulation(RelaySimulation):
     """Hosts, links and the store, with the times that they take.
 
-    ``store_state`` holds for all hosts, ``refused`` of the store and ``cut`` for some:
-    the calls of a refused host fail, those of a host that is cut off are silent.
+    ``store_state`` holds for all hosts, ``refused`` of the store and ``cut_from_store``
+    for some: the calls of a refused host fail, those of one that is cut off are silent.
     """
 
     keeps_records = False
@@ -264,7 +264,6 @@
         super().__init__()
         self.rng = random.Random(seed)
         self.store_state = StoreState.ANSWERS
-        self.store_slowness = 1.0
         # Ids of hosts that neither reach the store nor are reached by it.
         self.cut_from_store: set[str] = set()
         self.log: list[tuple[float, str, relay.LogRecord]] = []
@@ -362,8 +361,7 @@
             failed = relay.CallFailed(call.kind, relay.StoreFault.REFUSED, '')
             self._answer(host, call, failed)
             return
-        handled_at = self.clock.now + _STORE_SECONDS * self.store_slowness
-        self.call_at(handled_at, lambda: self._handle_call(host, call))
+        self.call_later(_STORE_SECONDS, lambda: self._handle_call(host, call))
 
     def _handle_call(self, host: TimedHost, call: Call) -> None:
         if call.position is None:
