Keep plug-ins in agreement after an exception in one of them

Cause: the kernel collected the effects of an event and lost all of them at an exception: calls to the store that their reader counted as begun, the events for other plug-ins, and content that was applied in part. The copy of the configuration could be newer than the routes in force, which nothing brought together again, and the flags of leader and watching host could differ between plug-ins for ever.

The kernel of the relay now handles each plug-in by itself. Leadership and watching are repeated with each tick. An effect that cannot be carried out no longer costs those after it.

--- a/src/lycheedeal/dispatch/_kernel.py
+++ b/src/lycheedeal/dispatch/_kernel.py
@@ -36,7 +36,8 @@
     """Plug-ins of one process, and the events that each of them handles.
 
     Plug-ins run in the calling thread and never wait. Events that they publish are
-    handled in order before ``dispatch`` returns.
+    handled in order before ``dispatch`` returns. An exception in a plug-in ends
+    ``dispatch``, unless a subclass handles it in ``plugin_failed``.
     """
 
     def __init__(self, context: _ContextT, specs: Iterable[PluginSpec]) -> None:
@@ -74,6 +75,18 @@
                     effects.append(effect)
         return effects
 
+    def plugin_failed(
+        self, plugin: Plugin[_EventT, _EffectT], event: _EventT, error: Exception
+    ) -> Iterable[_EffectT]:
+        """Return the effects of an exception that a plug-in raised at an event.
+
+        The effects that it had before, and those of other plug-ins, are kept.
+        """
+        raise error
+
     def _handle(self, event: _EventT) -> Iterator[_EffectT]:
         for plugin in self._plugins_by_event.get(type(event), ()):
-            yield from plugin.handle(event)
+            try:
+                yield from plugin.handle(event)
+            except Exception as error:
+                yield from self.plugin_failed(plugin, event, error)
--- a/src/lycheedeal/hosting/_runtime.py
+++ b/src/lycheedeal/hosting/_runtime.py
@@ -142,7 +142,11 @@
     def dispatch(self, event: relay.Event) -> None:
         """Pass an event to the kernel and carry out the resulting effects."""
         for effect in self._kernel.dispatch(event):
-            self._execute(effect)
+            try:
+                self._execute(effect)
+            except Exception as error:
+                # The other effects do not depend on this one.
+                self._logs.write(relay.failed_effect_record(effect, error))
 
     def _execute(self, effect: relay.Effect) -> None:
         match effect:
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -6,6 +6,7 @@
 packets and store objects, and carries the effects out.
 """
 
+from collections.abc import Iterator
 from typing import Final
 
 from lycheedeal import dispatch
@@ -55,6 +56,7 @@
     WatchAnswered,
     WatchingChanged,
 )
+from lycheedeal.relay._failures import failed_effect_record, failure_effects
 from lycheedeal.relay._messages import (
     Beacon,
     BeaconRequest,
@@ -117,7 +119,20 @@
 
 
 class RelayKernel(dispatch.Kernel[RelayContext, Event, Effect]):
-    """Kernel for the events and effects of the packet relay."""
+    """Kernel for the events and effects of the packet relay.
+
+    An exception in a plug-in is logged. If it may have kept content from being in
+    force, all content is read again.
+    """
+
+    def plugin_failed(
+        self,
+        plugin: dispatch.Plugin[Event, Effect],
+        event: Event,
+        error: Exception,
+    ) -> Iterator[Effect]:
+        """Yield a log record, and request content again that was not applied."""
+        yield from failure_effects(self.context, plugin, event, error)
 
 
 def build_kernel(context: RelayContext) -> RelayKernel:
@@ -207,6 +222,7 @@
     'WatchObjects',
     'WatchingChanged',
     'build_kernel',
+    'failed_effect_record',
     'flow_text',
     'check_integer',
     'check_listing',
--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -119,6 +119,15 @@
             exact=event.complete or event.exact,
         )
 
+    def forget(self) -> None:
+        """Return to the state before the first change."""
+        self.position = START_POSITION
+        self.version = None
+        self.settled = True
+        self.source = None
+        self.entries_by_name.clear()
+        self.unusable.clear()
+
     def _differing(self, entries_by_name: dict[str, Entry]) -> dict[str, Entry]:
         return {
             name: entry
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -94,6 +94,7 @@
     STORE = 'store'
     SETTINGS = 'settings'
     LOG = 'log'
+    KERNEL = 'kernel'
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -108,14 +108,20 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class LeadershipChanged:
-    """This host became a leader of its zone, or is not one any more."""
+    """This host became a leader of its zone, or is not one any more.
+
+    Repeated with each tick, for plug-ins that failed to handle it.
+    """
 
     is_leader: bool
 
 
 @dataclass(slots=True, eq=False, repr=False)
 class WatchingChanged:
-    """This host is to watch the store from now on, or to stop watching it."""
+    """This host is to watch the store from now on, or to stop watching it.
+
+    Repeated with each tick, for plug-ins that failed to handle it.
+    """
 
     watches: bool
 
@@ -175,6 +181,11 @@
     kind: StoreKind
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class ContentNotApplied:
+    """A plug-in failed while it applied content, which has to be read again."""
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class RoutesChanged:
     """The routes in force changed; ``removed`` are keys of earlier routes."""
@@ -249,6 +260,7 @@
     | ContentConfirmed
     | EditionConfirmed
     | RefreshRequested
+    | ContentNotApplied
     | RoutesChanged
     | EvacuationsChanged
     | UpstreamsChanged
--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -43,6 +43,13 @@
         """Return the edition of each kind."""
         return tuple(map(edition_of, self.copies_by_kind.values()))
 
+    def forget(self) -> None:
+        """Go back to no content, so that only complete content is accepted."""
+        for kind, copy in self.copies_by_kind.items():
+            copy.forget()
+            self.lag.end(kind)
+        self._freshness.forget()
+
     def is_behind(self, beacon: Beacon) -> bool:
         """Return whether the sender has later content of any kind."""
         return any(map(gt, beacon.editions, self.editions()))
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -46,6 +46,10 @@
         """Note that the content of a kind was current at a time."""
         self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
 
+    def forget(self) -> None:
+        """Note that no content is known to be current."""
+        self._confirmed_at = dict.fromkeys(self._confirmed_at, float('-inf'))
+
     def renew(self, kind: StoreKind, at: float, limit_seconds: float) -> bool:
         """Confirm a kind.
 
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -23,6 +23,7 @@
     CallFailed,
     ContentChanged,
     ContentConfirmed,
+    ContentNotApplied,
     CopiesReady,
     Event,
     ListAnswered,
@@ -32,7 +33,7 @@
     WatchAnswered,
     WatchingChanged,
 )
-from lycheedeal.relay._reader import Phase, Reader
+from lycheedeal.relay._reader import Phase, Reader, RereadDelay
 from lycheedeal.relay._receive_delay import ReceiveDelay
 from lycheedeal.relay._records import (
     START_POSITION,
@@ -78,6 +79,7 @@
         # Content of this host, which peers change, too.
         self._copies: Mapping[StoreKind, ContentCopy] = {}
         self._receive_delay = ReceiveDelay(context.clock)
+        self._reread_delay = RereadDelay()
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
@@ -97,6 +99,8 @@
                 yield from self._watching_changed(watches)
             case RefreshRequested(kind=kind):
                 yield from self._refresh(self._readers[kind])
+            case ContentNotApplied():
+                yield from self._read_again()
             case Tick(now=now):
                 yield from self._tick(now)
 
@@ -236,6 +240,16 @@
             if reader.kind is not event.kind and is_watched:
                 yield from self._refresh(reader)
 
+    def _read_again(self) -> Iterator[Effect]:
+        """List all kinds after a delay, which grows while content is not applied."""
+        now = self._context.clock.monotonic()
+        self._reread_delay.note(now)
+        for reader in self._readers.values():
+            if reader.is_calling:
+                yield CancelCall(reader.kind)
+            reader.phase = Phase.RETRYING
+            reader.resume_at = now + self._reread_delay.seconds
+
     def _call_failed(self, event: CallFailed) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         self._context.metrics.add('store_failures', event.fault.value)
@@ -246,27 +260,13 @@
         watch_failed = reader.phase is Phase.WATCHING and not is_history_lost
         reader.failures += 1
         if reader.failures == 1:
-            yield self._failure_record(reader, event)
+            yield _failure_record(reader, event)
         if watch_failed and reader.failures == 1:
             # Changes may have been missed; a list shows them without a delay.
             yield from self._list(reader)
         else:
             self._retry_later(reader)
 
-    def _failure_record(self, reader: Reader, event: CallFailed) -> LogRecord:
-        return LogRecord(
-            Part.READING,
-            'store',
-            'Store call failed; content stays in force, and the call is retried.',
-            {
-                'objects': event.kind.value,
-                'fault': event.fault.value,
-                'detail': event.detail,
-                'era': reader.position.era,
-                'revision': reader.position.revision,
-            },
-        )
-
     def _retry_later(self, reader: Reader) -> None:
         now = self._context.clock.monotonic()
         self._unsettled_at = now
@@ -318,6 +318,21 @@
         return called_at - self._unsettled_at >= SETTLING_SECONDS
 
 
+def _failure_record(reader: Reader, event: CallFailed) -> LogRecord:
+    return LogRecord(
+        Part.READING,
+        'store',
+        'Store call failed; content stays in force, and the call is retried.',
+        {
+            'objects': event.kind.value,
+            'fault': event.fault.value,
+            'detail': event.detail,
+            'era': reader.position.era,
+            'revision': reader.position.revision,
+        },
+    )
+
+
 def _has_changes(event: WatchAnswered) -> bool:
     if event.entries or event.removed or event.unusable:
         return True
@@ -338,6 +353,7 @@
                 CallFailed,
                 WatchingChanged,
                 RefreshRequested,
+                ContentNotApplied,
                 Tick,
             ),
         ),
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -17,6 +17,7 @@
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
 from lycheedeal.relay._events import (
     ContentConfirmed,
+    ContentNotApplied,
     CopiesReady,
     Event,
     LeadershipChanged,
@@ -68,10 +69,11 @@
             case CopiesReady(copies_by_kind=copies):
                 self._copies = copies
             case LeadershipChanged(is_leader=is_leader):
-                self._is_leader = self._own.is_leader = is_leader
-                yield from self._set_watching(is_leader, 'leadership of the zone')
+                yield from self._set_leadership(is_leader)
             case ContentConfirmed():
                 yield from self._content_confirmed(event)
+            case ContentNotApplied():
+                self._freshness.forget()
             case RegionBeaconDue():
                 yield from self._send_beacon()
             case SpreadRequested(message=ContentPart() as part):
@@ -84,6 +86,12 @@
             case Tick(now=now):
                 yield from self._tick(now)
 
+    def _set_leadership(self, is_leader: bool) -> Iterator[Effect]:
+        if is_leader == self._is_leader:
+            return
+        self._is_leader = self._own.is_leader = is_leader
+        yield from self._set_watching(is_leader, 'leadership of the zone')
+
     def _content_confirmed(self, event: ContentConfirmed) -> Iterator[Effect]:
         self._freshness.confirm(event.kind, event.at)
         # Ages grow until the others hear of the confirmation. The beacon goes after
@@ -160,6 +168,7 @@
 
     def _tick(self, now: float) -> Iterator[Effect]:
         self._freshness.tick(now)
+        yield Publish(WatchingChanged(self._watches))
         if not self._is_leader or self._stopping:
             return
         if not self._watches:
@@ -238,6 +247,7 @@
                 LeadershipChanged,
                 CopiesReady,
                 ContentConfirmed,
+                ContentNotApplied,
                 RegionBeaconDue,
                 SpreadRequested,
                 PeerMessageReceived,
--- a/src/lycheedeal/relay/routes.py
+++ b/src/lycheedeal/relay/routes.py
@@ -10,7 +10,12 @@
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._copies import entry_name
 from lycheedeal.relay._effects import Effect, LogRecord, Part
-from lycheedeal.relay._events import ContentChanged, Event, RoutesChanged
+from lycheedeal.relay._events import (
+    ContentChanged,
+    ContentNotApplied,
+    Event,
+    RoutesChanged,
+)
 from lycheedeal.relay._records import (
     ConfigurationVersion,
     Route,
@@ -35,11 +40,16 @@
         self.terms_by_name: dict[str, ServiceTerms] = {}
         # A dictionary as an ordered set: keys in order of removal.
         self._removed: dict[RouteKey, None] = {}
+        # Whether the version in force has to be applied once more.
+        self._applies_again = False
 
     def handle(self, event: Event) -> Iterator[Effect]:
         """Yield the effects of one event."""
-        if isinstance(event, ContentChanged) and event.kind is StoreKind.CONFIGURATION:
-            yield from self._content_changed(event)
+        match event:
+            case ContentChanged(kind=StoreKind.CONFIGURATION):
+                yield from self._content_changed(event)
+            case ContentNotApplied():
+                self._applies_again = True
 
     def _content_changed(self, event: ContentChanged) -> Iterator[Effect]:
         if event.version is None:
@@ -54,13 +64,12 @@
                 },
             )
             return
-        if self.version is not None and event.version <= self.version:
-            if event.version < self.version:
-                self._context.metrics.add('configuration', 'older ignored')
+        if not self._is_due(event.version):
             return
         self._merge(event)
         previous = self.version
         self.version = event.version
+        self._applies_again = False
         self._context.metrics.add('configuration', 'applied')
         self._context.metrics.set_gauge(
             'configuration_version', 'in force', event.version
@@ -86,6 +95,15 @@
             },
         )
 
+    def _is_due(self, version: ConfigurationVersion) -> bool:
+        """Return whether a version has to be applied; counts older ones."""
+        if self.version is None or version > self.version:
+            return True
+        if version < self.version:
+            self._context.metrics.add('configuration', 'older ignored')
+            return False
+        return self._applies_again
+
     def _merge(self, event: ContentChanged) -> None:
         old_keys = {route.key for route in self.routes_by_name.values()}
         changed = {
@@ -122,4 +140,6 @@
     )
 
 
-register(PluginSpec('routes', RoutesPlugin, frozenset((ContentChanged,))))
+register(
+    PluginSpec('routes', RoutesPlugin, frozenset((ContentChanged, ContentNotApplied)))
+)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -17,6 +17,7 @@
 from lycheedeal.relay._events import (
     ContentChanged,
     ContentConfirmed,
+    ContentNotApplied,
     CopiesReady,
     Event,
     LeadershipChanged,
@@ -100,6 +101,8 @@
                 yield from self._content_changed(event)
             case ContentConfirmed():
                 self._content_confirmed(event)
+            case ContentNotApplied():
+                self._exchange.forget()
             case PeerMessageReceived():
                 yield from self._message_received(event)
             case StopRequested():
@@ -204,6 +207,7 @@
     def _tick(self, now: float) -> Iterator[Effect]:
         self.freshness.tick(now)
         yield from self._decide_leadership(now)
+        yield Publish(LeadershipChanged(self._is_leader))
         if self._is_leader and not self._stopping:
             yield from self._send_beacon(now)
         if not self._is_leader and now >= self._next_beacon_request:
@@ -300,6 +304,7 @@
                 Started,
                 ContentChanged,
                 ContentConfirmed,
+                ContentNotApplied,
                 PeerMessageReceived,
                 StopRequested,
                 Tick,
--- a/tests/failing_hosts.py
+++ b/tests/failing_hosts.py
@@ -72,6 +72,8 @@
     host cannot decode the configuration of the store.
     """
 
+    may_fail = True
+
     def __init__(self, *settings: Any) -> None:
         super().__init__(*settings)
         self.lost_calls: set[tuple[relay.StoreKind, str]] = set()
--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -229,7 +229,12 @@
 
 
 class RelayHost:
-    """One host: a kernel, its watches, and the effects that it had."""
+    """One host: a kernel, its watches, and the effects that it had.
+
+    Exceptions in its plug-ins fail the test, unless it ``may_fail``.
+    """
+
+    may_fail = False
 
     def __init__(
         self,
@@ -351,6 +356,7 @@
             case relay.Reset(packet=one):
                 self.resets.append(one)
             case relay.LogRecord():
+                assert effect.kind != 'failure' or self.may_fail, effect.details
                 self.records.append(effect)
             case relay.SetReady(ready=ready):
                 self.ready = ready
--- a/tests/timed_relays.py
+++ b/tests/timed_relays.py
@@ -169,6 +169,7 @@
                 if self.calls_by_kind.pop(kind, None):
                     self.connections.pop(kind, None)
             case relay.LogRecord():
+                assert effect.kind != 'failure', effect.details
                 if self.simulation.keeps_records:
                     now = self.simulation.clock.now
                     host_id = self.context.settings.host_id
