End calls to the store that are never reported as ended

What callers saw: nothing that is traced to it. Cause: a reader that listed or watched left this phase only by an event of the front end. A call that was never made, or whose end was never reported, held it there for ever: it ignored requests to read while it listed, and a host that watches keeps its call.

A call now has a time by which it must have been reported as ended, 0.5 s after the timeout of the front end. Time for which the process itself was held up does not count, and each page of a list gives the next one its own time. An overdue call is cancelled and counts as a failed one.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -15,11 +15,6 @@
 from lycheedeal.platform._connection import CallError, Connection
 from lycheedeal.platform._objects import DecodedObjects, object_name
 
-# Timeout for each page of a list. The store answers within milliseconds, but may be
-# sixty times slower, and hosts that all start at once share its bandwidth.
-_PAGE_TIMEOUT_SECONDS: Final = 1.0
-# Added to the wait of a watch before it counts as timed out.
-_WATCH_GRACE_SECONDS: Final = 0.4
 # Pages read of one list at most; a page holds about 500 objects.
 _MAX_PAGES: Final = 400
 _PATHS: Final = MappingProxyType(
@@ -183,6 +178,7 @@
             yield page
             if not page.fields.get('has_more'):
                 return
+            self._report(relay.PageRead(kind))
             previous, after = after, _last_name(page.items)
             if after == previous:
                 break
@@ -193,7 +189,7 @@
         )
 
     async def _list_page(self, kind: relay.StoreKind, query: str) -> _Page:
-        async with asyncio.timeout(_PAGE_TIMEOUT_SECONDS):
+        async with asyncio.timeout(relay.PAGE_TIMEOUT_SECONDS):
             return await self._get(kind, query)
 
     async def _watch(
@@ -204,7 +200,7 @@
     ) -> relay.WatchAnswered:
         query = f'?watch={position.revision}&wait_ms={int(wait_seconds * 1000)}'
         started = time.perf_counter()
-        async with asyncio.timeout(wait_seconds + _WATCH_GRACE_SECONDS):
+        async with asyncio.timeout(wait_seconds + relay.ANSWER_TIMEOUT_SECONDS):
             page = await self._get(kind, query)
         waited = time.perf_counter() - started
         objects = DecodedObjects()
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -10,6 +10,10 @@
 from typing import Final
 
 from lycheedeal import dispatch
+from lycheedeal.relay._call_times import (
+    ANSWER_TIMEOUT_SECONDS,
+    PAGE_TIMEOUT_SECONDS,
+)
 from lycheedeal.relay._context import (
     BUCKET_SECONDS,
     Histogram,
@@ -43,6 +47,7 @@
     LeadershipChanged,
     ListAnswered,
     PacketArrived,
+    PageRead,
     PeerMessageReceived,
     PeerTableReady,
     RefreshRequested,
@@ -141,7 +146,9 @@
 
 
 __all__ = (
+    'ANSWER_TIMEOUT_SECONDS',
     'BUCKET_SECONDS',
+    'PAGE_TIMEOUT_SECONDS',
     'RELAY_PLUGINS',
     'TICK_SECONDS',
     'NO_EDITION',
@@ -181,6 +188,7 @@
     'PeerTableReady',
     'Packet',
     'PacketArrived',
+    'PageRead',
     'PacketKind',
     'Part',
     'Peer',
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -81,6 +81,13 @@
     version: ConfigurationVersion | None = None
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class PageRead:
+    """The store answered a page of a list that has more pages."""
+
+    kind: StoreKind
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class WatchAnswered:
     """A watch returned the changes of a kind since the watched position.
@@ -251,6 +258,7 @@
     | SettingsRead
     | PacketArrived
     | ListAnswered
+    | PageRead
     | WatchAnswered
     | CallFailed
     | LeadershipChanged
--- a/src/lycheedeal/relay/_freshness.py
+++ b/src/lycheedeal/relay/_freshness.py
@@ -2,10 +2,10 @@
 
 from typing import Final
 
+from lycheedeal.relay._call_times import ANSWER_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._receive_delay import ReceiveDelay
 from lycheedeal.relay._records import StoreKind
-from lycheedeal.relay.reading import ANSWER_TIMEOUT_SECONDS, WATCH_WAIT_SECONDS
 
 BEACON_INTERVAL_SECONDS: Final = 0.4
 # Largest age that the content of a watching host reaches while the store answers:
--- a/src/lycheedeal/relay/_reader.py
+++ b/src/lycheedeal/relay/_reader.py
@@ -6,6 +6,11 @@
 
 from lycheedeal.relay._records import START_POSITION, Position, StoreKind
 
+# Time after its timeout by which a call must have been reported as ended.
+_REPORT_TIMEOUT_SECONDS: Final = 0.5
+# Delay before a list after a failed call; doubles with each further failure.
+_MIN_RETRY_SECONDS: Final = 0.1
+_MAX_RETRY_SECONDS: Final = 0.8
 # Delay before content that was not applied is read again; it doubles each time.
 _MIN_REREAD_SECONDS: Final = 0.2
 _MAX_REREAD_SECONDS: Final = 12.8
@@ -27,7 +32,8 @@
 class Reader:
     """State of reading one kind; times are seconds of the monotonic clock.
 
-    ``known_at_call`` is the position of the host's content when the call was made.
+    ``known_at_call`` is the position of the host's content when the call was made. A
+    call that is in progress at ``overdue_at`` has no end.
     """
 
     kind: StoreKind
@@ -35,6 +41,7 @@
     position: Position = START_POSITION
     known_at_call: Position = START_POSITION
     called_at: float = 0
+    overdue_at: float = 0
     resume_at: float = 0
     failures: int = 0
     has_listed: bool = False
@@ -45,6 +52,25 @@
         """Whether a call of this reader is in progress."""
         return self.phase in {Phase.LISTING, Phase.WATCHING}
 
+    def begin_call(
+        self, phase: Phase, now: float, known: Position, timeout: float
+    ) -> None:
+        """Note a call that the front end reports as ended after ``timeout`` at most."""
+        self.phase = phase
+        self.called_at = now
+        self.known_at_call = known
+        self.expect_end(now, timeout)
+
+    def expect_end(self, now: float, timeout: float) -> None:
+        """Note that the call in progress goes on for ``timeout`` at most."""
+        self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
+
+    def retry_after(self, jitter: float, now: float) -> None:
+        """Note that a list follows after a delay, which grows with the failures."""
+        self.phase = Phase.RETRYING
+        delay = _MIN_RETRY_SECONDS * 2 ** min(self.failures - 1, 8)
+        self.resume_at = now + min(delay, _MAX_RETRY_SECONDS) * jitter
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class RereadDelay:
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -9,6 +9,11 @@
 from typing import Final
 
 from lycheedeal.dispatch import PluginSpec, Publish, register
+from lycheedeal.relay._call_times import (
+    ANSWER_TIMEOUT_SECONDS,
+    PAGE_TIMEOUT_SECONDS,
+    WATCH_WAIT_SECONDS,
+)
 from lycheedeal.relay._context import RelayContext
 from lycheedeal.relay._copies import ContentCopy
 from lycheedeal.relay._effects import (
@@ -27,6 +32,7 @@
     CopiesReady,
     Event,
     ListAnswered,
+    PageRead,
     RefreshRequested,
     Started,
     Tick,
@@ -44,18 +50,9 @@
     StoreKind,
 )
 
-# Longest wait of a watch without changes. Its empty answer confirms the content,
-# so the wait is half of the 3 s in which a change must be in force everywhere.
-WATCH_WAIT_SECONDS: Final = 1.5
-# Time that a watch may take beyond its wait before the front end reports it as
-# failed. The store answers in 4 ms.
-ANSWER_TIMEOUT_SECONDS: Final = 0.4
 # Time from an answer with changes to the next watch, which then gets all changes
 # of this time in one answer. That watch ends sooner, as hosts wait for confirmations.
 _COALESCE_SECONDS: Final = 0.25
-# Delay before a list after a failed call; doubles with each further failure.
-_MIN_RETRY_SECONDS: Final = 0.1
-_MAX_RETRY_SECONDS: Final = 0.8
 # Time after the start, after the last failed call, and after the store came back from
 # an older copy, during which a missing entry does not mean that its upstream is gone.
 # Entries that expired or were lost are written again within about 2 s, as the platform
@@ -101,30 +98,37 @@
                 yield from self._refresh(self._readers[kind])
             case ContentNotApplied():
                 yield from self._read_again()
+            case PageRead(kind=kind):
+                now = self._context.clock.monotonic()
+                self._readers[kind].expect_end(now, PAGE_TIMEOUT_SECONDS)
             case Tick(now=now):
                 yield from self._tick(now)
 
     def _list(self, reader: Reader) -> Iterator[Effect]:
-        reader.phase = Phase.LISTING
-        self._note_call(reader)
+        reader.begin_call(
+            Phase.LISTING,
+            self._context.clock.monotonic(),
+            self._known_position(reader.kind),
+            PAGE_TIMEOUT_SECONDS,
+        )
         self._context.metrics.add('store_calls', f'list {reader.kind.value}')
         # Hosts learn what such a list lacks from the next beacon, or from the watch
         # that follows; an evacuation need not be in force for some seconds.
         may_lag = reader.kind is StoreKind.EVACUATIONS and not reader.has_listed
         yield ListObjects(reader.kind, may_lag)
 
-    def _note_call(self, reader: Reader) -> None:
-        reader.called_at = self._context.clock.monotonic()
-        reader.known_at_call = self._known_position(reader.kind)
-
     def _watch(
         self, reader: Reader, wait_seconds: float = WATCH_WAIT_SECONDS
     ) -> Iterator[Effect]:
         if not self._watches:
             reader.phase = Phase.IDLE
             return
-        reader.phase = Phase.WATCHING
-        self._note_call(reader)
+        reader.begin_call(
+            Phase.WATCHING,
+            self._context.clock.monotonic(),
+            self._known_position(reader.kind),
+            wait_seconds + ANSWER_TIMEOUT_SECONDS,
+        )
         self._context.metrics.add('store_calls', f'watch {reader.kind.value}')
         yield WatchObjects(reader.kind, reader.position, wait_seconds)
 
@@ -270,10 +274,7 @@
     def _retry_later(self, reader: Reader) -> None:
         now = self._context.clock.monotonic()
         self._unsettled_at = now
-        reader.phase = Phase.RETRYING
-        delay = _MIN_RETRY_SECONDS * 2 ** min(reader.failures - 1, 8)
-        jitter = self._context.rng.uniform(0.75, 1.25)
-        reader.resume_at = now + min(delay, _MAX_RETRY_SECONDS) * jitter
+        reader.retry_after(self._context.rng.uniform(0.75, 1.25), now)
 
     def _watching_changed(self, watches: bool) -> Iterator[Effect]:
         if watches == self._watches:
@@ -304,14 +305,19 @@
         delay = self._receive_delay.seconds()
         self._context.metrics.observe('receive_delay_seconds', 'all', delay)
         for reader in self._readers.values():
-            if now < reader.resume_at:
-                continue
             match reader.phase:
-                case Phase.RETRYING:
+                case Phase.RETRYING if now >= reader.resume_at:
                     yield from self._list(reader)
-                case Phase.PAUSING:
+                case Phase.PAUSING if now >= reader.resume_at:
                     wait_seconds = WATCH_WAIT_SECONDS - _COALESCE_SECONDS
                     yield from self._watch(reader, wait_seconds)
+                # What the process has not handled yet may hold the end of the call.
+                case Phase.LISTING | Phase.WATCHING if now - delay >= reader.overdue_at:
+                    yield CancelCall(reader.kind)
+                    detail = 'call was not reported as ended'
+                    yield from self._call_failed(
+                        CallFailed(reader.kind, StoreFault.SILENT, detail)
+                    )
 
     def _was_settled(self, called_at: float) -> bool:
         """Return whether an answer to a call proves that missing entries are gone."""
@@ -350,6 +356,7 @@
                 CopiesReady,
                 ListAnswered,
                 WatchAnswered,
+                PageRead,
                 CallFailed,
                 WatchingChanged,
                 RefreshRequested,
--- a/tests/failing_hosts.py
+++ b/tests/failing_hosts.py
@@ -100,8 +100,10 @@
     def _execute(self, effect: relay.Effect) -> None:
         match effect:
             case relay.ListObjects(kind=kind) if (kind, 'list') in self.lost_calls:
+                self._record_call('list', kind)
                 return
             case relay.WatchObjects(kind=kind) if (kind, 'watch') in self.lost_calls:
+                self._record_call('watch', kind)
                 return
         super()._execute(effect)
 
--- a/tests/unit/test_relay_state_exits.py
+++ b/tests/unit/test_relay_state_exits.py
@@ -74,6 +74,22 @@
     assert_current(simulation)
 
 
+def test_list_of_many_pages_is_not_taken_for_a_call_without_an_end() -> None:
+    """Guards against a list that is cancelled while its pages arrive."""
+    simulation = FailingSimulation(zones=1, hosts=1)
+    (host,) = simulation.failing_hosts()
+    upstreams = relay.StoreKind.UPSTREAMS
+    host.lost_calls.add((upstreams, 'list'))
+    simulation.store.calls.clear()
+    host.dispatch(relay.RefreshRequested(upstreams))
+    for _ in range(4):
+        simulation.run(0.9)
+        host.dispatch(relay.PageRead(upstreams))
+    assert simulation.store.calls.count(('a-0', 'list')) == 1
+    host.lost_calls.clear()
+    assert_current(simulation)
+
+
 @pytest.mark.parametrize('is_cut_off', [False, True], ids=['zone', 'cut-off'])
 @pytest.mark.parametrize('moment', Moment)
 @pytest.mark.parametrize('plugin', EVENTS_BY_PLUGIN)
