Confirm only a configuration that could be read

What callers saw: nothing that is traced to it; on the platform the store refuses what is invalid. Cause: an answer of the store that holds no configuration that the host can use changes nothing, yet the content of before counted as confirmed. A host that watches told its region so, and nobody read: hosts that could have used the configuration, such as those of a later build, stayed behind for ever. A watch also passed over changes that name no object.

Such an answer now confirms nothing until one can be used; after a watch the host lists. A change that names no object counts as one that cannot be used.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -312,6 +312,9 @@
                 yield item, deleted
             case {'object': item}:
                 yield item, False
+            case _:
+                # Of which object this is a change cannot be determined.
+                yield None, False
 
 
 def _check_event(item: Any, watched: relay.Revision) -> None:
--- a/src/lycheedeal/relay/_reader.py
+++ b/src/lycheedeal/relay/_reader.py
@@ -46,6 +46,8 @@
     failures: int = 0
     has_listed: bool = False
     has_watched_since_list: bool = False
+    # Whether the last content that the store sent could be used.
+    is_usable: bool = True
 
     @property
     def is_calling(self) -> bool:
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -145,8 +145,9 @@
         reader.position = event.position
         reader.has_listed = True
         reader.has_watched_since_list = False
+        reader.is_usable = _is_usable(event)
         yield from self._publish_content(event, complete=True)
-        yield Publish(ContentConfirmed(event.kind, reader.called_at))
+        yield from _confirm(reader, reader.called_at)
         yield from self._watch(reader)
 
     def _publish_content(
@@ -190,13 +191,17 @@
             return
         reader.position = event.position
         reader.has_watched_since_list = True
-        if _has_changes(event):
+        has_changes = _has_changes(event)
+        if has_changes:
+            reader.is_usable = _is_usable(event)
             is_whole = event.kind is StoreKind.CONFIGURATION
             yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
-        answered_at = now - self._receive_delay.seconds()
-        yield Publish(ContentConfirmed(event.kind, answered_at))
-        if _has_changes(event):
+        yield from _confirm(reader, now - self._receive_delay.seconds())
+        if not reader.is_usable and has_changes:
+            # The change may be of another object than the configuration.
+            yield from self._list(reader)
+        elif has_changes:
             reader.phase = Phase.PAUSING
             reader.resume_at = now + _COALESCE_SECONDS
         else:
@@ -339,6 +344,18 @@
     )
 
 
+def _confirm(reader: Reader, at: float) -> Iterator[Effect]:
+    """Confirm the content, unless the store has some that this host cannot use."""
+    if reader.is_usable:
+        yield Publish(ContentConfirmed(reader.kind, at))
+
+
+def _is_usable(event: ListAnswered | WatchAnswered) -> bool:
+    """Return whether an answer does not hold a configuration that cannot be used."""
+    is_configuration = event.kind is StoreKind.CONFIGURATION
+    return not (is_configuration and event.version is None and event.unusable)
+
+
 def _has_changes(event: WatchAnswered) -> bool:
     if event.entries or event.removed or event.unusable:
         return True
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -184,6 +184,23 @@
     play(test, repeat)
 
 
+@pytest.mark.parametrize('event', [{}, {'object': None}, None, 'text'])
+def test_change_that_names_no_object_is_not_passed_over(event: Any) -> None:
+    """Guards against a position after a change that was not read."""
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        await paths.get()
+        writer.write(response({'events': [event], 'store_revision': 7}))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.watch_objects(StoreKind.CONFIGURATION, position(0, 6), 1.5)
+        answered = await harness.next_event()
+        assert isinstance(answered, relay.WatchAnswered)
+        assert answered.unusable == ('',)
+
+    play(test, answer)
+
+
 def test_older_list_on_a_connection_in_use_is_refused() -> None:
     """Guards against content that goes back to an earlier revision."""
 
