Notice that other hosts have later content, and read the store

A host that stayed behind said nothing, unless a leader of its zone with fresh content announced more, and its own reading decided whether it read.

The new plug-in lagging compares what any host announces, however old its content, with what is in force here: the routes, not the copy.

--- a/src/lycheedeal/hosting/placement.py
+++ b/src/lycheedeal/hosting/placement.py
@@ -164,6 +164,7 @@
         'era': copy.position.era,
         'revision': copy.position.revision,
         'age_s': round(one.age, 3),
+        'lag_s': round(one.lag, 3),
         'source': copy.source.value if copy.source else None,
     }
 
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -120,6 +120,7 @@
     'lycheedeal.relay.loads',
     'lycheedeal.relay.forwarding',
     'lycheedeal.relay.lifecycle',
+    'lycheedeal.relay.lagging',
 )
 
 
--- a/src/lycheedeal/relay/_effects.py
+++ b/src/lycheedeal/relay/_effects.py
@@ -95,6 +95,7 @@
     SETTINGS = 'settings'
     LOG = 'log'
     KERNEL = 'kernel'
+    LAGGING = 'lagging'
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/explaining.py
+++ b/src/lycheedeal/relay/explaining.py
@@ -24,6 +24,7 @@
     Upstream,
 )
 from lycheedeal.relay.forwarding import ForwardingPlugin, pick_service
+from lycheedeal.relay.lagging import LaggingPlugin
 from lycheedeal.relay.routes import RoutesPlugin
 from lycheedeal.relay.upstreams import UpstreamsPlugin
 from lycheedeal.relay.zone import ZonePlugin
@@ -69,10 +70,14 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class Content:
-    """Content of one kind of objects that the host has, and its age in seconds."""
+    """Content of one kind of objects that the host has, and its age in seconds.
+
+    ``lag`` is the time for which other hosts have announced later content; 0 if none.
+    """
 
     copy: ContentCopy
     age: float
+    lag: float
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -129,7 +134,7 @@
         route,
         tuple(services),
         unanswered,
-        tuple(_contents(kernel.find(ZonePlugin))),
+        tuple(_contents(kernel)),
         _loads_state(kernel),
     )
 
@@ -143,9 +148,10 @@
     return by_key[named.key] if named else None
 
 
-def _contents(zone: ZonePlugin) -> Iterator[Content]:
+def _contents(kernel: RelayKernel) -> Iterator[Content]:
+    zone, lagging = kernel.find(ZonePlugin), kernel.find(LaggingPlugin)
     for kind, copy in zone.copies_by_kind.items():
-        yield Content(copy, zone.freshness.age(kind))
+        yield Content(copy, zone.freshness.age(kind), lagging.seconds(kind))
 
 
 def _unanswered(forwarding: ForwardingPlugin, flow: FlowKey | None) -> Upstream | None:
--- a/tests/unit/test_relay_placement.py
+++ b/tests/unit/test_relay_placement.py
@@ -169,6 +169,7 @@
     assert configuration['source'] == 'peer'
     assert contents_by_kind['upstreams']['source'] == 'store'
     assert contents_by_kind['upstreams']['age_s'] < 2
+    assert {one['lag_s'] for one in answer['contents']} == {0}
     assert answer['loads']['zones'] == ['south'] and answer['loads']['in_use']
     simulation.disconnected.update(simulation.hosts)
     simulation.store.up = False
