Soak: check versions and exceptions by the logs of the relays

The soak judged configurations by openings of one random relay each 0.4 s, which finds few relays that are behind. It now follows the log of each relay: a calm one must have each accepted version in force in 3 s, and an exception or a line that is no JSON is a violation.

--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -8,6 +8,7 @@
 
 from soak._callers import Callers, RouteCheck
 from soak._findings import RECOVERY_SECONDS, Findings, Stability, now
+from soak._log_check import LogCheck
 from soak._packets import End
 from soak._relays import Relay, Router
 from soak._targets import Targets
@@ -42,6 +43,7 @@
         self.router = Router(self.relays, self.findings)
         self.targets = Targets(self.store, self.router, self.findings, self.rng)
         self.targets.store_is_stable = self.store_stability.is_stable
+        self.log_check = LogCheck(self.findings, self.store_stability)
         self.callers: list[Callers] = []
         self.routes: dict[End, str] = dict(PERMANENT_ROUTES)
         self.changed_at: dict[End, float] = {}
@@ -110,10 +112,18 @@
         self.version += self.rng.randrange(1, 4)
         spec = {'version': self.version, 'routes': routes}
         await self.store.put('config', 'main', spec)
+        self.log_check.accept(self.version)
 
     def start_checks(self) -> None:
         """Start to check routes at relays without a recent fault."""
         self._start_task(self._check_routes())
+        self._start_task(self._check_logs())
+
+    async def _check_logs(self) -> None:
+        while True:
+            await asyncio.sleep(_CHECK_SECONDS)
+            for relay in self.relays:
+                self.log_check.check(relay)
 
     async def _check_routes(self) -> None:
         check = RouteCheck(
--- a/soak/_relays.py
+++ b/soak/_relays.py
@@ -48,7 +48,7 @@
         """Start the process; its output is appended to the log file."""
         self.write_settings()
         self.stability.disturb(now())
-        with open(self._folder / f'{self.name}.log', 'ab') as log:
+        with self.log_path.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -58,6 +58,11 @@
                 stderr=log,
             )
 
+    @property
+    def log_path(self) -> Path:
+        """Return the file with the output of all processes of this relay."""
+        return self._folder / f'{self.name}.log'
+
     @property
     def _settings_path(self) -> Path:
         return self._folder / f'{self.name}.json'
