--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -1,7 +1,9 @@
 """Content that the hosts of a zone send to each other."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from operator import gt
+from typing import Final
 
 from lycheedeal.dispatch import Publish
 from lycheedeal.ids import HostId
@@ -14,14 +16,30 @@
     split_part,
 )
 from lycheedeal.relay._effects import Effect, LogRecord, Part, SendPeer
-from lycheedeal.relay._events import EditionConfirmed, RefreshRequested
-from lycheedeal.relay._freshness import Freshness
+from lycheedeal.relay._events import EditionConfirmed, RefreshRequested, SpreadRequested
+from lycheedeal.relay._freshness import BEACON_INTERVAL_SECONDS, Freshness
 from lycheedeal.relay._lag import Lag
 from lycheedeal.relay._messages import Beacon, ContentPart, SnapshotRequest
 from lycheedeal.relay._peer_table import PeerTable
 from lycheedeal.relay._records import START_POSITION, Edition, StoreKind
 
 
+# Hosts that get a snapshot each, between two beacons. A snapshot for more of them is
+# passed on by the hosts of the zone: to send it to each takes a slow link longer than
+# the time after which they ask again.
+_MAX_DIRECT_SNAPSHOTS: Final = 3
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class _SnapshotRequests:
+    """Requests of hosts of the zone for a snapshot, from a time on."""
+
+    since: float
+    count: int = 0
+    # Whether the zone is to get the snapshot with the next tick.
+    is_due: bool = False
+
+
 class ContentExchange:
     """Copies of the content, and what is sent to other hosts or requested from them."""
 
@@ -38,6 +56,7 @@
             kind: ContentCopy(kind) for kind in context.settings.kinds
         }
         self.lag = Lag(context)
+        self._requests_by_kind: dict[StoreKind, _SnapshotRequests] = {}
 
     def editions(self) -> tuple[Edition, ...]:
         """Return the edition of each kind."""
@@ -101,9 +120,32 @@
         copy = self.copies_by_kind.get(kind)
         if peer is None or copy is None or copy.position == START_POSITION:
             return
+        if peer.zone == self._peer_table.own.zone and self._is_crowded(kind):
+            return
         for part in split_part(copy.snapshot(), self._own_id):
             yield SendPeer(peer.endpoint, part)
 
+    def tick(self) -> Iterator[Effect]:
+        """Send the zone the snapshots that many of its hosts have asked for."""
+        for kind, requests in self._requests_by_kind.items():
+            if requests.is_due:
+                requests.is_due = False
+                for part in split_part(
+                    self.copies_by_kind[kind].snapshot(), self._own_id
+                ):
+                    yield Publish(SpreadRequested(part))
+
+    def _is_crowded(self, kind: StoreKind) -> bool:
+        """Note a request; return whether the whole zone gets the snapshot instead."""
+        now = self._context.clock.monotonic()
+        requests = self._requests_by_kind.get(kind)
+        if requests is None or now >= requests.since + BEACON_INTERVAL_SECONDS:
+            requests = self._requests_by_kind[kind] = _SnapshotRequests(now)
+        requests.count += 1
+        if requests.count == _MAX_DIRECT_SNAPSHOTS + 1:
+            requests.is_due = True
+        return requests.count > _MAX_DIRECT_SNAPSHOTS
+
     def _offer(
         self, kind: StoreKind, edition: Edition, beacon: Beacon
     ) -> Iterator[Effect]:
--- a/src/lycheedeal/relay/region.py
+++ b/src/lycheedeal/relay/region.py
@@ -77,7 +77,8 @@
             case RegionBeaconDue():
                 yield from self._send_beacon()
             case SpreadRequested(message=ContentPart() as part):
-                if self._watches:
+                # Leaders of other zones ask for a snapshot that they need.
+                if self._watches and not part.complete:
                     yield from self._send_to_leaders(part)
             case PeerMessageReceived(message=RegionBeacon() as beacon):
                 yield from self._beacon_received(beacon)
--- a/src/lycheedeal/relay/zone.py
+++ b/src/lycheedeal/relay/zone.py
@@ -217,6 +217,7 @@
             self.freshness.update_metrics()
             self._peer_table.expire()
         yield from self._greetings.tick(now)
+        yield from self._exchange.tick()
 
     def _send_beacon(self, now: float) -> Iterator[Effect]:
         # While the store does not answer, many hosts are leaders and send beacons.
--- a/tests/timed_relays.py
+++ b/tests/timed_relays.py
@@ -28,7 +28,6 @@
 _STORE_SECONDS = 0.004
 _LIST_TIMEOUT_SECONDS = 1.0
 _WATCH_GRACE_SECONDS = 0.4
-_LINK_BITS_PER_SECOND = 10_000_000
 # A link drops datagrams beyond what it sends in this time.
 _LINK_QUEUE_SECONDS = 0.5
 
@@ -248,7 +247,7 @@
         self._link_free_at = max(self._link_free_at, now)
         if self._link_free_at > now + _LINK_QUEUE_SECONDS:
             return None
-        self._link_free_at += len(datagram) * 8 / _LINK_BITS_PER_SECOND
+        self._link_free_at += len(datagram) * 8 / self.simulation.link_bits_per_second
         return self._link_free_at
 
 
@@ -260,6 +259,7 @@
     """
 
     keeps_records = False
+    link_bits_per_second = 10_000_000
 
     def __init__(self, seed: int) -> None:
         super().__init__()
--- /dev/null
+++ b/tests/unit/test_relay_snapshots.py
@@ -0,0 +1,83 @@
+"""Snapshots that many hosts of a zone ask for at once."""
+
+import json
+
+import pytest
+
+from lycheedeal import relay
+from lycheedeal.ids import Endpoint
+from tests.change_histories import ChangeHistory, Deployment
+from tests.relay_simulation import RelayHost, listing
+from tests.timed_relays import TimedSimulation
+
+# Half of the time in which a change must be in force.
+SECONDS = 1.5
+# Hosts to which a host passes on a message for its zone.
+FANOUT = 4
+# A zone of the size and with the content of a large deployment.
+ZONE = Deployment({'a': 34}, 0.361, routes=57, upstreams=150, evacuation_seconds=5.0)
+
+
+class LosingHistory(ChangeHistory):
+    """A zone whose hosts have missed a change, and reach only their leader."""
+
+    def __init__(self, seed: int, link_bits_per_second: int) -> None:
+        super().__init__(ZONE, seed)
+        simulation = self.simulation
+        simulation.link_bits_per_second = link_bits_per_second
+        (self.leader,) = (one for one in simulation.timed_hosts() if one.is_leader())
+        for host in simulation.timed_hosts():
+            if host is not self.leader:
+                simulation.cut_from_store.add(host.context.settings.host_id)
+        simulation.disconnected.update(simulation.hosts)
+        self.change()
+        simulation.store.put(*(listing(f'i-{one}', draining=True) for one in (1, 2)))
+        simulation.report_changes()
+        simulation.run(0.3)
+        simulation.disconnected.clear()
+
+    def hosts_behind(self) -> list[str]:
+        version = self.simulation.store.version
+        return [
+            host.context.settings.host_id
+            for host in self.simulation.timed_hosts()
+            if host.version() != version
+        ]
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('megabits', [2, 5])
+def test_zone_that_missed_a_change_has_it_soon(seed: int, megabits: int) -> None:
+    """Guards against requests for content that fill the link of one host."""
+    history = LosingHistory(seed, megabits * 1_000_000)
+    assert len(history.hosts_behind()) == 33
+    history.simulation.run(SECONDS)
+    assert not history.hosts_behind()
+
+
+def test_leader_sends_a_snapshot_to_few_hosts_itself(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against traffic of one host that grows with its zone."""
+    history = LosingHistory(1, 100_000_000)
+    sent = 0
+
+    def count(
+        simulation: TimedSimulation, sender: RelayHost, to: Endpoint, datagram: bytes
+    ) -> None:
+        nonlocal sent
+        fields = json.loads(datagram)
+        content = fields[-1] if fields[1] == 'spread' else fields[1:]
+        kind = relay.StoreKind.CONFIGURATION.value
+        sent += sender is history.leader and content[0:3:2] == ['content', kind]
+        send(simulation, sender, to, datagram)
+
+    send = TimedSimulation.send
+    monkeypatch.setattr(TimedSimulation, 'send', count)
+    history.simulation.run(SECONDS)
+    assert not history.hosts_behind()
+    copy = history.leader.kernel.plugins_by_name['zone'].copies_by_kind[
+        relay.StoreKind.CONFIGURATION
+    ]
+    parts = -(-len(copy.entries_by_name) // 10)
+    assert sent <= (3 + FANOUT) * parts
