Do not take a host that has just started for one that lags

The safeguard wrote 27 lines a zone while hosts that had been killed waited for their first lists during an outage; these go on by themselves.

--- a/src/lycheedeal/relay/lagging.py
+++ b/src/lycheedeal/relay/lagging.py
@@ -98,7 +98,9 @@
                 self._announced(kind, edition_of(message), host_id)
 
     def _announced(self, kind: StoreKind, edition: Edition, host_id: HostId) -> None:
-        if edition <= self._edition(kind):
+        own = self._edition(kind)
+        # A host without content has just started, and lists all kinds.
+        if edition <= own or own == NO_EDITION:
             return
         now = self._context.clock.monotonic()
         lag = self._lags_by_kind.get(kind)
