--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -21,13 +21,16 @@
 from lycheedeal.relay._lag import Lag
 from lycheedeal.relay._messages import Beacon, ContentPart, SnapshotRequest
 from lycheedeal.relay._peer_table import PeerTable
-from lycheedeal.relay._records import START_POSITION, Edition, StoreKind
+from lycheedeal.relay._records import START_POSITION, Edition, Peer, StoreKind
 
 
 # Hosts that get a snapshot each, between two beacons. A snapshot for more of them is
 # passed on by the hosts of the zone: to send it to each takes a slow link longer than
 # the time after which they ask again.
 _MAX_DIRECT_SNAPSHOTS: Final = 3
+# Shortest time between two requests for a snapshot. After an outage all leaders of a
+# zone send what they have read, and each of them would be asked.
+_REQUEST_INTERVAL_SECONDS: Final = 0.2
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -57,6 +60,7 @@
         }
         self.lag = Lag(context)
         self._requests_by_kind: dict[StoreKind, _SnapshotRequests] = {}
+        self._next_request_by_kind = dict.fromkeys(context.settings.kinds, 0.0)
 
     def editions(self) -> tuple[Edition, ...]:
         """Return the edition of each kind."""
@@ -91,8 +95,7 @@
             if self.lag.restart_overdue(kind):
                 yield Publish(RefreshRequested(kind))
             else:
-                request = SnapshotRequest(self._own_id, kind)
-                yield SendPeer(beacon.peer.endpoint, request)
+                yield from self._request(kind, beacon.peer)
 
     def receive(self, part: ContentPart) -> Iterator[Effect]:
         """Publish a change once all its parts are there, if it is later."""
@@ -109,8 +112,7 @@
         if not copy.accepts(change):
             sender = self._peer_table.find(part.host_id)
             if sender is not None:
-                request = SnapshotRequest(self._own_id, change.kind)
-                yield SendPeer(sender.endpoint, request)
+                yield from self._request(change.kind, sender)
             return
         yield Publish(as_content(change))
 
@@ -135,6 +137,13 @@
                 ):
                     yield Publish(SpreadRequested(part))
 
+    def _request(self, kind: StoreKind, peer: Peer) -> Iterator[Effect]:
+        """Ask a host for a snapshot, unless another one has just been asked."""
+        now = self._context.clock.monotonic()
+        if now >= self._next_request_by_kind[kind]:
+            self._next_request_by_kind[kind] = now + _REQUEST_INTERVAL_SECONDS
+            yield SendPeer(peer.endpoint, SnapshotRequest(self._own_id, kind))
+
     def _is_crowded(self, kind: StoreKind) -> bool:
         """Note a request; return whether the whole zone gets the snapshot instead."""
         now = self._context.clock.monotonic()
--- a/tests/unit/test_relay_snapshots.py
+++ b/tests/unit/test_relay_snapshots.py
@@ -5,9 +5,10 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint
+from lycheedeal.ids import Endpoint, HostId
+from lycheedeal.relay import Edition
 from tests.change_histories import ChangeHistory, Deployment
-from tests.relay_simulation import RelayHost, listing
+from tests.relay_simulation import RelayHost, RelaySimulation, listing
 from tests.timed_relays import TimedSimulation
 
 # Half of the time in which a change must be in force.
@@ -55,6 +56,40 @@
     assert not history.hosts_behind()
 
 
+def test_host_asks_one_of_many_senders_for_a_snapshot() -> None:
+    """Guards against requests that grow with the number of leaders of a zone."""
+    simulation = RelaySimulation()
+    simulation.store.put(listing('i-1'))
+    for number in range(12):
+        simulation.add(f'a-{number}', 'a')
+    host, *others = simulation.hosts.values()
+    simulation.run(2)
+    simulation.recorded = []
+    change = relay.ContentPart(
+        HostId(''),
+        relay.StoreKind.UPSTREAMS,
+        base=Edition((1, 90)),
+        position=relay.Position(relay.Era(1), relay.Revision(91)),
+        part=0,
+        parts=1,
+        complete=False,
+        settled=True,
+        version=None,
+        entries=(),
+        removed=(),
+        exact=True,
+    )
+    for sender in others:
+        change.host_id = sender.context.settings.host_id
+        host.dispatch(relay.PeerMessageReceived(change))
+    requests = [one for _, one in simulation.recorded if b'"snapshot"' in one]
+    assert len(requests) == 1
+    simulation.run(0.3)
+    host.dispatch(relay.PeerMessageReceived(change))
+    requests = [one for _, one in simulation.recorded if b'"snapshot"' in one]
+    assert len(requests) == 2
+
+
 def test_leader_sends_a_snapshot_to_few_hosts_itself(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
