Take a later position alone for no lag

The position of a list is that of the store, so of two hosts with the same upstreams the one that listed later has the later edition.

For all kinds but the configuration, whose editions are versions, an answer of the store since the announcement refutes the lag, and the time is that in which a watch ends.

--- a/src/lycheedeal/relay/lagging.py
+++ b/src/lycheedeal/relay/lagging.py
@@ -15,6 +15,7 @@
 from lycheedeal.relay._copies import ContentCopy, edition_of
 from lycheedeal.relay._effects import Effect, LogRecord, Part
 from lycheedeal.relay._events import (
+    ContentConfirmed,
     CopiesReady,
     Event,
     PeerMessageReceived,
@@ -22,17 +23,21 @@
     RoutesChanged,
     Tick,
 )
+from lycheedeal.relay._freshness import MAX_FRESH_AGE_SECONDS
 from lycheedeal.relay._messages import Beacon, ContentPart, PeerMessage, RegionBeacon
 from lycheedeal.relay._records import (
     NO_EDITION,
     ConfigurationVersion,
     Edition,
+    Source,
     StoreKind,
 )
 
 # Hosts that are told of later content have it after 0.9 s and a list at the latest,
 # if the store answers them. A change must be in force in 3 s.
 _MAX_LAG_SECONDS: Final = 1.3
+# A later position of other kinds proves no later entries until a watch has ended.
+_MAX_POSITION_LAG_SECONDS: Final = MAX_FRESH_AGE_SECONDS
 # Leaders announce what they have more often than this.
 _ANNOUNCED_SECONDS: Final = 2.0
 # Time between two reads because of a lag; doubles while it lasts.
@@ -73,6 +78,8 @@
                 self._copies = copies
             case RoutesChanged(version=version):
                 self._version = version
+            case ContentConfirmed(kind=kind, at=at, source=Source.STORE):
+                self._confirmed(kind, at)
             case PeerMessageReceived(message=message):
                 self._message_received(message)
             case Tick(now=now):
@@ -112,6 +119,19 @@
             lag.edition = edition
             lag.host_id = host_id
 
+    def _confirmed(self, kind: StoreKind, at: float) -> None:
+        """Drop a lag that the store has refuted.
+
+        A list of another host may have a later position and the same entries. Versions
+        of the configuration differ in their routes.
+        """
+        lag = self._lags_by_kind.get(kind)
+        if lag is None or kind is StoreKind.CONFIGURATION:
+            return
+        if at > lag.since:
+            lag.edition = self._edition(kind)
+            lag.since = self._context.clock.monotonic()
+
     def _edition(self, kind: StoreKind) -> Edition:
         """Return the edition of what is in force."""
         if kind is StoreKind.CONFIGURATION:
@@ -124,7 +144,7 @@
         is_current = lag.edition <= self._edition(kind)
         if is_current or now - lag.announced_at > _ANNOUNCED_SECONDS:
             yield from self._end(kind, lag, is_current)
-        elif now - lag.since >= _MAX_LAG_SECONDS:
+        elif now - lag.since >= _max_lag(kind):
             self._context.metrics.set_gauge(
                 'lagging_seconds', kind.value, now - lag.since
             )
@@ -172,10 +192,19 @@
         )
 
 
+def _max_lag(kind: StoreKind) -> float:
+    """Return the seconds for which others may have later content of a kind."""
+    if kind is StoreKind.CONFIGURATION:
+        return _MAX_LAG_SECONDS
+    return _MAX_POSITION_LAG_SECONDS
+
+
 register(
     PluginSpec(
         'lagging',
         LaggingPlugin,
-        frozenset((CopiesReady, RoutesChanged, PeerMessageReceived, Tick)),
+        frozenset(
+            (CopiesReady, RoutesChanged, ContentConfirmed, PeerMessageReceived, Tick)
+        ),
     ),
 )
--- a/tests/unit/test_relay_lagging.py
+++ b/tests/unit/test_relay_lagging.py
@@ -19,12 +19,16 @@
 AHEAD = Edition((0, 99))
 
 
-def announce(host: FailingHost, edition: Edition, zone: str = 'a') -> None:
-    """Let a leader of low rank announce a configuration with old content."""
+def announce(
+    host: FailingHost,
+    edition: Edition,
+    zone: str = 'a',
+    kind: relay.StoreKind = CONFIGURATION,
+) -> None:
+    """Let a leader of low rank announce an edition with old content."""
     copies = host.kernel.plugins_by_name['zone'].copies_by_kind
     editions = tuple(
-        edition if kind is CONFIGURATION else edition_of(copy)
-        for kind, copy in copies.items()
+        edition if one is kind else edition_of(copy) for one, copy in copies.items()
     )
     peer = relay.Peer(HostId('z-9'), Zone(zone), Endpoint('10.9.0.9', 7720), 0.1, True)
     ages = (9000,) * len(editions)
@@ -79,6 +83,18 @@
     assert len(lagging_records(host)) == 1
 
 
+def test_list_of_the_same_entries_at_a_later_position_is_no_lag() -> None:
+    """Guards against reads of a host that watches and has missed nothing."""
+    simulation = FailingSimulation(zones=1)
+    (host,) = (one for one in simulation.failing_hosts() if one.watches)
+    simulation.store.calls.clear()
+    for _ in range(8):
+        announce(host, Edition((1, 90)), kind=relay.StoreKind.UPSTREAMS)
+        simulation.run(0.4)
+    assert not lagging_records(host)
+    assert not lists_of(simulation, host)
+
+
 def test_content_that_is_no_longer_announced_is_not_looked_for() -> None:
     """Guards against a host that lags for ever behind one that has ended."""
     simulation = FailingSimulation(zones=1)
