Let the leader refute a lag, too

Their leader had confirmed what they had meanwhile.

For kinds ordered by position, any later confirmation refutes the lag now, and it counts after 2.5 s: until then a host without a confirmation reads on its own account. The configuration is ordered by version; there nothing but the version itself ends a lag. The new case failed before.

--- a/src/lycheedeal/relay/lagging.py
+++ b/src/lycheedeal/relay/lagging.py
@@ -17,27 +17,28 @@
 from lycheedeal.relay._events import (
     ContentConfirmed,
     CopiesReady,
+    EditionConfirmed,
     Event,
     PeerMessageReceived,
     RefreshRequested,
     RoutesChanged,
     Tick,
 )
-from lycheedeal.relay._freshness import MAX_FRESH_AGE_SECONDS
+from lycheedeal.relay._freshness import MAX_FRESH_AGE_SECONDS, MAX_STAGGER_SECONDS
 from lycheedeal.relay._messages import Beacon, ContentPart, PeerMessage, RegionBeacon
 from lycheedeal.relay._records import (
     NO_EDITION,
     ConfigurationVersion,
     Edition,
-    Source,
     StoreKind,
 )
 
 # Hosts that are told of later content have it after 0.9 s and a list at the latest,
 # if the store answers them. A change must be in force in 3 s.
 _MAX_LAG_SECONDS: Final = 1.3
-# A later position of other kinds proves no later entries until a watch has ended.
-_MAX_POSITION_LAG_SECONDS: Final = MAX_FRESH_AGE_SECONDS
+# A later position of other kinds proves no later entries. Until this time, a host whose
+# content is not confirmed reads on its own account.
+_MAX_POSITION_LAG_SECONDS: Final = MAX_FRESH_AGE_SECONDS + MAX_STAGGER_SECONDS
 # Leaders announce what they have more often than this.
 _ANNOUNCED_SECONDS: Final = 2.0
 # Time between two reads because of a lag; doubles while it lasts.
@@ -78,7 +79,9 @@
                 self._copies = copies
             case RoutesChanged(version=version):
                 self._version = version
-            case ContentConfirmed(kind=kind, at=at, source=Source.STORE):
+            case (
+                ContentConfirmed(kind=kind, at=at) | EditionConfirmed(kind=kind, at=at)
+            ):
                 self._confirmed(kind, at)
             case PeerMessageReceived(message=message):
                 self._message_received(message)
@@ -120,7 +123,7 @@
             lag.host_id = host_id
 
     def _confirmed(self, kind: StoreKind, at: float) -> None:
-        """Drop a lag that the store has refuted.
+        """Drop a lag that a later confirmation has refuted.
 
         A list of another host may have a later position and the same entries. Versions
         of the configuration differ in their routes.
@@ -204,7 +207,14 @@
         'lagging',
         LaggingPlugin,
         frozenset(
-            (CopiesReady, RoutesChanged, ContentConfirmed, PeerMessageReceived, Tick)
+            (
+                CopiesReady,
+                RoutesChanged,
+                ContentConfirmed,
+                EditionConfirmed,
+                PeerMessageReceived,
+                Tick,
+            )
         ),
     ),
 )
--- a/tests/unit/test_relay_lagging.py
+++ b/tests/unit/test_relay_lagging.py
@@ -83,12 +83,26 @@
     assert len(lagging_records(host)) == 1
 
 
-def test_list_of_the_same_entries_at_a_later_position_is_no_lag() -> None:
-    """Guards against reads of a host that watches and has missed nothing."""
+@pytest.mark.parametrize('watches', [True, False])
+def test_list_of_the_same_entries_at_a_later_position_is_no_lag(watches: bool) -> None:
+    """Guards against reads of hosts that have missed nothing."""
+    simulation = FailingSimulation(zones=1)
+    simulation.run(1)
+    hosts = (one for one in simulation.failing_hosts() if bool(one.watches) is watches)
+    host = next(hosts)
+    simulation.store.calls.clear()
+    announce(host, Edition((1, 90)), kind=relay.StoreKind.UPSTREAMS)
+    simulation.run(4)
+    assert not lagging_records(host)
+    assert not lists_of(simulation, host)
+
+
+def test_host_that_watches_is_not_taken_for_one_that_lags() -> None:
+    """Guards against announcements of positions that the store has confirmed."""
     simulation = FailingSimulation(zones=1)
     (host,) = (one for one in simulation.failing_hosts() if one.watches)
     simulation.store.calls.clear()
-    for _ in range(8):
+    for _ in range(12):
         announce(host, Edition((1, 90)), kind=relay.StoreKind.UPSTREAMS)
         simulation.run(0.4)
     assert not lagging_records(host)
