--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -65,7 +65,8 @@
 
     def line(self, *words):
         text = f'{self.now():8.3f} {" ".join(map(str, words))}'
-        print(text, file=self._file, flush=True)
+        if not self._file.closed:
+            print(text, file=self._file, flush=True)
 
     def close(self):
         self._file.close()
