--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -151,7 +151,8 @@
         writer.close()
 
     async def _answer(self, writer, status, body):
-        content = json.dumps(body).encode()
+        # Names and values may hold bytes that are not UTF-8.
+        content = json.dumps(body, ensure_ascii=False).encode(errors='surrogateescape')
         head = (
             f'HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n'
             f'Content-Length: {len(content)}\r\n\r\n'
@@ -168,7 +169,7 @@
         after = ''
         for pair in query.split('&'):
             if pair.startswith('after='):
-                after = unquote_to_bytes(pair[6:]).decode()
+                after = unquote_to_bytes(pair[6:]).decode(errors='surrogateescape')
         items, size, has_more = [], 0, False
         for name in sorted(self.kinds.get(kind, {})):
             if name <= after:
