Show that one large entry of another writer hides drains on narrow links

Case 13, rule DRAIN. No list of targets ends within the second that a page may take, and all relays open flows at a draining target until the case ends.

--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -202,6 +202,47 @@
         return 200, {'events': found(), 'store_revision': self.revision}
 
 
+class NarrowLink:
+    """The way from the store to one machine, over a link of ``mbps`` Mbit/s."""
+
+    STEP_S = 0.01
+
+    def __init__(self, store_endpoint, mbps):
+        self._store = store_endpoint.rsplit(':', 1)
+        self._step_bytes = int(mbps * 1_000_000 / 8 * self.STEP_S)
+        self._free_at = 0.0
+        self._server = None
+        self.endpoint = ''
+
+    async def start(self, ip):
+        self._server = await asyncio.start_server(self._connect, ip, 0)
+        self.endpoint = '%s:%d' % self._server.sockets[0].getsockname()[:2]
+
+    def close(self):
+        self._server.close()
+
+    async def _connect(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            there, back = await asyncio.open_connection(
+                self._store[0], int(self._store[1])
+            )
+            await asyncio.gather(
+                self._pass(reader, back, False), self._pass(there, writer, True)
+            )
+
+    async def _pass(self, reader, writer, is_narrow):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while chunk := await reader.read(self._step_bytes):
+                if is_narrow:
+                    # All connections of the machine share its link.
+                    start = max(self._free_at, time.monotonic())
+                    self._free_at = start + self.STEP_S * len(chunk) / self._step_bytes
+                    await asyncio.sleep(self._free_at - time.monotonic())
+                writer.write(chunk)
+                await writer.drain()
+        writer.close()
+
+
 class Target(asyncio.DatagramProtocol):
     """A target: takes flows, answers requests, and writes its entry."""
 
@@ -586,6 +627,8 @@
         self.case = Path(folder)
         self.network = f'127.{random.randrange(20, 220)}'
         self.ports = {}
+        self.link_mbps = None
+        self.links_by_relay = {}
         self.store = Store(self.record)
         self.relays = []
         self.targets = []
@@ -601,7 +644,9 @@
         self.folder = Path(self._temporary.name)
 
     def store_endpoint(self, relay):
-        return self.store.endpoint
+        """Return the address at which a relay finds the store."""
+        link = self.links_by_relay.get(relay.name)
+        return link.endpoint if link else self.store.endpoint
 
     async def start(self, zones, relays_per_zone, targets_per_zone, routes):
         """Start all parts, and wait until all relays are ready."""
@@ -641,6 +686,10 @@
             self.requesters.append(requester)
             await requester.start()
         for relay in self.relays:
+            if self.link_mbps is not None:
+                link = NarrowLink(self.store.endpoint, self.link_mbps)
+                await link.start(f'{self.network}.9.8')
+                self.links_by_relay[relay.name] = link
             await relay.start()
         self.spawn(self._probe())
         await self.wait_ready(20)
@@ -741,6 +790,8 @@
         await asyncio.gather(*(one.close() for one in self.relays))
         for one in (*self.targets, *self.requesters):
             one.close()
+        for link in self.links_by_relay.values():
+            link.close()
         self.store.close()
         keep = os.environ.get('KEEP_LOGS')
         if keep:
