Continue lists after objects with odd names

Cause: a list was continued only after names that a host can use (printable, at most 128 characters). A page without such a name, which one entry of 1 MB fills alone, made the whole list fail for ever. All hosts that listed in both cases logged "page announces more objects but has none with a readable name".

Change: a list continues after any name. Names are sent back with the bytes that the store sent; for those that a store rejects or that are too long for a request, a plain name that comes after them is sent.

The stand-in of the store has lists of several pages now.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -13,7 +13,8 @@
 from lycheedeal.ids import Endpoint
 from lycheedeal.platform._answers import decode_answer
 from lycheedeal.platform._connection import CallError, Connection
-from lycheedeal.platform._objects import DecodedObjects, object_name
+from lycheedeal.platform._list_cursor import cursors_after
+from lycheedeal.platform._objects import DecodedObjects
 
 # Pages read of one list at most; a page holds about 500 objects.
 _MAX_PAGES: Final = 400
@@ -26,16 +27,18 @@
 )
 # Part of its wait that a watch takes at least if nothing changes.
 _MIN_WAIT_SHARE: Final = 0.5
-# Bytes that may stand in a query as they are.
-_UNRESERVED: Final = frozenset(
-    byte for byte in range(128) if chr(byte).isalnum() or chr(byte) in '-._~'
-)
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
+# Bad request, URI too long, unprocessable content, header fields too large.
+_REJECTED_STATUSES: Final = frozenset((400, 414, 422, 431))
 
 EventCallback = Callable[[relay.Event], None]
 
 
+class _RequestRejectedError(CallError):
+    """The store cannot read a request."""
+
+
 class _Page(NamedTuple):
     """Fields of an answer with status 200, and the position of the store."""
 
@@ -172,20 +175,37 @@
         self, kind: relay.StoreKind, first_query: str
     ) -> AsyncIterator[_Page]:
         """Yield the pages of a list; raises CallError if the list does not end."""
-        after, query = '', first_query
+        page = await self._list_page(kind, first_query)
+        yield page
+        used = {''}
         for _ in range(_MAX_PAGES):
-            page = await self._list_page(kind, query)
-            yield page
             if not page.fields.get('has_more'):
                 return
             self._report(relay.PageRead(kind))
-            previous, after = after, _last_name(page.items)
-            if after == previous:
-                break
-            separator = '&' if first_query else '?'
-            query = f'{first_query}{separator}after={_percent_encoded(after)}'
+            page = await self._next_page(kind, first_query, page, used)
+            yield page
         raise CallError(
-            relay.StoreFault.MALFORMED, f'list does not end after the name {after!r}'
+            relay.StoreFault.MALFORMED, f'list has more than {_MAX_PAGES} pages'
+        )
+
+    async def _next_page(
+        self, kind: relay.StoreKind, first_query: str, page: _Page, used: set[str]
+    ) -> _Page:
+        """Return the page that follows another one.
+
+        Cursors in ``used`` led to the same page again, or were refused.
+        """
+        separator = '&' if first_query else '?'
+        for cursor in cursors_after(page.items):
+            if cursor not in used:
+                used.add(cursor)
+                with contextlib.suppress(_RequestRejectedError):
+                    return await self._list_page(
+                        kind, f'{first_query}{separator}after={cursor}'
+                    )
+        raise CallError(
+            relay.StoreFault.MALFORMED,
+            f'list does not go on after a page of {len(page.items)} objects',
         )
 
     async def _list_page(self, kind: relay.StoreKind, query: str) -> _Page:
@@ -226,15 +246,7 @@
     async def _get(self, kind: relay.StoreKind, query: str) -> _Page:
         connection = await self._connect(kind)
         status, era, body = await connection.get(_PATHS[kind] + query)
-        if status == _STATUS_GONE:
-            raise CallError(
-                relay.StoreFault.HISTORY_LOST,
-                'store no longer has the history since the watched revision',
-            )
-        if status != _STATUS_OK:
-            raise CallError(
-                relay.StoreFault.REFUSED, f'expected HTTP status 200, got {status}'
-            )
+        _check_status(status)
         try:
             fields = decode_answer(body)
         except DecodeError as error:
@@ -282,6 +294,23 @@
             return relay.CallFailed(kind, relay.StoreFault.MALFORMED, detail)
 
 
+def _check_status(status: int) -> None:
+    """Raise CallError unless a status is that of an answer."""
+    if status == _STATUS_GONE:
+        raise CallError(
+            relay.StoreFault.HISTORY_LOST,
+            'store no longer has the history since the watched revision',
+        )
+    if status in _REJECTED_STATUSES:
+        raise _RequestRejectedError(
+            relay.StoreFault.REFUSED, f'request is rejected with status {status}'
+        )
+    if status != _STATUS_OK:
+        raise CallError(
+            relay.StoreFault.REFUSED, f'expected HTTP status 200, got {status}'
+        )
+
+
 def _check_order(connection: Connection, position: relay.Position) -> None:
     """Check the position of an answer against earlier ones on the connection.
 
@@ -333,20 +362,3 @@
             return revision
         case _:
             return None
-
-
-def _last_name(items: list[Any]) -> str:
-    """Return the last name of a page that can be sent back to the store."""
-    for item in reversed(items):
-        with contextlib.suppress(DecodeError):
-            return object_name(item)
-    raise CallError(
-        relay.StoreFault.MALFORMED,
-        'page announces more objects but has none with a readable name',
-    )
-
-
-def _percent_encoded(name: str) -> str:
-    return ''.join(
-        chr(byte) if byte in _UNRESERVED else f'%{byte:02X}' for byte in name.encode()
-    )
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -13,6 +13,10 @@
 from lycheedeal.ids import Endpoint
 
 
+# Largest page of a list on the platform.
+PAGE_OBJECTS = 500
+PAGE_BYTES = 1_000_000
+
 Objects = dict[str, dict[str, dict[str, Any]]]
 
 
@@ -40,13 +44,25 @@
     begins.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        page_objects: int = PAGE_OBJECTS,
+        page_bytes: int = PAGE_BYTES,
+    ) -> None:
+        """Create a closed store, whose lists have pages of at most this size.
+
+        An object that is larger than a page is on one of its own.
+        """
+        self._page_objects = page_objects
+        self._page_bytes = page_bytes
         self.endpoint = Endpoint('127.0.0.1', 0)
         self.revision = 1
         self.era = 1
         self.calls = 0
         # None: no fault; 'busy': status 503; 'silent': no response at all.
         self.fault: str | None = None
+        # Whether lists that continue after an unprintable or long name get status 400.
+        self.rejects_odd_names = False
         self._objects: Objects = {}
         # What writers have put and not deleted, by kind and name.
         self._wanted: dict[str, dict[str, Any]] = {}
@@ -159,7 +175,13 @@
         kind = url.path.rpartition('/')[2]
         query = parse_qs(url.query)
         if 'watch' not in query:
-            self._send_response(writer, 200, self._list(kind))
+            after = parse_qs(url.query, errors='surrogateescape').get('after', [''])[0]
+            if self.rejects_odd_names and not (
+                after.isprintable() and len(after) < 200
+            ):
+                self._send_response(writer, 400, {'error': 'invalid name'})
+            else:
+                self._send_response(writer, 200, self._list(kind, after))
             return
         since = int(query['watch'][0])
         wait_seconds = int(query['wait_ms'][0]) / 1000
@@ -176,9 +198,25 @@
         else:
             self._send_response(writer, 200, answer)
 
-    def _list(self, kind: str) -> dict[str, Any]:
-        items = list(self._objects.get(kind, {}).values())
-        return {'items': items, 'has_more': False, 'store_revision': self.revision}
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
+        items: list[dict[str, Any]] = []
+        size = 0
+        objects = self._objects.get(kind, {})
+        after_bytes = _as_bytes(after)
+        following = sorted(
+            (name for name in objects if not after or _as_bytes(name) > after_bytes),
+            key=_as_bytes,
+        )
+        for name in following:
+            size += len(_encode(objects[name]))
+            if items and (size > self._page_bytes or len(items) == self._page_objects):
+                break
+            items.append(objects[name])
+        return {
+            'items': items,
+            'has_more': len(items) < len(following),
+            'store_revision': self.revision,
+        }
 
     async def _watch(
         self, kind: str, since: int, wait_seconds: float
@@ -222,6 +260,11 @@
         writer.write(head.encode() + content)
 
 
+def _as_bytes(text: str) -> bytes:
+    """Return a text as the store keeps it; it may have bytes that are not UTF-8."""
+    return text.encode(errors='surrogateescape')
+
+
 def _encode(body: Any) -> bytes:
     """Return a body as JSON, with the content of raw values as it is."""
     raw_values: dict[str, bytes] = {}
@@ -231,7 +274,7 @@
         raw_values[mark] = value.content
         return mark
 
-    content = json.dumps(body, default=keep_raw).encode()
+    content = _as_bytes(json.dumps(body, default=keep_raw, ensure_ascii=False))
     for mark, raw in raw_values.items():
         content = content.replace(f'"{mark}"'.encode(), raw)
     return content
--- a/tests/functional/test_relay_process.py
+++ b/tests/functional/test_relay_process.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from standins.object_store import ObjectStoreServer, RawValue
 from tests.platform_entries import SOUND_ENTRY, UNREADABLE
 
@@ -311,6 +313,30 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('name', ['a' * 200, 'backup-\udcff', ''])
+def test_relay_starts_and_drains_beside_an_entry_that_takes_a_page_alone(
+    name: str, tmp_path: Path
+) -> None:
+    """Guards against hosts that never list the upstreams because of one odd entry."""
+
+    async def scenario() -> None:
+        harness = RelayHarness(tmp_path)
+        await harness.start()
+        await harness.store.put('servers', name, {'note': 'n' * 1_040_000})
+        await harness.start_process()
+        try:
+            await harness.wait_until(harness.is_ready)
+            harness.send(make_packet(SYN))
+            await harness.receive()
+            await harness.put_target('i-7f3a91c2', 'draining')
+            line = await harness.next_log_line('Upstream changed its state.')
+            assert line['state'] == 'draining'
+        finally:
+            await harness.close()
+
+    asyncio.run(scenario())
+
+
 def test_lost_history_triggers_new_list(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running(tmp_path) as harness:
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -14,6 +14,7 @@
 from lycheedeal.platform._objects import DecodedObjects
 from lycheedeal.platform._store import StoreClient
 from lycheedeal.relay import StoreFault, StoreKind
+from standins.object_store import ObjectStoreServer
 from tests.platform_entries import SOUND_ENTRY
 
 TIMEOUT_SECONDS = 10.0
@@ -506,6 +507,96 @@
     play(test, answer)
 
 
+# Names of another writer's objects, none of which a host can use.
+ODD_NAMES = [
+    pytest.param('', id='empty'),
+    pytest.param('i-f0' * 50, id='long'),
+    pytest.param('i-f0' * 50_000, id='longer than a request may be'),
+    pytest.param('backup-\udcff', id='not UTF-8'),
+    pytest.param('\udcffbackup', id='not UTF-8 from its start'),
+    pytest.param('\udcf0\udc9fbackup', id='broken character'),
+    pytest.param('i-\r\n&watch=1', id='control characters'),
+    pytest.param('zz-\U0010ffff', id='last character'),
+]
+
+
+async def listed_names(store: ObjectStoreServer, kind: StoreKind) -> set[str]:
+    """Return the names of the usable objects in a list of a kind."""
+    events: asyncio.Queue[relay.Event] = asyncio.Queue()
+    await store.start()
+    client = StoreClient(store.endpoint, events.put_nowait, relay.Metrics())
+    try:
+        client.list_objects(kind)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while isinstance(event := await events.get(), relay.PageRead):
+                continue
+    finally:
+        client.close()
+        store.close()
+        # Lets the connections of the client end.
+        await asyncio.sleep(0.01)
+    assert isinstance(event, relay.ListAnswered), event
+    return set(map(name_of, event.entries))
+
+
+def name_of(entry: relay.Entry) -> str:
+    match entry:
+        case relay.Listing(upstream_id=name) | relay.Evacuation(zone=name):
+            return name
+        case _:
+            raise AssertionError(entry)
+
+
+@pytest.mark.parametrize('objects', [1, 3])
+@pytest.mark.parametrize('name', ODD_NAMES)
+def test_list_goes_on_after_a_page_of_odd_names_only(name: str, objects: int) -> None:
+    """Guards against one odd entry that hides all other entries from every host.
+
+    An entry of 1 MB takes a page of the list alone.
+    """
+    usable = {'a-1', 'i-1', 'i-f1', 'zz-1'}
+
+    async def run() -> None:
+        store = ObjectStoreServer(page_objects=objects, page_bytes=2_000)
+        for one in usable:
+            await store.put('servers', one, SOUND_ENTRY)
+        for number in range(objects):
+            await store.put('servers', name + 'x' * number, {'note': 'n' * 10_000})
+        assert await listed_names(store, UPSTREAMS) == usable
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('name', ODD_NAMES)
+def test_list_of_evacuations_goes_on_after_a_page_of_odd_names_only(name: str) -> None:
+    """Guards against one odd object that hides evacuations from every host."""
+
+    async def run() -> None:
+        store = ObjectStoreServer(page_objects=1)
+        for one in ('north', 'south', name):
+            await store.put('evacuations', one, {})
+        listed = await listed_names(store, StoreKind.EVACUATIONS)
+        assert {'north', 'south'} <= listed
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('name', ODD_NAMES)
+def test_list_goes_on_if_the_store_rejects_an_odd_name(name: str) -> None:
+    """Guards against a store that refuses to continue after a name that it has."""
+    usable = {'a-1', 'i-1', 'i-f1', 'zz-1'}
+
+    async def run() -> None:
+        store = ObjectStoreServer(page_objects=1)
+        store.rejects_odd_names = True
+        for one in usable:
+            await store.put('servers', one, SOUND_ENTRY)
+        await store.put('servers', name, None)
+        assert await listed_names(store, UPSTREAMS) == usable
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('name', ['', 'i-1'])
 def test_list_that_does_not_go_on_is_a_failure(name: str) -> None:
     """Guards against a part of a list that is taken for all of it."""
