Let answers of the store take as long as their link needs

Cause: the time of a call (1.0 s for a page, 0.4 s for a watch beyond its wait) covered the whole answer. One that took longer was given up halfway and begun anew for ever. Logs called this "silent"; test_answer_may_take_as_long_as_its_link_needs, which sends an answer at 1 Mbit/s without a pause, shows that the answer was on its way.

Change: the time holds until the answer begins, then for each further 8 KiB of it. A silent store is left after the same time as before. The new fault "slow" tells an answer that was given up halfway; the next one may come in smaller parts.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,11 +1,15 @@
 """TCP proxy on loopback between one relay and the store; it can inject faults."""
 
 import asyncio
+import math
+import time
 from enum import Enum, unique
 
 from lycheedeal.ids import Endpoint
 
 _CHUNK_BYTES = 65536
+# Chunks of a link with a limited rate, so that its connections take turns.
+_NARROW_CHUNK_BYTES = 8192
 # Added to each chunk while the fault is DELAYED.
 _DELAY_SECONDS = 0.25
 
@@ -22,11 +26,18 @@
 
 
 class Proxy:
-    """Accepts connections and forwards their bytes to one destination."""
+    """Accepts connections and forwards their bytes to one destination.
 
-    def __init__(self, destination: Endpoint) -> None:
+    All connections share a link of ``bytes_per_second`` for what comes back from there.
+    """
+
+    def __init__(
+        self, destination: Endpoint, bytes_per_second: float = math.inf
+    ) -> None:
         self.endpoint = Endpoint('127.0.0.1', 0)
         self.fault = LinkFault.NONE
+        self.bytes_per_second = bytes_per_second
+        self._link_free_at = 0.0
         self._destination = destination
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -76,13 +87,27 @@
         # whose state a firewall has lost.
         silent = False
         try:
-            while chunk := await reader.read(_CHUNK_BYTES):
+            while chunk := await reader.read(self._chunk_bytes()):
+                if dropping_fault is LinkFault.RESPONSES_DROPPED:
+                    await self._pass_link(len(chunk))
                 silent = silent or self.fault in {LinkFault.SILENT, dropping_fault}
                 if self.fault is LinkFault.DELAYED:
                     await asyncio.sleep(_DELAY_SECONDS)
                 if not silent:
                     writer.write(chunk)
+                    await writer.drain()
         except OSError:
             writer.transport.abort()
         else:
             writer.close()
+
+    def _chunk_bytes(self) -> int:
+        return (
+            _CHUNK_BYTES if math.isinf(self.bytes_per_second) else _NARROW_CHUNK_BYTES
+        )
+
+    async def _pass_link(self, size: int) -> None:
+        now = time.monotonic()
+        self._link_free_at = max(self._link_free_at, now) + size / self.bytes_per_second
+        if self._link_free_at > now:
+            await asyncio.sleep(self._link_free_at - now)
--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import httptools
@@ -34,6 +35,10 @@
         self.detail = detail
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class Connection(asyncio.Protocol):
     """A persistent HTTP connection with at most one call in progress.
 
@@ -49,21 +54,37 @@
         self._body = bytearray()
         self._era = relay.Era(0)
         self._response: asyncio.Future[Answer] | None = None
+        self._part_bytes = 1
+        self._progressed: Callable[[], None] = _ignore
+        self._reported_bytes = 0
         self._used_at = time.monotonic()
         self.is_closed = False
+        # Whether the answer to the last request has begun.
+        self.has_begun = False
         self.latest_position = relay.START_POSITION
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the body of the last answer, or of that in progress."""
+        return len(self._body)
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection has not been used for long."""
         return time.monotonic() - self._used_at > MAX_IDLE_SECONDS
 
-    async def get(self, path: str) -> Answer:
+    async def get(
+        self, path: str, part_bytes: int, progressed: Callable[[], None]
+    ) -> Answer:
         """Return the answer to a GET request.
 
+        ``progressed`` is called for each ``part_bytes`` of its body that arrive.
         Raises OSError if the connection fails, and CallError if the answer is
         malformed or too long.
         """
+        self._part_bytes = part_bytes
+        self._progressed = progressed
+        self.has_begun = False
         if self._transport is None or self.is_closed:
             raise ConnectionResetError('connection to the store is closed')
         self._response = asyncio.get_running_loop().create_future()
@@ -102,7 +123,9 @@
             )
 
     def on_message_begin(self) -> None:
+        self.has_begun = True
         self._body.clear()
+        self._reported_bytes = 0
         self._era = relay.Era(0)
         if self._response is None or self._response.done():
             self.close()
@@ -122,6 +145,9 @@
 
     def on_body(self, body: bytes) -> None:
         self._body += body
+        if len(self._body) >= self._reported_bytes + self._part_bytes:
+            self._reported_bytes = len(self._body)
+            self._progressed()
 
     def on_message_complete(self) -> None:
         if not self._parser.should_keep_alive():
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -25,6 +25,9 @@
         relay.StoreKind.EVACUATIONS: '/objects/evacuations',
     },
 )
+# Part of an answer that has to come within the time for one: a thirtieth of what the
+# narrowest links of the platform carry in the shortest of these times.
+_PART_BYTES: Final = 8192
 # Part of its wait that a watch takes at least if nothing changes.
 _MIN_WAIT_SHARE: Final = 0.5
 _STATUS_OK: Final = 200
@@ -91,6 +94,8 @@
         self._report = report
         self._tasks_by_kind: dict[relay.StoreKind, asyncio.Task[None]] = {}
         self._connections_by_kind: dict[relay.StoreKind, Connection] = {}
+        # Size of the parts of an answer after answers that came too slowly.
+        self._part_bytes_by_kind: dict[relay.StoreKind, int] = {}
 
     def list_objects(self, kind: relay.StoreKind, may_lag: bool = False) -> None:
         """Start a list of all objects of a kind.
@@ -181,7 +186,7 @@
         for _ in range(_MAX_PAGES):
             if not page.fields.get('has_more'):
                 return
-            self._report(relay.PageRead(kind))
+            self._report(relay.CallProgressed(kind))
             page = await self._next_page(kind, first_query, page, used)
             yield page
         raise CallError(
@@ -209,8 +214,8 @@
         )
 
     async def _list_page(self, kind: relay.StoreKind, query: str) -> _Page:
-        async with asyncio.timeout(relay.PAGE_TIMEOUT_SECONDS):
-            return await self._get(kind, query)
+        timeout = relay.PAGE_TIMEOUT_SECONDS
+        return await self._get(kind, query, timeout, timeout)
 
     async def _watch(
         self,
@@ -219,9 +224,9 @@
         wait_seconds: float,
     ) -> relay.WatchAnswered:
         query = f'?watch={position.revision}&wait_ms={int(wait_seconds * 1000)}'
+        timeout = relay.ANSWER_TIMEOUT_SECONDS
         started = time.perf_counter()
-        async with asyncio.timeout(wait_seconds + relay.ANSWER_TIMEOUT_SECONDS):
-            page = await self._get(kind, query)
+        page = await self._get(kind, query, wait_seconds + timeout, timeout)
         waited = time.perf_counter() - started
         objects = DecodedObjects()
         events = _required_field(page.fields, 'events', list)
@@ -243,9 +248,31 @@
             objects.version,
         )
 
-    async def _get(self, kind: relay.StoreKind, query: str) -> _Page:
-        connection = await self._connect(kind)
-        status, era, body = await connection.get(_PATHS[kind] + query)
+    async def _get(
+        self,
+        kind: relay.StoreKind,
+        query: str,
+        begin_seconds: float,
+        part_seconds: float,
+    ) -> _Page:
+        """Return a decoded answer.
+
+        It has to begin within a time, and each of its parts has to come within a time
+        after the one before; how long the whole answer takes is not limited.
+        """
+        part_bytes = self._part_bytes_by_kind.get(kind, _PART_BYTES)
+        limit = asyncio.timeout(begin_seconds)
+        try:
+            async with limit:
+                connection = await self._connect(kind)
+                status, era, body = await connection.get(
+                    _PATHS[kind] + query,
+                    part_bytes,
+                    lambda: self._call_progressed(kind, limit, part_seconds),
+                )
+        except TimeoutError as error:
+            raise self._timeout_error(kind, part_bytes) from error
+        self._part_bytes_by_kind.pop(kind, None)
         _check_status(status)
         try:
             fields = decode_answer(body)
@@ -260,6 +287,27 @@
         _check_order(connection, page.position)
         return page
 
+    def _call_progressed(
+        self, kind: relay.StoreKind, limit: asyncio.Timeout, part_seconds: float
+    ) -> None:
+        if not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time() + part_seconds)
+        self._report(relay.CallProgressed(kind))
+
+    def _timeout_error(self, kind: relay.StoreKind, part_bytes: int) -> CallError:
+        connection = self._connections_by_kind.get(kind)
+        if connection is None or not connection.has_begun:
+            return CallError(
+                relay.StoreFault.SILENT, 'store did not answer before the timeout'
+            )
+        # Many hosts that read at once may leave each of them less than usual.
+        self._part_bytes_by_kind[kind] = max(part_bytes // 2, 1)
+        received = connection.received_bytes
+        return CallError(
+            relay.StoreFault.SLOW,
+            f'answer was given up after {received} bytes, which came too slowly',
+        )
+
     async def _connect(self, kind: relay.StoreKind) -> Connection:
         connection = self._connections_by_kind.get(kind)
         if connection is None or connection.is_closed or connection.is_idle:
--- a/src/lycheedeal/relay/__init__.py
+++ b/src/lycheedeal/relay/__init__.py
@@ -38,6 +38,7 @@
 from lycheedeal.relay._entry_checks import check_integer, check_listing, check_text
 from lycheedeal.relay._events import (
     CallFailed,
+    CallProgressed,
     ContentChanged,
     ContentConfirmed,
     CopiesReady,
@@ -47,7 +48,6 @@
     LeadershipChanged,
     ListAnswered,
     PacketArrived,
-    PageRead,
     PeerMessageReceived,
     PeerTableReady,
     RefreshRequested,
@@ -158,6 +158,7 @@
     'Beacon',
     'BeaconRequest',
     'CallFailed',
+    'CallProgressed',
     'WatchAnswered',
     'ConfigurationVersion',
     'ContentChanged',
@@ -189,7 +190,6 @@
     'PeerTableReady',
     'Packet',
     'PacketArrived',
-    'PageRead',
     'PacketKind',
     'Part',
     'Peer',
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -82,8 +82,8 @@
 
 
 @dataclass(slots=True, eq=False, repr=False)
-class PageRead:
-    """The store answered a page of a list that has more pages."""
+class CallProgressed:
+    """A call to the store goes on: a part of its answer arrived, or was decoded."""
 
     kind: StoreKind
 
@@ -258,7 +258,7 @@
     | SettingsRead
     | PacketArrived
     | ListAnswered
-    | PageRead
+    | CallProgressed
     | WatchAnswered
     | CallFailed
     | LeadershipChanged
--- a/src/lycheedeal/relay/_reader.py
+++ b/src/lycheedeal/relay/_reader.py
@@ -6,7 +6,8 @@
 
 from lycheedeal.relay._records import START_POSITION, Position, StoreKind
 
-# Time after its timeout by which a call must have been reported as ended.
+# Time after its timeout by which a call must have been reported as ended, or a part
+# of its answer.
 _REPORT_TIMEOUT_SECONDS: Final = 0.5
 # Delay before a list after a failed call; doubles with each further failure.
 _MIN_RETRY_SECONDS: Final = 0.1
@@ -33,7 +34,8 @@
     """State of reading one kind; times are seconds of the monotonic clock.
 
     ``known_at_call`` is the position of the host's content when the call was made. A
-    call that is in progress at ``overdue_at`` has no end.
+    call that is in progress at ``overdue_at`` has no end. ``answering_since`` is the
+    time of the first part of a long answer, None before.
     """
 
     kind: StoreKind
@@ -42,6 +44,7 @@
     known_at_call: Position = START_POSITION
     called_at: float = 0
     overdue_at: float = 0
+    answering_since: float | None = None
     resume_at: float = 0
     failures: int = 0
     has_listed: bool = False
@@ -54,17 +57,25 @@
         """Whether a call of this reader is in progress."""
         return self.phase in {Phase.LISTING, Phase.WATCHING}
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a long answer to a call of this reader arrives."""
+        return self.is_calling and self.answering_since is not None
+
     def begin_call(
         self, phase: Phase, now: float, known: Position, timeout: float
     ) -> None:
-        """Note a call that the front end reports as ended after ``timeout`` at most."""
+        """Note a call whose answer begins after ``timeout`` at most, or has failed."""
         self.phase = phase
         self.called_at = now
         self.known_at_call = known
-        self.expect_end(now, timeout)
+        self.answering_since = None
+        self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
 
-    def expect_end(self, now: float, timeout: float) -> None:
-        """Note that the call in progress goes on for ``timeout`` at most."""
+    def note_progress(self, now: float, timeout: float) -> None:
+        """Note a part of the answer; the next one comes after ``timeout`` at most."""
+        if self.answering_since is None:
+            self.answering_since = now
         self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
 
     def retry_after(self, jitter: float, now: float) -> None:
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -84,6 +84,8 @@
     REFUSED = 'refused'
     UNREACHABLE = 'unreachable'
     SILENT = 'silent'
+    # An answer began, and its next part did not come in time.
+    SLOW = 'slow'
     MALFORMED = 'malformed'
 
 
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -26,13 +26,13 @@
 )
 from lycheedeal.relay._events import (
     CallFailed,
+    CallProgressed,
     ContentChanged,
     ContentConfirmed,
     ContentNotApplied,
     CopiesReady,
     Event,
     ListAnswered,
-    PageRead,
     RefreshRequested,
     Started,
     Tick,
@@ -53,6 +53,8 @@
 # Time from an answer with changes to the next watch, which then gets all changes
 # of this time in one answer. That watch ends sooner, as hosts wait for confirmations.
 _COALESCE_SECONDS: Final = 0.25
+# Shortest wait of a watch, after an answer that took long.
+_MIN_WAIT_SECONDS: Final = 0.1
 # Time after the start, after the last failed call, and after the store came back from
 # an older copy, during which a missing entry does not mean that its upstream is gone.
 # Entries that expired or were lost are written again within about 2 s, as the platform
@@ -95,12 +97,13 @@
             case WatchingChanged(watches=watches):
                 yield from self._watching_changed(watches)
             case RefreshRequested(kind=kind):
-                yield from self._refresh(self._readers[kind])
+                # What is missing may be in the answer that arrives.
+                if not self._readers[kind].is_answering:
+                    yield from self._refresh(self._readers[kind])
             case ContentNotApplied():
                 yield from self._read_again()
-            case PageRead(kind=kind):
-                now = self._context.clock.monotonic()
-                self._readers[kind].expect_end(now, PAGE_TIMEOUT_SECONDS)
+            case CallProgressed(kind=kind):
+                self._call_progressed(self._readers[kind])
             case Tick(now=now):
                 yield from self._tick(now)
 
@@ -148,7 +151,8 @@
         reader.is_usable = _is_usable(event)
         yield from self._publish_content(event, complete=True)
         yield from _confirm(reader, reader.called_at)
-        yield from self._watch(reader)
+        listed_for = self._context.clock.monotonic() - reader.called_at
+        yield from self._watch(reader, _wait_after(listed_for))
 
     def _publish_content(
         self,
@@ -176,6 +180,12 @@
             ),
         )
 
+    def _call_progressed(self, reader: Reader) -> None:
+        is_watch = reader.phase is Phase.WATCHING
+        timeout = ANSWER_TIMEOUT_SECONDS if is_watch else PAGE_TIMEOUT_SECONDS
+        if reader.is_calling:
+            reader.note_progress(self._context.clock.monotonic(), timeout)
+
     def _known_position(self, kind: StoreKind) -> Position:
         copy = self._copies.get(kind)
         return START_POSITION if copy is None else copy.position
@@ -197,15 +207,17 @@
             is_whole = event.kind is StoreKind.CONFIGURATION
             yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
-        yield from _confirm(reader, now - self._receive_delay.seconds())
+        # The store answers with the content as it is when the answer begins.
+        began_at = reader.answering_since or now
+        yield from _confirm(reader, began_at - self._receive_delay.seconds())
         if not reader.is_usable and has_changes:
             # The change may be of another object than the configuration.
             yield from self._list(reader)
-        elif has_changes:
+        elif has_changes and now < began_at + _COALESCE_SECONDS:
             reader.phase = Phase.PAUSING
-            reader.resume_at = now + _COALESCE_SECONDS
+            reader.resume_at = began_at + _COALESCE_SECONDS
         else:
-            yield from self._watch(reader)
+            yield from self._watch(reader, _wait_after(now - began_at))
 
     def _record_success(self, reader: Reader) -> Iterator[Effect]:
         if reader.failures:
@@ -329,6 +341,14 @@
         return called_at - self._unsettled_at >= SETTLING_SECONDS
 
 
+def _wait_after(seconds: float) -> float:
+    """Return the wait of a watch after an answer that took some time to arrive.
+
+    The confirmation of its own answer then comes as soon as after a short answer.
+    """
+    return max(WATCH_WAIT_SECONDS - seconds, _MIN_WAIT_SECONDS)
+
+
 def _failure_record(reader: Reader, event: CallFailed) -> LogRecord:
     return LogRecord(
         Part.READING,
@@ -373,8 +393,8 @@
                 CopiesReady,
                 ListAnswered,
                 WatchAnswered,
-                PageRead,
                 CallFailed,
+                CallProgressed,
                 WatchingChanged,
                 RefreshRequested,
                 ContentNotApplied,
