Decode odd answers in steps

An answer that a JSON decoder refuses is decoded again with deep values replaced by null, which took up to 0.2 s of a core for 1 MB. The event loop waited meanwhile: over a second on hosts with 0.163 cores, in which packets and probes wait and calls seem to have no end.

test_answer_that_takes_long_to_decode_does_not_stop_the_process guards against it; before, the decoder ran to its end in one go.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -275,7 +275,9 @@
         self._part_bytes_by_kind.pop(kind, None)
         _check_status(status)
         try:
-            fields = decode_answer(body)
+            fields = await decode_answer(
+                body, lambda: self._report(relay.CallProgressed(kind))
+            )
         except DecodeError as error:
             raise CallError(relay.StoreFault.MALFORMED, error.detail) from error
         if not isinstance(fields, dict):
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -11,6 +11,7 @@
 
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint
+from lycheedeal.platform._answers import decode_answer
 from lycheedeal.platform._objects import DecodedObjects
 from lycheedeal.platform._store import StoreClient
 from lycheedeal.relay import StoreFault, StoreKind
@@ -553,6 +554,31 @@
     play(test, answer)
 
 
+def test_answer_that_takes_long_to_decode_does_not_stop_the_process() -> None:
+    """Guards against one odd entry that holds up packets on small hosts.
+
+    Values with many levels are replaced one by one, which takes a small host seconds.
+    """
+    value = b'[' * 1200 + b'[],' * 300_000 + b'1' + b']' * 1200
+    item = b'{"meta":{"name":"i-f0"},"spec":%b}' % value
+    body = b'{"items":[%b],"store_revision":9}' % item
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    async def run() -> None:
+        counter = asyncio.create_task(count_turns())
+        await decode_answer(body, progressed=lambda: None)
+        counter.cancel()
+
+    asyncio.run(run())
+    assert turns > 100
+
+
 def test_call_reports_its_end_after_an_error_of_any_kind(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
