Log calls that keep failing, and do without lists that cannot be read

A call that failed again and again had one log line, and the same list was made each time.

- Failures in a row are logged again after 8, 16, 32 and so on, with their number and duration.
- If the store answers and lists fail, every second try of a watching host is a watch from the content that it has.
- A host without any content uses what could be read of a list that does not end, once it has failed three times.
The part proves of no upstream that it is gone, and does not replace content.

The checks of the store's answers move to a module of their own.

--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Any, Final, NamedTuple
+from typing import Final
 
 from lycheedeal import relay
 from lycheedeal.exceptions import DecodeError
@@ -15,6 +15,18 @@
 from lycheedeal.platform._connection import CallError, Connection
 from lycheedeal.platform._list_cursor import cursors_after
 from lycheedeal.platform._objects import DecodedObjects
+from lycheedeal.platform._store_answers import (
+    EndlessListError,
+    Page,
+    RequestRejectedError,
+    as_list,
+    check_event,
+    check_order,
+    check_status,
+    decode_events,
+    failed_call,
+    required_field,
+)
 
 # Pages read of one list at most; a page holds about 500 objects.
 _MAX_PAGES: Final = 400
@@ -30,31 +42,10 @@
 _PART_BYTES: Final = 8192
 # Part of its wait that a watch takes at least if nothing changes.
 _MIN_WAIT_SHARE: Final = 0.5
-_STATUS_OK: Final = 200
-_STATUS_GONE: Final = 410
-# Bad request, URI too long, unprocessable content, header fields too large.
-_REJECTED_STATUSES: Final = frozenset((400, 414, 422, 431))
 
 EventCallback = Callable[[relay.Event], None]
 
 
-class _RequestRejectedError(CallError):
-    """The store cannot read a request."""
-
-
-class _Page(NamedTuple):
-    """Fields of an answer with status 200, and the position of the store."""
-
-    fields: dict[str, Any]
-    position: relay.Position
-
-    @property
-    def items(self) -> list[Any]:
-        """Return the objects of a list; raises CallError if there are none."""
-        items: list[Any] = _required_field(self.fields, 'items', list)
-        return items
-
-
 @dataclass(slots=True, eq=False, repr=False)
 class _List:
     """A list; ``query`` is that of its first page."""
@@ -144,7 +135,7 @@
                 case _Watch(position=position, wait_seconds=wait_seconds):
                     event = await self._watch(kind, position, wait_seconds)
         except Exception as error:  # The reader waits until the call reports its end.
-            event = _failed(kind, error)
+            event = failed_call(kind, error)
             if event.fault is not relay.StoreFault.HISTORY_LOST:
                 self._drop_connection(kind)
         self._tasks_by_kind.pop(kind, None)
@@ -157,28 +148,28 @@
     async def _list(self, kind: relay.StoreKind, query: str) -> relay.ListAnswered:
         objects = DecodedObjects()
         position: relay.Position | None = None
-        async for page in self._pages(kind, query):
-            # A watch from the position of the first page misses no change made while
-            # the others are read.
-            position = position or page.position
-            if page.position.era != position.era:
-                raise CallError(
-                    relay.StoreFault.HISTORY_LOST,
-                    'store came back from an older copy between two pages',
-                )
-            for item in page.items:
-                objects.add(kind, item)
-        return relay.ListAnswered(
-            kind,
-            position or relay.START_POSITION,
-            tuple(objects.entries),
-            tuple(objects.unusable),
-            objects.version,
-        )
+        try:
+            async for page in self._pages(kind, query):
+                # A watch from the position of the first page misses no change made
+                # while the others are read.
+                position = position or page.position
+                if page.position.era != position.era:
+                    raise CallError(
+                        relay.StoreFault.HISTORY_LOST,
+                        'store came back from an older copy between two pages',
+                    )
+                for item in page.items:
+                    objects.add(kind, item)
+        except EndlessListError as error:
+            # What the rest of the list has is not known.
+            objects.add(kind, None)
+            error.readable = as_list(kind, position, objects)
+            raise
+        return as_list(kind, position, objects)
 
     async def _pages(
         self, kind: relay.StoreKind, first_query: str
-    ) -> AsyncIterator[_Page]:
+    ) -> AsyncIterator[Page]:
         """Yield the pages of a list; raises CallError if the list does not end."""
         page = await self._list_page(kind, first_query)
         yield page
@@ -189,13 +180,11 @@
             self._report(relay.CallProgressed(kind))
             page = await self._next_page(kind, first_query, page, used)
             yield page
-        raise CallError(
-            relay.StoreFault.MALFORMED, f'list has more than {_MAX_PAGES} pages'
-        )
+        raise EndlessListError(f'list has more than {_MAX_PAGES} pages')
 
     async def _next_page(
-        self, kind: relay.StoreKind, first_query: str, page: _Page, used: set[str]
-    ) -> _Page:
+        self, kind: relay.StoreKind, first_query: str, page: Page, used: set[str]
+    ) -> Page:
         """Return the page that follows another one.
 
         Cursors in ``used`` led to the same page again, or were refused.
@@ -204,16 +193,15 @@
         for cursor in cursors_after(page.items):
             if cursor not in used:
                 used.add(cursor)
-                with contextlib.suppress(_RequestRejectedError):
+                with contextlib.suppress(RequestRejectedError):
                     return await self._list_page(
                         kind, f'{first_query}{separator}after={cursor}'
                     )
-        raise CallError(
-            relay.StoreFault.MALFORMED,
-            f'list does not go on after a page of {len(page.items)} objects',
+        raise EndlessListError(
+            f'list does not go on after a page of {len(page.items)} objects'
         )
 
-    async def _list_page(self, kind: relay.StoreKind, query: str) -> _Page:
+    async def _list_page(self, kind: relay.StoreKind, query: str) -> Page:
         timeout = relay.PAGE_TIMEOUT_SECONDS
         return await self._get(kind, query, timeout, timeout)
 
@@ -229,10 +217,10 @@
         page = await self._get(kind, query, wait_seconds + timeout, timeout)
         waited = time.perf_counter() - started
         objects = DecodedObjects()
-        events = _required_field(page.fields, 'events', list)
-        for item, deleted in _decode_events(events):
+        events = required_field(page.fields, 'events', list)
+        for item, deleted in decode_events(events):
             if page.position.era == position.era:
-                _check_event(item, position.revision)
+                check_event(item, position.revision)
             objects.add(kind, item, deleted)
         if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
             raise CallError(
@@ -254,7 +242,7 @@
         query: str,
         begin_seconds: float,
         part_seconds: float,
-    ) -> _Page:
+    ) -> Page:
         """Return a decoded answer.
 
         It has to begin within a time, and each of its parts has to come within a time
@@ -273,7 +261,7 @@
         except TimeoutError as error:
             raise self._timeout_error(kind, part_bytes) from error
         self._part_bytes_by_kind.pop(kind, None)
-        _check_status(status)
+        check_status(status)
         try:
             fields = await decode_answer(
                 body, lambda: self._report(relay.CallProgressed(kind))
@@ -284,9 +272,9 @@
             raise CallError(
                 relay.StoreFault.MALFORMED, 'store answer is not a JSON object'
             )
-        revision = relay.Revision(_required_field(fields, 'store_revision', int))
-        page = _Page(fields, relay.Position(era, revision))
-        _check_order(connection, page.position)
+        revision = relay.Revision(required_field(fields, 'store_revision', int))
+        page = Page(fields, relay.Position(era, revision))
+        check_order(connection, page.position)
         return page
 
     def _call_progressed(
@@ -328,87 +316,3 @@
         connection = self._connections_by_kind.pop(kind, None)
         if connection is not None:
             connection.close()
-
-
-def _failed(kind: relay.StoreKind, error: Exception) -> relay.CallFailed:
-    match error:
-        case CallError(fault=fault, detail=detail):
-            return relay.CallFailed(kind, fault, detail)
-        case TimeoutError():
-            detail = 'store did not answer before the timeout'
-            return relay.CallFailed(kind, relay.StoreFault.SILENT, detail)
-        case OSError():
-            return relay.CallFailed(kind, relay.StoreFault.UNREACHABLE, str(error))
-        case _:
-            detail = f'{type(error).__name__}: {error}'
-            return relay.CallFailed(kind, relay.StoreFault.MALFORMED, detail)
-
-
-def _check_status(status: int) -> None:
-    """Raise CallError unless a status is that of an answer."""
-    if status == _STATUS_GONE:
-        raise CallError(
-            relay.StoreFault.HISTORY_LOST,
-            'store no longer has the history since the watched revision',
-        )
-    if status in _REJECTED_STATUSES:
-        raise _RequestRejectedError(
-            relay.StoreFault.REFUSED, f'request is rejected with status {status}'
-        )
-    if status != _STATUS_OK:
-        raise CallError(
-            relay.StoreFault.REFUSED, f'expected HTTP status 200, got {status}'
-        )
-
-
-def _check_order(connection: Connection, position: relay.Position) -> None:
-    """Check the position of an answer against earlier ones on the connection.
-
-    The store's position only increases, so an earlier one is that of a late copy of
-    an answer. Raises CallError, which ends the connection.
-    """
-    if position < connection.latest_position:
-        raise CallError(
-            relay.StoreFault.MALFORMED,
-            f'position {position} comes after {connection.latest_position}',
-        )
-    connection.latest_position = position
-
-
-def _required_field(answer: dict[str, Any], name: str, expected: type) -> Any:
-    content = answer.get(name)
-    if not isinstance(content, expected):
-        raise CallError(
-            relay.StoreFault.MALFORMED, f'field {name} is missing or of another type'
-        )
-    return content
-
-
-def _decode_events(events: list[Any]) -> Iterator[tuple[Any, bool]]:
-    for event in events:
-        match event:
-            case {'object': item, 'deleted': bool() as deleted}:
-                yield item, deleted
-            case {'object': item}:
-                yield item, False
-            case _:
-                # Of which object this is a change cannot be determined.
-                yield None, False
-
-
-def _check_event(item: Any, watched: relay.Revision) -> None:
-    """Raise CallError for a change that a watch from this revision cannot report."""
-    revision = _object_revision(item)
-    if revision is not None and revision <= watched:
-        raise CallError(
-            relay.StoreFault.MALFORMED,
-            f'watch from revision {watched} reports revision {revision}',
-        )
-
-
-def _object_revision(item: Any) -> int | None:
-    match item:
-        case {'meta': {'revision': int() as revision}}:
-            return revision
-        case _:
-            return None
--- a/src/lycheedeal/relay/_events.py
+++ b/src/lycheedeal/relay/_events.py
@@ -106,11 +106,15 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class CallFailed:
-    """A call to the store failed or returned no usable answer."""
+    """A call to the store failed or returned no usable answer.
+
+    ``readable`` has the objects of a list that does not come to an end.
+    """
 
     kind: StoreKind
     fault: StoreFault
     detail: str
+    readable: ListAnswered | None = None
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/src/lycheedeal/relay/_reader.py
+++ b/src/lycheedeal/relay/_reader.py
@@ -4,7 +4,13 @@
 from enum import Enum, unique
 from typing import Final
 
-from lycheedeal.relay._records import START_POSITION, Position, StoreKind
+from lycheedeal.relay._call_times import ANSWER_TIMEOUT_SECONDS, PAGE_TIMEOUT_SECONDS
+from lycheedeal.relay._records import (
+    START_POSITION,
+    Position,
+    StoreFault,
+    StoreKind,
+)
 
 # Time after its timeout by which a call must have been reported as ended, or a part
 # of its answer.
@@ -12,6 +18,10 @@
 # Delay before a list after a failed call; doubles with each further failure.
 _MIN_RETRY_SECONDS: Final = 0.1
 _MAX_RETRY_SECONDS: Final = 0.8
+# Failures in a row after which a loss of the store has no new log line yet.
+_UNREPORTED_FAILURES: Final = frozenset((2, 4))
+# Lists in a row that do not end, after which a host without content uses their part.
+_MAX_FAILED_LISTS: Final = 3
 # Delay before content that was not applied is read again; it doubles each time.
 _MIN_REREAD_SECONDS: Final = 0.2
 _MAX_REREAD_SECONDS: Final = 12.8
@@ -47,6 +57,10 @@
     answering_since: float | None = None
     resume_at: float = 0
     failures: int = 0
+    failing_since: float = 0
+    # Whether the store answered the last failed call, so that the next one should not
+    # be the same.
+    was_answered: bool = False
     has_listed: bool = False
     has_watched_since_list: bool = False
     # Whether the last content that the store sent could be used.
@@ -72,12 +86,42 @@
         self.answering_since = None
         self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
 
-    def note_progress(self, now: float, timeout: float) -> None:
-        """Note a part of the answer; the next one comes after ``timeout`` at most."""
+    def note_progress(self, now: float) -> None:
+        """Note that a part of the answer has arrived, or was decoded."""
+        match self.phase:
+            case Phase.LISTING:
+                timeout = PAGE_TIMEOUT_SECONDS
+            case Phase.WATCHING:
+                timeout = ANSWER_TIMEOUT_SECONDS
+            case _:
+                return
         if self.answering_since is None:
             self.answering_since = now
         self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
 
+    def note_failure(self, fault: StoreFault, now: float) -> None:
+        """Count a failed call."""
+        if not self.failures:
+            self.failing_since = now
+        self.failures += 1
+        self.was_answered = fault in {StoreFault.MALFORMED, StoreFault.SLOW}
+
+    @property
+    def is_failure_reported(self) -> bool:
+        """Whether the last failure is logged: the first, then less and less often."""
+        is_doubled = self.failures & (self.failures - 1) == 0
+        return is_doubled and self.failures not in _UNREPORTED_FAILURES
+
+    @property
+    def is_list_in_doubt(self) -> bool:
+        """Whether to try something else than the list that failed before."""
+        return self.was_answered and self.failures % 2 == 0
+
+    @property
+    def is_list_given_up(self) -> bool:
+        """Whether lists have failed so often that a part of one is better than none."""
+        return self.was_answered and self.failures >= _MAX_FAILED_LISTS
+
     def retry_after(self, jitter: float, now: float) -> None:
         """Note that a list follows after a delay, which grows with the failures."""
         self.phase = Phase.RETRYING
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -11,6 +11,7 @@
 from lycheedeal.dispatch import PluginSpec, Publish, register
 from lycheedeal.relay._call_times import (
     ANSWER_TIMEOUT_SECONDS,
+    MIN_WAIT_SECONDS,
     PAGE_TIMEOUT_SECONDS,
     WATCH_WAIT_SECONDS,
 )
@@ -28,7 +29,6 @@
     CallFailed,
     CallProgressed,
     ContentChanged,
-    ContentConfirmed,
     ContentNotApplied,
     CopiesReady,
     Event,
@@ -39,6 +39,14 @@
     WatchAnswered,
     WatchingChanged,
 )
+from lycheedeal.relay._read_outcomes import (
+    confirm,
+    failure_record,
+    has_changes,
+    is_usable,
+    partial_record,
+    wait_after,
+)
 from lycheedeal.relay._reader import Phase, Reader, RereadDelay
 from lycheedeal.relay._receive_delay import ReceiveDelay
 from lycheedeal.relay._records import (
@@ -53,8 +61,6 @@
 # Time from an answer with changes to the next watch, which then gets all changes
 # of this time in one answer. That watch ends sooner, as hosts wait for confirmations.
 _COALESCE_SECONDS: Final = 0.25
-# Shortest wait of a watch, after an answer that took long.
-_MIN_WAIT_SECONDS: Final = 0.1
 # Time after the start, after the last failed call, and after the store came back from
 # an older copy, during which a missing entry does not mean that its upstream is gone.
 # Entries that expired or were lost are written again within about 2 s, as the platform
@@ -103,7 +109,8 @@
             case ContentNotApplied():
                 yield from self._read_again()
             case CallProgressed(kind=kind):
-                self._call_progressed(self._readers[kind])
+                now = self._context.clock.monotonic()
+                self._readers[kind].note_progress(now)
             case Tick(now=now):
                 yield from self._tick(now)
 
@@ -148,11 +155,11 @@
         reader.position = event.position
         reader.has_listed = True
         reader.has_watched_since_list = False
-        reader.is_usable = _is_usable(event)
+        reader.is_usable = is_usable(event)
         yield from self._publish_content(event, complete=True)
-        yield from _confirm(reader, reader.called_at)
+        yield from confirm(reader, reader.called_at)
         listed_for = self._context.clock.monotonic() - reader.called_at
-        yield from self._watch(reader, _wait_after(listed_for))
+        yield from self._watch(reader, wait_after(listed_for))
 
     def _publish_content(
         self,
@@ -180,12 +187,6 @@
             ),
         )
 
-    def _call_progressed(self, reader: Reader) -> None:
-        is_watch = reader.phase is Phase.WATCHING
-        timeout = ANSWER_TIMEOUT_SECONDS if is_watch else PAGE_TIMEOUT_SECONDS
-        if reader.is_calling:
-            reader.note_progress(self._context.clock.monotonic(), timeout)
-
     def _known_position(self, kind: StoreKind) -> Position:
         copy = self._copies.get(kind)
         return START_POSITION if copy is None else copy.position
@@ -201,23 +202,23 @@
             return
         reader.position = event.position
         reader.has_watched_since_list = True
-        has_changes = _has_changes(event)
-        if has_changes:
-            reader.is_usable = _is_usable(event)
+        is_changed = has_changes(event)
+        if is_changed:
+            reader.is_usable = is_usable(event)
             is_whole = event.kind is StoreKind.CONFIGURATION
             yield from self._publish_content(event, is_whole, event.removed)
         now = self._context.clock.monotonic()
         # The store answers with the content as it is when the answer begins.
         began_at = reader.answering_since or now
-        yield from _confirm(reader, began_at - self._receive_delay.seconds())
-        if not reader.is_usable and has_changes:
+        yield from confirm(reader, began_at - self._receive_delay.seconds())
+        if not reader.is_usable and is_changed:
             # The change may be of another object than the configuration.
             yield from self._list(reader)
-        elif has_changes and now < began_at + _COALESCE_SECONDS:
+        elif is_changed and now < began_at + _COALESCE_SECONDS:
             reader.phase = Phase.PAUSING
             reader.resume_at = began_at + _COALESCE_SECONDS
         else:
-            yield from self._watch(reader, _wait_after(now - began_at))
+            yield from self._watch(reader, wait_after(now - began_at))
 
     def _record_success(self, reader: Reader) -> Iterator[Effect]:
         if reader.failures:
@@ -279,9 +280,16 @@
             yield from self._list(reader)
             return
         watch_failed = reader.phase is Phase.WATCHING and not is_history_lost
-        reader.failures += 1
-        if reader.failures == 1:
-            yield _failure_record(reader, event)
+        now = self._context.clock.monotonic()
+        reader.note_failure(event.fault, now)
+        if reader.is_failure_reported:
+            yield failure_record(reader, event, now)
+        known = self._known_position(reader.kind)
+        if event.readable is not None and known == START_POSITION:
+            if reader.is_list_given_up:
+                yield partial_record(event)
+                yield from self._list_answered(event.readable)
+                return
         if watch_failed and reader.failures == 1:
             # Changes may have been missed; a list shows them without a delay.
             yield from self._list(reader)
@@ -293,6 +301,16 @@
         self._unsettled_at = now
         reader.retry_after(self._context.rng.uniform(0.75, 1.25), now)
 
+    def _retry(self, reader: Reader) -> Iterator[Effect]:
+        """List again, or watch from what is known if lists do not come to an end."""
+        known = self._known_position(reader.kind)
+        is_known = known != START_POSITION and known.era == self._era
+        if is_known and self._watches and reader.is_list_in_doubt:
+            reader.position = known
+            yield from self._watch(reader, MIN_WAIT_SECONDS)
+        else:
+            yield from self._list(reader)
+
     def _watching_changed(self, watches: bool) -> Iterator[Effect]:
         if watches == self._watches:
             return
@@ -324,7 +342,7 @@
         for reader in self._readers.values():
             match reader.phase:
                 case Phase.RETRYING if now >= reader.resume_at:
-                    yield from self._list(reader)
+                    yield from self._retry(reader)
                 case Phase.PAUSING if now >= reader.resume_at:
                     wait_seconds = WATCH_WAIT_SECONDS - _COALESCE_SECONDS
                     yield from self._watch(reader, wait_seconds)
@@ -341,48 +359,6 @@
         return called_at - self._unsettled_at >= SETTLING_SECONDS
 
 
-def _wait_after(seconds: float) -> float:
-    """Return the wait of a watch after an answer that took some time to arrive.
-
-    The confirmation of its own answer then comes as soon as after a short answer.
-    """
-    return max(WATCH_WAIT_SECONDS - seconds, _MIN_WAIT_SECONDS)
-
-
-def _failure_record(reader: Reader, event: CallFailed) -> LogRecord:
-    return LogRecord(
-        Part.READING,
-        'store',
-        'Store call failed; content stays in force, and the call is retried.',
-        {
-            'objects': event.kind.value,
-            'fault': event.fault.value,
-            'detail': event.detail,
-            'era': reader.position.era,
-            'revision': reader.position.revision,
-        },
-    )
-
-
-def _confirm(reader: Reader, at: float) -> Iterator[Effect]:
-    """Confirm the content, unless the store has some that this host cannot use."""
-    if reader.is_usable:
-        yield Publish(ContentConfirmed(reader.kind, at))
-
-
-def _is_usable(event: ListAnswered | WatchAnswered) -> bool:
-    """Return whether an answer does not hold a configuration that cannot be used."""
-    is_configuration = event.kind is StoreKind.CONFIGURATION
-    return not (is_configuration and event.version is None and event.unusable)
-
-
-def _has_changes(event: WatchAnswered) -> bool:
-    if event.entries or event.removed or event.unusable:
-        return True
-    # A configuration without any routes is a change, too.
-    return event.version is not None
-
-
 register(
     PluginSpec(
         'reading',
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -747,6 +747,32 @@
     play(test, answer)
 
 
+@pytest.mark.parametrize('items', [[], [{'spec': {}}], ['text']])
+def test_list_that_stops_at_a_page_without_names_tells_what_it_has(
+    items: list[Any],
+) -> None:
+    """Guards against a page without names that hides the pages before it."""
+    sound = {'meta': {'name': 'i-1', 'revision': 5}, 'spec': SOUND_ENTRY}
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        for listed_items in ([sound], items):
+            await paths.get()
+            body = {'items': listed_items, 'has_more': True, 'store_revision': 5}
+            writer.write(response(body))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        event = await harness.next_event()
+        assert isinstance(event, relay.CallFailed)
+        assert event.fault is StoreFault.MALFORMED
+        assert event.readable is not None
+        assert list(map(name_of, event.readable.entries)) == ['i-1']
+        # The list proves of no upstream that it is gone.
+        assert event.readable.unusable == ('',)
+
+    play(test, answer)
+
+
 def test_connection_that_went_silent_while_idle_does_not_delay_a_list() -> None:
     """Guards against a list that waits for its timeout on a connection long unused."""
 
