Read long lists and large configurations within the store's history

Two more calls that can begin anew for ever on a narrow link:

- A list is followed by a watch from the position of its first page.
The store keeps 20 s of history; a list of over 12 MB at 5 Mbit/s takes longer, and the watch found its history gone.
A list that goes on for 5 s now reads the changes since then.
- A watch reports each version of a large configuration that is written in quick succession, and the next watch even more of them.
Answers that are longer than one object can be are given up at their header (fault "too_long"); a list has the last version only.

--- a/src/lycheedeal/platform/_connection.py
+++ b/src/lycheedeal/platform/_connection.py
@@ -9,13 +9,9 @@
 
 from lycheedeal import relay
 
-# Longer answers count as malformed.
-_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 # An unused connection may have gone silent, which only a timeout would show. A host
 # that watches pauses for 0.25 s at most.
 MAX_IDLE_SECONDS: Final = 1.0
-# Header with the era of the store, in each of its answers.
-_ERA_HEADER: Final = b'store-era'
 
 
 class Answer(NamedTuple):
@@ -54,6 +50,7 @@
         self._body = bytearray()
         self._era = relay.Era(0)
         self._response: asyncio.Future[Answer] | None = None
+        self._max_bytes = 0
         self._part_bytes = 1
         self._progressed: Callable[[], None] = _ignore
         self._reported_bytes = 0
@@ -74,14 +71,19 @@
         return time.monotonic() - self._used_at > MAX_IDLE_SECONDS
 
     async def get(
-        self, path: str, part_bytes: int, progressed: Callable[[], None]
+        self,
+        path: str,
+        max_bytes: int,
+        part_bytes: int,
+        progressed: Callable[[], None],
     ) -> Answer:
         """Return the answer to a GET request.
 
         ``progressed`` is called for each ``part_bytes`` of its body that arrive.
         Raises OSError if the connection fails, and CallError if the answer is
-        malformed or too long.
+        malformed or its body longer than ``max_bytes``.
         """
+        self._max_bytes = max_bytes
         self._part_bytes = part_bytes
         self._progressed = progressed
         self.has_begun = False
@@ -115,12 +117,7 @@
         except httptools.HttpParserError as error:
             self._fail(CallError(relay.StoreFault.MALFORMED, str(error)))
             self.close()
-        if len(self._body) > _MAX_BODY_BYTES:
-            self._fail(
-                CallError(
-                    relay.StoreFault.MALFORMED, 'store answer is longer than 4 MiB'
-                )
-            )
+        self._check_length(len(self._body))
 
     def on_message_begin(self) -> None:
         self.has_begun = True
@@ -131,17 +128,14 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() != _ERA_HEADER:
-            return
-        if value.isdigit():
-            self._era = relay.Era(int(value))
-        else:
-            self._fail(
-                CallError(
-                    relay.StoreFault.MALFORMED,
-                    f'header Store-Era is not a number: {value!r}',
-                )
-            )
+        match name.lower(), value.isdigit():
+            case b'content-length', True:
+                self._check_length(int(value))
+            case b'store-era', True:
+                self._era = relay.Era(int(value))
+            case b'store-era', False:
+                detail = f'header Store-Era is not a number: {value!r}'
+                self._fail(CallError(relay.StoreFault.MALFORMED, detail))
 
     def on_body(self, body: bytes) -> None:
         self._body += body
@@ -157,6 +151,11 @@
             status = self._parser.get_status_code()
             self._response.set_result(Answer(status, self._era, bytes(self._body)))
 
+    def _check_length(self, length: int) -> None:
+        if length > self._max_bytes:
+            detail = f'answer is longer than {self._max_bytes} bytes'
+            self._fail(CallError(relay.StoreFault.TOO_LONG, detail))
+
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(error)
--- a/src/lycheedeal/platform/_store.py
+++ b/src/lycheedeal/platform/_store.py
@@ -20,6 +20,7 @@
     Page,
     RequestRejectedError,
     as_list,
+    check_era,
     check_event,
     check_order,
     check_status,
@@ -40,6 +41,14 @@
 # Part of an answer that has to come within the time for one: a thirtieth of what the
 # narrowest links of the platform carry in the shortest of these times.
 _PART_BYTES: Final = 8192
+# Longest answer. Its objects take several times as much memory.
+_MAX_BYTES: Final = 4 * 1024 * 1024
+# A longer answer of a watch of the configuration has several versions of an object of
+# 1 MiB at most, of which a list has the last one only.
+_MAX_CONFIGURATION_WATCH_BYTES: Final = 5 * 256 * 1024
+# Time after which a list that goes on reads what has changed since it began. The store
+# may forget changes after 20 s.
+_CATCH_UP_SECONDS: Final = 5.0
 # Part of its wait that a watch takes at least if nothing changes.
 _MIN_WAIT_SHARE: Final = 0.5
 
@@ -148,18 +157,20 @@
     async def _list(self, kind: relay.StoreKind, query: str) -> relay.ListAnswered:
         objects = DecodedObjects()
         position: relay.Position | None = None
+        caught_up_at = time.monotonic()
         try:
             async for page in self._pages(kind, query):
                 # A watch from the position of the first page misses no change made
                 # while the others are read.
                 position = position or page.position
-                if page.position.era != position.era:
-                    raise CallError(
-                        relay.StoreFault.HISTORY_LOST,
-                        'store came back from an older copy between two pages',
-                    )
+                check_era(page.position, position)
                 for item in page.items:
                     objects.add(kind, item)
+                if time.monotonic() - caught_up_at > _CATCH_UP_SECONDS:
+                    answer = await self._read_changes(kind, position, 0, objects)
+                    check_era(answer.position, position)
+                    position = answer.position
+                    caught_up_at = time.monotonic()
         except EndlessListError as error:
             # What the rest of the list has is not known.
             objects.add(kind, None)
@@ -211,18 +222,11 @@
         position: relay.Position,
         wait_seconds: float,
     ) -> relay.WatchAnswered:
-        query = f'?watch={position.revision}&wait_ms={int(wait_seconds * 1000)}'
-        timeout = relay.ANSWER_TIMEOUT_SECONDS
         started = time.perf_counter()
-        page = await self._get(kind, query, wait_seconds + timeout, timeout)
-        waited = time.perf_counter() - started
         objects = DecodedObjects()
-        events = required_field(page.fields, 'events', list)
-        for item, deleted in decode_events(events):
-            if page.position.era == position.era:
-                check_event(item, position.revision)
-            objects.add(kind, item, deleted)
-        if not events and waited < wait_seconds * _MIN_WAIT_SHARE:
+        page = await self._read_changes(kind, position, wait_seconds, objects)
+        waited = time.perf_counter() - started
+        if not page.fields['events'] and waited < wait_seconds * _MIN_WAIT_SHARE:
             raise CallError(
                 relay.StoreFault.MALFORMED,
                 f'watch without changes ended after {waited:.3f} s',
@@ -236,12 +240,37 @@
             objects.version,
         )
 
+    async def _read_changes(
+        self,
+        kind: relay.StoreKind,
+        position: relay.Position,
+        wait_seconds: float,
+        objects: DecodedObjects,
+    ) -> Page:
+        """Wait for changes after a position, and add them to ``objects``."""
+        query = f'?watch={position.revision}&wait_ms={int(wait_seconds * 1000)}'
+        timeout = relay.ANSWER_TIMEOUT_SECONDS
+        is_configuration = kind is relay.StoreKind.CONFIGURATION
+        page = await self._get(
+            kind,
+            query,
+            wait_seconds + timeout,
+            timeout,
+            _MAX_CONFIGURATION_WATCH_BYTES if is_configuration else _MAX_BYTES,
+        )
+        for item, deleted in decode_events(required_field(page.fields, 'events', list)):
+            if page.position.era == position.era:
+                check_event(item, position.revision)
+            objects.add(kind, item, deleted)
+        return page
+
     async def _get(
         self,
         kind: relay.StoreKind,
         query: str,
         begin_seconds: float,
         part_seconds: float,
+        max_bytes: int = _MAX_BYTES,
     ) -> Page:
         """Return a decoded answer.
 
@@ -255,6 +284,7 @@
                 connection = await self._connect(kind)
                 status, era, body = await connection.get(
                     _PATHS[kind] + query,
+                    max_bytes,
                     part_bytes,
                     lambda: self._call_progressed(kind, limit, part_seconds),
                 )
--- a/src/lycheedeal/platform/_store_answers.py
+++ b/src/lycheedeal/platform/_store_answers.py
@@ -85,6 +85,15 @@
         )
 
 
+def check_era(position: relay.Position, earlier: relay.Position) -> None:
+    """Raise CallError if two answers to one call are of different histories."""
+    if position.era != earlier.era:
+        raise CallError(
+            relay.StoreFault.HISTORY_LOST,
+            'store came back from an older copy between two pages',
+        )
+
+
 def check_order(connection: Connection, position: relay.Position) -> None:
     """Check the position of an answer against earlier ones on the connection.
 
--- a/src/lycheedeal/relay/_records.py
+++ b/src/lycheedeal/relay/_records.py
@@ -87,6 +87,8 @@
     # An answer began, and its next part did not come in time.
     SLOW = 'slow'
     MALFORMED = 'malformed'
+    # A list is shorter than the changes that a watch reports.
+    TOO_LONG = 'too_long'
 
 
 @unique
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -11,6 +11,7 @@
 
 from lycheedeal import relay
 from lycheedeal.ids import Endpoint
+from lycheedeal.platform import _store
 from lycheedeal.platform._answers import decode_answer
 from lycheedeal.platform._objects import DecodedObjects
 from lycheedeal.platform._store import StoreClient
@@ -444,6 +445,83 @@
     play(test, answer, answer, answer)
 
 
+def test_watch_that_repeats_a_large_configuration_is_given_up_at_its_start() -> None:
+    """Guards against many versions of a large object that a narrow link carries.
+
+    A list has the last version only.
+    """
+    sent_all = False
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        nonlocal sent_all
+        await paths.get()
+        spec = {'version': 3, 'routes': [], 'note': 'n' * 700_000}
+        item = {'meta': {'name': 'main', 'revision': 9}, 'spec': spec}
+        events = [{'object': item, 'deleted': False}] * 2
+        content = response({'events': events, 'store_revision': 9})
+        await send_slowly(writer, content, 625_000)
+        sent_all = True
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.watch_objects(StoreKind.CONFIGURATION, position(0, 5), 1.0)
+        assert_fault(await harness.next_event(), StoreFault.TOO_LONG)
+        assert not sent_all
+
+    play(test, answer)
+
+
+def test_list_that_takes_longer_than_the_history_reads_changes_meanwhile(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a long list whose position the store does not know any more.
+
+    The changes are those of objects on the pages that have been read.
+    """
+    monkeypatch.setattr(_store, '_CATCH_UP_SECONDS', 0.1)
+    paths_seen = []
+
+    def entry(name: str, state: str) -> dict[str, Any]:
+        spec = {**SOUND_ENTRY, 'state': state}
+        return {'meta': {'name': name, 'revision': 7}, 'spec': spec}
+
+    events = [
+        {'object': entry('i-1', 'draining'), 'deleted': False},
+        {'object': entry('i-2', 'ready'), 'deleted': True},
+    ]
+    first = {
+        'items': [entry('i-1', 'ready'), entry('i-2', 'ready')],
+        'has_more': True,
+        'store_revision': 5,
+    }
+    last = {**first, 'items': [entry('i-3', 'ready')], 'has_more': False}
+    bodies = [
+        first,
+        {'events': events, 'store_revision': 8},
+        {**last, 'store_revision': 9},
+        {'events': [], 'store_revision': 9},
+    ]
+
+    async def answer(paths: asyncio.Queue[str], writer: asyncio.StreamWriter) -> None:
+        for body in bodies:
+            paths_seen.append(await paths.get())
+            await asyncio.sleep(0.2)
+            writer.write(response(body))
+
+    async def test(harness: Harness, client: StoreClient) -> None:
+        client.list_objects(UPSTREAMS)
+        event = await harness.next_event()
+        assert isinstance(event, relay.ListAnswered)
+        assert event.position.revision >= 8
+        listings = [one for one in event.entries if isinstance(one, relay.Listing)]
+        assert {one.upstream_id: one.draining for one in listings} == {
+            'i-1': True,
+            'i-3': False,
+        }
+        assert paths_seen[1] == '/objects/servers?watch=5&wait_ms=0'
+
+    play(test, answer)
+
+
 def test_page_that_does_not_come_is_a_failure() -> None:
     """Guards against a list that waits for a silent store."""
 
