Pause between lists while all watches fail

A store that answers lists and fails each watch was asked for list after list without a pause: each list counted as the end of the failures, and the failed watch after it as the first one. Failures now end with a list only if the last watch was answered before it, so the pause grows and the log says that calls keep failing. A list that follows a watch which is too long keeps to the same rule.

--- a/src/lycheedeal/relay/_reader.py
+++ b/src/lycheedeal/relay/_reader.py
@@ -62,7 +62,8 @@
     # be the same.
     was_answered: bool = False
     has_listed: bool = False
-    has_watched_since_list: bool = False
+    # Lists that were answered since the last watch that was.
+    lists_since_watch: int = 0
     # Whether the last content that the store sent could be used.
     is_usable: bool = True
 
@@ -99,6 +100,16 @@
             self.answering_since = now
         self.overdue_at = now + timeout + _REPORT_TIMEOUT_SECONDS
 
+    def is_list_due(self, fault: StoreFault) -> bool:
+        """Whether a list has what a watch could not tell, and the store works."""
+        match fault:
+            case StoreFault.HISTORY_LOST:
+                return self.lists_since_watch == 0
+            case StoreFault.TOO_LONG:
+                return self.lists_since_watch < 2
+            case _:
+                return False
+
     def note_failure(self, fault: StoreFault, now: float) -> None:
         """Count a failed call."""
         if not self.failures:
--- a/src/lycheedeal/relay/reading.py
+++ b/src/lycheedeal/relay/reading.py
@@ -150,11 +150,11 @@
                 CallFailed(event.kind, StoreFault.MALFORMED, detail)
             )
             return
-        yield from self._record_success(reader)
+        yield from self._record_success(reader, is_list=True)
         yield from self._enter_era(event)
         reader.position = event.position
         reader.has_listed = True
-        reader.has_watched_since_list = False
+        reader.lists_since_watch += 1
         reader.is_usable = is_usable(event)
         yield from self._publish_content(event, complete=True)
         yield from confirm(reader, reader.called_at)
@@ -193,7 +193,7 @@
 
     def _watch_answered(self, event: WatchAnswered) -> Iterator[Effect]:
         reader = self._readers[event.kind]
-        yield from self._record_success(reader)
+        yield from self._record_success(reader, is_list=False)
         yield from self._enter_era(event)
         if event.position.era != reader.position.era:
             # The new history may have given out the watched revision again, so the
@@ -201,7 +201,7 @@
             yield from self._list(reader)
             return
         reader.position = event.position
-        reader.has_watched_since_list = True
+        reader.lists_since_watch = 0
         is_changed = has_changes(event)
         if is_changed:
             reader.is_usable = is_usable(event)
@@ -220,10 +220,12 @@
         else:
             yield from self._watch(reader, wait_after(now - began_at))
 
-    def _record_success(self, reader: Reader) -> Iterator[Effect]:
-        if reader.failures:
-            reader.failures = 0
+    def _record_success(self, reader: Reader, is_list: bool) -> Iterator[Effect]:
+        if reader.failures and (is_list or not reader.lists_since_watch):
             self._unsettled_at = self._context.clock.monotonic()
+        # If all watches since the last list have failed, another list does not help.
+        if reader.failures and not (is_list and reader.lists_since_watch):
+            reader.failures = 0
             yield LogRecord(
                 Part.READING,
                 'store',
@@ -275,11 +277,11 @@
     def _call_failed(self, event: CallFailed) -> Iterator[Effect]:
         reader = self._readers[event.kind]
         self._context.metrics.add('store_failures', event.fault.value)
-        is_history_lost = event.fault is StoreFault.HISTORY_LOST
-        if is_history_lost and reader.has_watched_since_list:
+        is_watch = reader.phase is Phase.WATCHING
+        if is_watch and reader.is_list_due(event.fault):
             yield from self._list(reader)
             return
-        watch_failed = reader.phase is Phase.WATCHING and not is_history_lost
+        watch_failed = is_watch and event.fault is not StoreFault.HISTORY_LOST
         now = self._context.clock.monotonic()
         reader.note_failure(event.fault, now)
         if reader.is_failure_reported:
--- a/tests/unit/test_relay_failing_lists.py
+++ b/tests/unit/test_relay_failing_lists.py
@@ -93,6 +93,27 @@
     assert len(host.states()) == 2
 
 
+@pytest.mark.parametrize('fault', relay.StoreFault)
+def test_watches_that_all_fail_do_not_lead_to_lists_without_a_pause(
+    fault: relay.StoreFault,
+) -> None:
+    """Guards against a loop of lists and watches at the pace of the store."""
+    simulation = RelaySimulation()
+    simulation.store.put(listing('i-1'))
+    host = simulation.add('a-0', 'a')
+    simulation.run(3)
+    simulation.store.calls.clear()
+    for _ in range(100):
+        for kind in tuple(host.watches):
+            del host.watches[kind]
+            host.dispatch(relay.CallFailed(kind, fault, ''))
+        simulation.run(0.1)
+    kinds = len(host.context.settings.kinds)
+    assert len(simulation.store.calls) < 50 * kinds
+    assert KEEPS_FAILING in {one.text for one in host.records}
+    assert host.version() == simulation.store.version
+
+
 @pytest.mark.parametrize('fault', relay.StoreFault)
 def test_calls_that_keep_failing_are_logged(fault: relay.StoreFault) -> None:
     """Guards against a loop without progress that shows in no log."""
