Split content for other hosts by its length, too

A part of the content that hosts send each other had ten entries and up to twenty names, whatever their length.

Parts now have fewer of such names.

test_parts_with_long_names_fit_into_a_datagram failed before.

--- a/src/lycheedeal/relay/_copies.py
+++ b/src/lycheedeal/relay/_copies.py
@@ -4,10 +4,9 @@
 receiver joins them again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from itertools import islice
-from typing import Final
+from typing import Final, TypeVar
 
 from lycheedeal.ids import HostId
 from lycheedeal.relay._events import ContentChanged
@@ -29,6 +28,12 @@
 
 # Keeps a datagram below 1,400 bytes: an entry takes about 100 bytes.
 _ENTRIES_PER_PART: Final = 10
+# Limit for each of the entries, the removed and the unusable names of a part, if there
+# are several: names of another writer may be long, and a datagram has 8 KiB at most.
+_BYTES_PER_PART: Final = 1500
+# Encoded length of an entry without its names, and of a character that is not ASCII.
+_ENTRY_BYTES: Final = 60
+_CHARACTER_BYTES: Final = 12
 # Incomplete changes that are kept, beyond which the oldest is dropped. A sender
 # has few at a time.
 _MAX_PARTIAL: Final = 16
@@ -36,6 +41,10 @@
 _TERMS_PREFIX: Final = 'service '
 
 
+_Member = TypeVar('_Member')
+_Groups = list[list[_Member]]
+
+
 def entry_name(entry: Entry) -> str:
     """Return the name under which the store holds an entry."""
     match entry:
@@ -173,11 +182,10 @@
     They are the same ones when a host sends the change again, also after a restart:
     the receiver may still have some.
     """
-    entries = iter(sorted(change.entries, key=entry_name))
-    removed = iter(sorted(change.removed))
-    unusable = iter(sorted(change.unusable))
-    longest = max(len(change.entries), len(change.removed), len(change.unusable), 1)
-    count = -(-longest // _ENTRIES_PER_PART)
+    entries = _groups(sorted(change.entries, key=entry_name), _entry_bytes)
+    removed = _groups(sorted(change.removed), _text_bytes)
+    unusable = _groups(sorted(change.unusable), _text_bytes)
+    count = max(len(entries), len(removed), len(unusable), 1)
     for index in range(count):
         yield ContentPart(
             host_id=host_id,
@@ -189,13 +197,50 @@
             complete=change.complete,
             settled=change.settled,
             version=change.version,
-            entries=tuple(islice(entries, _ENTRIES_PER_PART)),
-            removed=tuple(islice(removed, _ENTRIES_PER_PART)),
-            unusable=tuple(islice(unusable, _ENTRIES_PER_PART)),
+            entries=_group_at(entries, index),
+            removed=_group_at(removed, index),
+            unusable=_group_at(unusable, index),
             exact=change.exact,
         )
 
 
+def _groups(
+    members: list[_Member], size_of: Callable[[_Member], int]
+) -> _Groups[_Member]:
+    """Return the members in groups that fit into a datagram each."""
+    groups: _Groups[_Member] = []
+    size = 0
+    for member in members:
+        member_size = size_of(member)
+        size += member_size
+        is_full = groups and len(groups[-1]) == _ENTRIES_PER_PART
+        if not groups or is_full or size > _BYTES_PER_PART:
+            groups.append([])
+            size = member_size
+        groups[-1].append(member)
+    return groups
+
+
+def _group_at(groups: _Groups[_Member], index: int) -> tuple[_Member, ...]:
+    return tuple(groups[index]) if index < len(groups) else ()
+
+
+def _entry_bytes(entry: Entry) -> int:
+    """Return about how many bytes an entry takes in a message."""
+    match entry:
+        case Listing(service=service, zone=zone):
+            texts: tuple[str, ...] = (service, zone)
+        case Route(services=services):
+            texts = tuple(name for name, _ in services)
+        case _:
+            texts = ()
+    return _ENTRY_BYTES + sum(map(_text_bytes, (entry_name(entry), *texts)))
+
+
+def _text_bytes(text: str) -> int:
+    return len(text) if text.isascii() else _CHARACTER_BYTES * len(text)
+
+
 class Reassembler:
     """Joins the parts of changes; parts may arrive in any order."""
 
@@ -203,6 +248,10 @@
         """Start without parts."""
         self._parts: dict[tuple[object, ...], dict[int, ContentPart]] = {}
 
+    def lacks(self, part: ContentPart) -> bool:
+        """Return whether a part has not been added to its change yet."""
+        return part.part not in self._parts.get(_change_key(part), {})
+
     def add(self, part: ContentPart) -> ContentPart | None:
         """Return the joined change, or None while parts of it are missing."""
         key = _change_key(part)
--- a/tests/unit/test_relay_snapshots.py
+++ b/tests/unit/test_relay_snapshots.py
@@ -5,8 +5,10 @@
 import pytest
 
 from lycheedeal import relay
-from lycheedeal.ids import Endpoint, HostId
+from lycheedeal.ids import Endpoint, HostId, ServiceName, UpstreamId, Zone
 from lycheedeal.relay import Edition
+from lycheedeal.relay._copies import split_part
+from lycheedeal.relay.peer_codec import MAX_DATAGRAM_BYTES, encode_message
 from tests.change_histories import ChangeHistory, Deployment
 from tests.relay_simulation import RelayHost, RelaySimulation, listing
 from tests.timed_relays import TimedSimulation
@@ -90,6 +92,44 @@
     assert len(requests) == 2
 
 
+def test_parts_with_long_names_fit_into_a_datagram() -> None:
+    """Guards against entries of another writer that no host can pass on."""
+    name = '\U0001f4a9' * 124
+    names = [f'{name}{one:03}' for one in range(40)]
+    entries = [
+        relay.Listing(
+            UpstreamId(f'{one}-1'),
+            ServiceName(name),
+            Endpoint('10.1.64.1', 8000),
+            Zone(name),
+            slots=2,
+            draining=False,
+            warmup_ms=0,
+            started_ms=1,
+        )
+        for one in names
+    ]
+    change = relay.ContentPart(
+        HostId('a-0'),
+        relay.StoreKind.UPSTREAMS,
+        base=Edition((1, 90)),
+        position=relay.Position(relay.Era(1), relay.Revision(91)),
+        part=0,
+        parts=1,
+        complete=True,
+        settled=True,
+        version=None,
+        entries=tuple(entries),
+        removed=tuple(names),
+        unusable=tuple(names),
+    )
+    parts = list(split_part(change, HostId('a-0')))
+    datagrams = [encode_message(relay.Spread(2**31, 999, 999, one)) for one in parts]
+    assert max(map(len, datagrams)) <= MAX_DATAGRAM_BYTES
+    assert sum(len(one.unusable) for one in parts) == 40
+    assert sum(len(one.entries) for one in parts) == 40
+
+
 def test_leader_sends_a_snapshot_to_few_hosts_itself(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
