--- a/src/lycheedeal/relay/_exchange.py
+++ b/src/lycheedeal/relay/_exchange.py
@@ -60,6 +60,8 @@
         }
         self.lag = Lag(context)
         self._requests_by_kind: dict[StoreKind, _SnapshotRequests] = {}
+        # Until when no request is needed, as parts of later content arrive.
+        self._arriving_until_by_kind = dict.fromkeys(context.settings.kinds, 0.0)
         self._next_request_by_kind = dict.fromkeys(context.settings.kinds, 0.0)
 
     def editions(self) -> tuple[Edition, ...]:
@@ -92,6 +94,8 @@
                 continue
             leader_id = beacon.peer.host_id
             yield from self.lag.begin(kind, own_edition, edition, leader_id)
+            if now < self._arriving_until_by_kind[kind]:
+                continue
             if self.lag.restart_overdue(kind):
                 yield Publish(RefreshRequested(kind))
             else:
@@ -99,9 +103,10 @@
 
     def receive(self, part: ContentPart) -> Iterator[Effect]:
         """Publish a change once all its parts are there, if it is later."""
-        change = (
-            self._reassembler.add(part) if part.kind in self.copies_by_kind else None
-        )
+        if part.kind not in self.copies_by_kind:
+            return
+        self._note_arrival(part)
+        change = self._reassembler.add(part)
         if change is None:
             return
         copy = self.copies_by_kind[change.kind]
@@ -116,6 +121,15 @@
             return
         yield Publish(as_content(change))
 
+    def _note_arrival(self, part: ContentPart) -> None:
+        """Note that later content arrives, which may take long on a narrow link."""
+        copy = self.copies_by_kind[part.kind]
+        is_later = edition_of(part) > edition_of(copy) and copy.accepts(part)
+        if is_later and self._reassembler.lacks(part):
+            now = self._context.clock.monotonic()
+            until = now + _REQUEST_INTERVAL_SECONDS
+            self._arriving_until_by_kind[part.kind] = until
+
     def send_snapshot(self, host_id: HostId, kind: StoreKind) -> Iterator[Effect]:
         """Send the whole content of a kind to a host that asks for it."""
         peer = self._peer_table.find(host_id)
--- a/tests/unit/test_relay_snapshots.py
+++ b/tests/unit/test_relay_snapshots.py
@@ -92,6 +92,45 @@
     assert len(requests) == 2
 
 
+class ContentLosingSimulation(RelaySimulation):
+    """A simulation that can lose what hosts send of their content."""
+
+    loses_content = False
+
+    def send(self, sender: RelayHost, endpoint: Endpoint, datagram: bytes) -> None:
+        if not (self.loses_content and b'"content"' in datagram):
+            super().send(sender, endpoint, datagram)
+
+
+def test_snapshot_is_not_requested_again_while_its_parts_arrive() -> None:
+    """Guards against copies of a large snapshot that keep a narrow link busy."""
+    simulation = ContentLosingSimulation()
+    simulation.store.put(*(listing(f'i-{one + 1:x}') for one in range(400)))
+    for number in range(2):
+        simulation.add(f'a-{number}', 'a')
+    leader, host = simulation.hosts.values()
+    simulation.run(2)
+    simulation.disconnected.add(host.endpoint)
+    simulation.store.put(listing('i-1', draining=True))
+    simulation.run(0.2)
+    simulation.disconnected.clear()
+    copies = leader.kernel.plugins_by_name['zone'].copies_by_kind
+    snapshot = copies[relay.StoreKind.UPSTREAMS].snapshot()
+    parts = list(split_part(snapshot, leader.context.settings.host_id))
+    assert len(parts) == 40
+    simulation.recorded = []
+    simulation.loses_content = True
+    for part in parts[:5]:
+        host.dispatch(relay.PeerMessageReceived(part))
+        simulation.run(0.1)
+    requests = [one for _, one in simulation.recorded if b'"snapshot"' in one]
+    assert not requests
+    # Parts that are lost are requested with the next beacon.
+    simulation.run(0.5)
+    requests = [one for _, one in simulation.recorded if b'"snapshot"' in one]
+    assert requests
+
+
 def test_parts_with_long_names_fit_into_a_datagram() -> None:
     """Guards against entries of another writer that no host can pass on."""
     name = '\U0001f4a9' * 124
