Do not list the configuration for objects with odd names

An object of another writer whose name cannot be read counted as a change that may be that of the configuration, so each of its changes led to a list of the whole configuration. The configuration has a plain name; only an object without any name may be the configuration.

test_odd_name_among_configurations_is_no_change_of_the_configuration failed before.

--- a/src/lycheedeal/platform/_objects.py
+++ b/src/lycheedeal/platform/_objects.py
@@ -62,8 +62,10 @@
         try:
             name = object_name(item)
         except DecodeError:
-            # Which object this is cannot be determined without its name.
-            if not deleted:
+            # Which object this is cannot be determined without its name. One whose
+            # name cannot be read is not the configuration, which has a plain name.
+            is_other = kind is relay.StoreKind.CONFIGURATION and _has_name(item)
+            if not (deleted or is_other):
                 self._unusable[''] = None
             return
         self._discard_earlier(name)
@@ -119,6 +121,14 @@
     return number
 
 
+def _has_name(item: Any) -> bool:
+    match item:
+        case {'meta': {'name': str()}}:
+            return True
+        case _:
+            return False
+
+
 def object_name(item: Any) -> str:
     """Return the name of an object; raises DecodeError if it cannot be read."""
     match item:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -240,6 +240,16 @@
     assert good == relay.ServiceTerms(ServiceName('intake'), 2000, 2.5, 10)
 
 
+@pytest.mark.parametrize('name', ['', 'x' * 500, 'a\nb', UNREADABLE])
+def test_odd_name_among_configurations_is_no_change_of_the_configuration(
+    name: str,
+) -> None:
+    """Guards against a list of a large configuration for each change of an object."""
+    objects = DecodedObjects()
+    objects.add(relay.StoreKind.CONFIGURATION, {'meta': {'name': name}, 'spec': {}})
+    assert not objects.unusable
+
+
 @pytest.mark.parametrize('name', [None, 7, '', 'x' * 500, 'a\nb', UNREADABLE])
 def test_service_without_a_usable_name_has_no_terms(name: Any) -> None:
     """Guards against an entry that hosts cannot pass on to each other."""
