Soak: leave entries with odd names, and some that fill a page

Entries of another writer now have names that no host can read, too, and some of them 1 MB, so that they take a page of the list of upstreams alone.

--- a/soak/_odd_entries.py
+++ b/soak/_odd_entries.py
@@ -23,7 +23,8 @@
     target = rng.choice(environment.targets.sockets).incarnation
     if target is None:
         return
-    name = f'foreign-{target.numeric_id:x}'
+    prefix = rng.choice(('foreign', 'foreign', _UNREADABLE, 'a' * 200))
+    name = f'{prefix}-{target.numeric_id:x}'
     spec = rng.choice(tuple(_odd_specs(target)))
     await environment.store.put('servers', name, spec)
     await asyncio.sleep(rng.uniform(0, _MAX_STAY_SECONDS))
@@ -38,6 +39,8 @@
     yield {**spec, 'service': _UNREADABLE}
     yield {**spec, 'address': f'{target.ip}:65536'}
     yield {**spec, 'slots': 10**400}
+    # Takes a page of a list alone.
+    yield {'note': 'n' * 1_040_000}
     yield {**spec, 'warmup_left_ms': 10**400}
     for name in spec:
         yield {field: spec[field] for field in spec if field != name}
