Daemon: let reads of the object API take as long as their link needs

The client gave up each list and read after 2 s as a whole, and a watch after 30 s. On a link of 5 Mbit/s an object of 1 MB takes 1.7 s and 16 shards 27 s, so a host that starts there would list anew for ever. The times now hold for the next bytes of an answer; a write has the time that the link needs for its body on top. A list counts as lost after 60 s instead of 10 s, as the client reports a silent platform after 2 s.

test_answer_may_take_as_long_as_its_link_needs of test_platform_client.py failed before for lists and reads.

--- a/src/lycheedeal/configuration/_refresh.py
+++ b/src/lycheedeal/configuration/_refresh.py
@@ -15,8 +15,9 @@
 _RELIST_INTERVAL_SECONDS: Final = 30.0
 _MIN_RETRY_SECONDS: Final = 2.0
 _MAX_RETRY_SECONDS: Final = 30.0
-# Covers a lost reply; the platform client reports a timeout earlier.
-_REPLY_TIMEOUT_SECONDS: Final = 10.0
+# Covers a lost reply. The platform client reports a silent platform after 2 s; a list
+# of all shards, of 1 MB each, takes half a minute on the narrowest links.
+_REPLY_TIMEOUT_SECONDS: Final = 60.0
 
 
 class Refresher:
--- a/src/lycheedeal/runtime/_platform.py
+++ b/src/lycheedeal/runtime/_platform.py
@@ -18,7 +18,12 @@
     ObjectChanged,
 )
 
-_CALL_TIMEOUT_SECONDS: Final = 2.0
+# Time without a byte of an answer after which a call fails. How long a whole answer
+# takes depends on its length and on the link.
+_SILENCE_TIMEOUT_SECONDS: Final = 2.0
+# Rate at which the body of a write is sent at least, in bytes a second: that of the
+# narrowest links of the platform.
+_MIN_UPLOAD_RATE: Final = 625_000
 # The platform answers a watch after this time if nothing has changed.
 _WATCH_WAIT_SECONDS: Final = 25
 # Added to the timeout of a watch, because a slow platform may answer late.
@@ -87,7 +92,11 @@
         # taken for the answer to the next call.
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True),
-            timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=_SILENCE_TIMEOUT_SECONDS,
+                sock_read=_SILENCE_TIMEOUT_SECONDS,
+            ),
         )
 
     async def close(self) -> None:
@@ -175,10 +184,14 @@
         return [*_change_events(_decode_listing(content)), _succeeded(call)]
 
     async def _write(self, call: CallApi) -> list[Event]:
+        upload_seconds = len(call.body) / _MIN_UPLOAD_RATE
         async with self._require_session().put(
             self._url('objects', call.key),
             data=call.body,
             headers={'If-Match': str(call.version)},
+            timeout=aiohttp.ClientTimeout(
+                total=_SILENCE_TIMEOUT_SECONDS + upload_seconds
+            ),
             middlewares=(_send_once,),
         ) as response:
             content = await response.read()
@@ -223,8 +236,9 @@
             'timeout': str(_WATCH_WAIT_SECONDS),
         }
         timeout = aiohttp.ClientTimeout(
-            total=_WATCH_WAIT_SECONDS + _WATCH_MARGIN_SECONDS,
-            sock_connect=_CALL_TIMEOUT_SECONDS,
+            total=None,
+            sock_connect=_SILENCE_TIMEOUT_SECONDS,
+            sock_read=_WATCH_WAIT_SECONDS + _WATCH_MARGIN_SECONDS,
         )
         async with self._require_session().get(
             self._url('watch'),
--- a/tests/functional/test_platform_client.py
+++ b/tests/functional/test_platform_client.py
@@ -344,6 +344,39 @@
     return head % len(listed) + listed
 
 
+@pytest.mark.parametrize('operation', [ApiCall.LIST, ApiCall.READ])
+def test_answer_may_take_as_long_as_its_link_needs(operation: ApiCall) -> None:
+    """Guards against a call that is given up halfway and begun anew for ever."""
+    found = '{"key":"a","version":1,"body":"eA=="}'
+    content = listing_answer(f'{found},{found}')
+    if operation is ApiCall.READ:
+        content = object_answer(1)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        step = len(content) // 8
+        for start in range(0, len(content), step):
+            writer.write(content[start : start + step])
+            await asyncio.sleep(0.3)
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        events: asyncio.Queue[kernel.Event] = asyncio.Queue()
+        port = server.sockets[0].getsockname()[1]
+        client = PlatformClient(f'http://127.0.0.1:{port}', events.put_nowait)
+        await client.start()
+        client.submit(kernel.CallApi(1, operation, KEY, 0, b''))
+        event: kernel.Event | None = None
+        while not isinstance(event, kernel.ApiReplied):
+            event = await asyncio.wait_for(events.get(), 5)
+        assert event.status is ApiStatus.OK
+        await client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_call_and_watch_go_on_after_an_answer_that_is_nested_too_deeply() -> None:
     """Guards against a call without a reply, and a watch that reports nothing more.
 
