--- a/src/lycheedeal/relay/_read_outcomes.py
+++ b/src/lycheedeal/relay/_read_outcomes.py
@@ -36,6 +36,7 @@
 
 
 def has_changes(event: WatchAnswered) -> bool:
+    """Return whether a watch reported any change."""
     if event.entries or event.removed or event.unusable:
         return True
     # A configuration without any routes is a change, too.
--- a/tests/functional/test_platform_client.py
+++ b/tests/functional/test_platform_client.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 import re
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
@@ -338,6 +339,23 @@
     asyncio.run(main())
 
 
+@asynccontextmanager
+async def serving(
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+) -> AsyncIterator[tuple[PlatformClient, asyncio.Queue[kernel.Event]]]:
+    """Yield a client of a server, and the events of its calls."""
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    events: asyncio.Queue[kernel.Event] = asyncio.Queue()
+    port = server.sockets[0].getsockname()[1]
+    client = PlatformClient(f'http://127.0.0.1:{port}', events.put_nowait)
+    await client.start()
+    try:
+        yield client, events
+    finally:
+        await client.close()
+        server.close()
+
+
 def listing_answer(nested: str) -> bytes:
     listed = f'{{"revision":1,"objects":[{nested}]}}'.encode()
     head = b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n'
@@ -361,18 +379,12 @@
         writer.close()
 
     async def main() -> None:
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        events: asyncio.Queue[kernel.Event] = asyncio.Queue()
-        port = server.sockets[0].getsockname()[1]
-        client = PlatformClient(f'http://127.0.0.1:{port}', events.put_nowait)
-        await client.start()
-        client.submit(kernel.CallApi(1, operation, KEY, 0, b''))
-        event: kernel.Event | None = None
-        while not isinstance(event, kernel.ApiReplied):
-            event = await asyncio.wait_for(events.get(), 5)
-        assert event.status is ApiStatus.OK
-        await client.close()
-        server.close()
+        async with serving(serve) as (client, events):
+            client.submit(kernel.CallApi(1, operation, KEY, 0, b''))
+            event: kernel.Event | None = None
+            while not isinstance(event, kernel.ApiReplied):
+                event = await asyncio.wait_for(events.get(), 5)
+            assert event.status is ApiStatus.OK
 
     asyncio.run(main())
 
@@ -392,19 +404,13 @@
         writer.close()
 
     async def main() -> None:
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        events: asyncio.Queue[kernel.Event] = asyncio.Queue()
-        port = server.sockets[0].getsockname()[1]
-        client = PlatformClient(f'http://127.0.0.1:{port}', events.put_nowait)
-        await client.start()
-        client.submit(kernel.CallApi(1, ApiCall.LIST, KEY, 0, b''))
-        reply = await asyncio.wait_for(events.get(), 5)
-        assert isinstance(reply, kernel.ApiReplied)
-        assert reply.status is ApiStatus.UNAVAILABLE
-        client.submit(kernel.CallApi(2, ApiCall.WATCH, KEY, 0, b''))
-        changed = await asyncio.wait_for(events.get(), 5)
-        assert isinstance(changed, kernel.ObjectChanged)
-        await client.close()
-        server.close()
+        async with serving(serve) as (client, events):
+            client.submit(kernel.CallApi(1, ApiCall.LIST, KEY, 0, b''))
+            reply = await asyncio.wait_for(events.get(), 5)
+            assert isinstance(reply, kernel.ApiReplied)
+            assert reply.status is ApiStatus.UNAVAILABLE
+            client.submit(kernel.CallApi(2, ApiCall.WATCH, KEY, 0, b''))
+            changed = await asyncio.wait_for(events.get(), 5)
+            assert isinstance(changed, kernel.ObjectChanged)
 
     asyncio.run(main())
